Set down the shape: tables, systems, ticks, named ids

Cause: an empty repository; the users ask for a shape (entities in tables, systems over them each tick, one control thread) and read the code for it. Change: pkg/ has a package for each id, unit, message and row, the table, the world, and the systems of the thin path; carobcore lists the systems in the order in which they run. The core does no I/O and reads no clock. Conclusion: the frame in which the next parts are written.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# The targets that people guess: build, test, lint, fmt, demo, bench, fuzz.
+
+TOOLS := $(CURDIR)/.tools
+LINT  := $(TOOLS)/golangci-lint
+
+.PHONY: build test lint fmt check demo clean
+
+build:
+	go build -o bin/carobknot ./cmd/carobknot
+
+test:
+	go test -race -count=1 -timeout 20m ./...
+
+$(LINT):
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+
+lint: $(LINT)
+	$(LINT) run ./...
+
+fmt: $(LINT)
+	$(LINT) fmt ./...
+
+check: $(LINT)
+	$(LINT) fmt --diff ./...
+	$(LINT) run ./...
+	sh scripts/one_exported_type.sh
+
+demo: build
+	bin/carobknot demo
+
+clean:
+	rm -rf bin reports
--- /dev/null
+++ b/pkg/carobarrival/arrival.go
@@ -0,0 +1,23 @@
+// Package carobarrival holds the message that a call has come from a caller.
+package carobarrival
+
+import (
+	"time"
+
+	"github.com/carobknot/carobknot/pkg/carobcallid"
+	"github.com/carobknot/carobknot/pkg/carobservice"
+)
+
+// Arrival says that a call has come to this node, which is its entry from now on.
+type Arrival struct {
+	Call    carobcallid.ID
+	Service carobservice.Service
+	// Patience is the time that the caller gives; 0 if it names none.
+	Patience time.Duration
+	// Key is the idempotency key; empty if there is none.
+	Key string
+	// Streamed says that the body is too long to be kept for another attempt.
+	Streamed bool
+	// Trace is the trace context of the caller, as W3C writes it.
+	Trace string
+}
--- /dev/null
+++ b/pkg/carobcall/call.go
@@ -0,0 +1,39 @@
+// Package carobcall holds the rows of the calls that a node is the entry of.
+package carobcall
+
+import (
+	"github.com/carobknot/carobknot/pkg/carobarrival"
+	"github.com/carobknot/carobknot/pkg/carobattempt"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/carobprofile"
+	"github.com/carobknot/carobknot/pkg/carobstage"
+)
+
+// Call is a call from its arrival until its caller has the answer or the error.
+type Call struct {
+	Arrival carobarrival.Arrival
+	// Profile is the one in force when the call came. It stays for the call.
+	Profile carobprofile.Profile
+	// Came is when the call came.
+	Came carobinstant.Instant
+	// Deadline is when the caller's patience ends.
+	Deadline carobinstant.Instant
+	// Stage only ever goes up, but for Placed back to Waiting.
+	Stage carobstage.Stage
+	// Attempts has attempt n at index n-1.
+	Attempts []carobattempt.Attempt
+	// Last is the kind of the newest failed attempt.
+	Last carobkind.Kind
+}
+
+// Open returns how many attempts have no reply yet.
+func (c *Call) Open() int {
+	n := 0
+	for i := range c.Attempts {
+		if !c.Attempts[i].Over {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/pkg/carobconclusion/conclusion.go
@@ -0,0 +1,16 @@
+// Package carobconclusion holds the order to tell a caller the end of its call.
+package carobconclusion
+
+import (
+	"github.com/carobknot/carobknot/pkg/carobcallid"
+	"github.com/carobknot/carobknot/pkg/carobkind"
+)
+
+// Conclusion orders that the caller gets an attempt's answer or an error.
+type Conclusion struct {
+	Call carobcallid.ID
+	// Kind is the error; None if the caller gets an answer.
+	Kind carobkind.Kind
+	// Attempt is the one whose answer the caller gets; 0 if Kind is not None.
+	Attempt int
+}
--- /dev/null
+++ b/pkg/carobcore/core.go
@@ -0,0 +1,85 @@
+// Package carobcore runs the systems of a node over its tables.
+//
+// The core does no I/O and reads no clock: the same world, messages and instants
+// lead to the same effects every time. Whoever embeds it carries messages in
+// and effects out.
+package carobcore
+
+import (
+	"time"
+
+	"github.com/carobknot/carobknot/pkg/carobaddress"
+	"github.com/carobknot/carobknot/pkg/carobadmission"
+	"github.com/carobknot/carobknot/pkg/carobentry"
+	"github.com/carobknot/carobknot/pkg/carobfold"
+	"github.com/carobknot/carobknot/pkg/carobgrouping"
+	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/carobmembership"
+	"github.com/carobknot/carobknot/pkg/caroboutbox"
+	"github.com/carobknot/carobknot/pkg/carobregistry"
+	"github.com/carobknot/carobknot/pkg/carobrouting"
+	"github.com/carobknot/carobknot/pkg/carobshutdown"
+	"github.com/carobknot/carobknot/pkg/carobworld"
+)
+
+// system is one rule that runs over the tables each tick.
+type system interface {
+	Run(w *carobworld.World, now carobinstant.Instant)
+}
+
+// Config is how a core is made.
+type Config struct {
+	World carobworld.Config
+	// Seeds are addresses of other nodes to begin with.
+	Seeds []carobaddress.Address
+}
+
+// Core is the decisions of one node.
+type Core struct {
+	world *carobworld.World
+	// systems run in this order each tick.
+	systems []system
+}
+
+const (
+	targetSilence = 3 * time.Second
+	gossipPeriod  = 200 * time.Millisecond
+	gossipFanout  = 3
+)
+
+// NewCore returns a core with empty tables.
+func NewCore(c Config) *Core {
+	return &Core{
+		world: carobworld.NewWorld(c.World),
+		systems: []system{
+			carobregistry.NewSystem(carobregistry.Config{Silence: targetSilence}),
+			carobmembership.NewSystem(carobmembership.Config{Period: gossipPeriod, Fanout: gossipFanout, Seeds: c.Seeds}),
+			carobfold.NewSystem(),
+			carobgrouping.NewSystem(),
+			carobadmission.NewSystem(),
+			carobentry.NewSystem(),
+			carobrouting.NewSystem(),
+			carobshutdown.NewSystem(),
+		},
+	}
+}
+
+// Step runs one tick: the messages that came together, at one instant.
+func (c *Core) Step(now carobinstant.Instant, in carobinbox.Inbox) *caroboutbox.Outbox {
+	c.world.Begin(in)
+	for _, s := range c.systems {
+		s.Run(c.world, now)
+	}
+	return &c.world.Outbox
+}
+
+// Wake returns when the next tick is due though no message comes, or Never.
+func (c *Core) Wake() carobinstant.Instant {
+	return c.world.Wake()
+}
+
+// World gives access to the tables, to look at between ticks.
+func (c *Core) World() *carobworld.World {
+	return c.world
+}
--- /dev/null
+++ b/pkg/carobentry/system.go
@@ -0,0 +1,178 @@
+// Package carobentry owns calls from their arrival until their callers have
+// been told how they ended.
+package carobentry
+
+import (
+	"github.com/carobknot/carobknot/pkg/carobarrival"
+	"github.com/carobknot/carobknot/pkg/carobcall"
+	"github.com/carobknot/carobknot/pkg/carobcallid"
+	"github.com/carobknot/carobknot/pkg/carobconclusion"
+	"github.com/carobknot/carobknot/pkg/carobdelivery"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/carobjobid"
+	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/carobonce"
+	"github.com/carobknot/carobknot/pkg/carobreply"
+	"github.com/carobknot/carobknot/pkg/carobstage"
+	"github.com/carobknot/carobknot/pkg/carobworld"
+)
+
+// System takes calls in, follows their attempts and settles them.
+type System struct{}
+
+// NewSystem returns the system.
+func NewSystem() *System {
+	return &System{}
+}
+
+// Run takes in what has come for calls.
+func (s *System) Run(w *carobworld.World, now carobinstant.Instant) {
+	for _, ar := range w.Inbox.Arrivals {
+		arrive(w, now, ar)
+	}
+	for _, rp := range w.Inbox.Replies {
+		reply(w, now, rp)
+	}
+	for _, dl := range w.Inbox.Deliveries {
+		deliver(w, dl)
+	}
+	for _, id := range w.Inbox.Hangups {
+		if cl := w.Calls.Get(id); cl != nil {
+			conclude(w, cl, carobkind.Cancelled)
+		}
+	}
+	for _, cl := range w.Calls.All() {
+		expire(w, now, cl)
+	}
+}
+
+func arrive(w *carobworld.World, now carobinstant.Instant, ar carobarrival.Arrival) {
+	kind := objection(w, ar)
+	if kind != carobkind.None {
+		refuse(w, ar.Call, kind)
+		return
+	}
+	pf := w.ProfileOf(ar.Service)
+	patience := ar.Patience
+	if patience <= 0 {
+		patience = pf.Deadline.Duration()
+	}
+	w.Calls.Put(ar.Call, carobcall.Call{
+		Arrival: ar, Profile: *pf, Came: now, Deadline: now.Add(patience), Last: carobkind.NoTarget,
+	})
+}
+
+// objection returns why a call cannot be taken in at all, or None.
+func objection(w *carobworld.World, ar carobarrival.Arrival) carobkind.Kind {
+	switch {
+	case w.Stopping:
+		return carobkind.Leaving
+	case w.Calls.Full():
+		return carobkind.Busy
+	case w.Groups.Get(ar.Service) == nil:
+		return carobkind.NoTarget
+	case w.ProfileOf(ar.Service) == nil:
+		return carobkind.NotReady
+	default:
+		return carobkind.None
+	}
+}
+
+func reply(w *carobworld.World, now carobinstant.Instant, rp carobreply.Reply) {
+	cl := w.Calls.Get(rp.Job.Call)
+	if cl == nil || rp.Job.Attempt < 1 || rp.Job.Attempt > len(cl.Attempts) {
+		return
+	}
+	at := &cl.Attempts[rp.Job.Attempt-1]
+	if at.Over {
+		return
+	}
+	at.Over, at.Kind = true, rp.Kind
+	if cl.Stage != carobstage.Placed {
+		return
+	}
+	if rp.Kind == carobkind.None {
+		answer(w, cl, rp.Job.Attempt)
+		return
+	}
+	cl.Last = rp.Kind
+	if cl.Open() > 0 {
+		return
+	}
+	if mayTryAgain(now, cl) {
+		cl.Stage = carobstage.Waiting
+		return
+	}
+	conclude(w, cl, verdict(cl))
+}
+
+// answer picks the attempt whose answer the caller gets.
+func answer(w *carobworld.World, cl *carobcall.Call, attempt int) {
+	cl.Stage = carobstage.Delivering
+	cancelOthers(w, cl, attempt)
+	w.Outbox.Conclusions = append(w.Outbox.Conclusions, carobconclusion.Conclusion{
+		Call: cl.Arrival.Call, Attempt: attempt,
+	})
+}
+
+// mayTryAgain reports whether one more attempt keeps the profile's promise.
+func mayTryAgain(now carobinstant.Instant, cl *carobcall.Call) bool {
+	if len(cl.Attempts) >= cl.Profile.Tries || cl.Deadline.Reached(now) {
+		return false
+	}
+	return verdict(cl).NotRun() || cl.Profile.Once == carobonce.No && !cl.Arrival.Streamed
+}
+
+// verdict returns the kind of a call of which all attempts failed: the last one
+// that may have run, or else the last one.
+func verdict(cl *carobcall.Call) carobkind.Kind {
+	kind := cl.Last
+	for i := range cl.Attempts {
+		if at := &cl.Attempts[i]; at.Kind != carobkind.None && !at.Kind.NotRun() {
+			kind = at.Kind
+		}
+	}
+	return kind
+}
+
+func deliver(w *carobworld.World, dl carobdelivery.Delivery) {
+	w.Calls.Delete(dl.Job.Call)
+}
+
+func expire(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call) {
+	if cl.Stage == carobstage.Delivering {
+		return
+	}
+	if !cl.Deadline.Reached(now) {
+		w.WakeAt(cl.Deadline)
+		return
+	}
+	if cl.Open() > 0 {
+		conclude(w, cl, carobkind.Expired)
+		return
+	}
+	if kind := verdict(cl); !kind.NotRun() {
+		conclude(w, cl, kind)
+		return
+	}
+	conclude(w, cl, carobkind.Late)
+}
+
+// conclude tells the caller an error and forgets the call.
+func conclude(w *carobworld.World, cl *carobcall.Call, kind carobkind.Kind) {
+	cancelOthers(w, cl, 0)
+	refuse(w, cl.Arrival.Call, kind)
+	w.Calls.Delete(cl.Arrival.Call)
+}
+
+func cancelOthers(w *carobworld.World, cl *carobcall.Call, keep int) {
+	for i := range cl.Attempts {
+		if number := i + 1; number != keep && !cl.Attempts[i].Over {
+			w.Outbox.Cancels = append(w.Outbox.Cancels, carobjobid.ID{Call: cl.Arrival.Call, Attempt: number})
+		}
+	}
+}
+
+func refuse(w *carobworld.World, call carobcallid.ID, kind carobkind.Kind) {
+	w.Outbox.Conclusions = append(w.Outbox.Conclusions, carobconclusion.Conclusion{Call: call, Kind: kind})
+}
--- /dev/null
+++ b/pkg/carobgate/gate.go
@@ -0,0 +1,21 @@
+// Package carobgate holds the rows of the gates that a node keeps before its
+// own targets.
+package carobgate
+
+import (
+	"time"
+
+	"github.com/carobknot/carobknot/pkg/carobinstant"
+)
+
+// Gate is the admission side's state of one of the node's own targets.
+type Gate struct {
+	// Running is the number of started jobs that have not ended.
+	Running int
+	// Queued is the number of jobs that wait for a slot.
+	Queued int
+	// Latency is the estimated time that the target takes over a call.
+	Latency time.Duration
+	// Since is when the target came, for the ramp of a cold start.
+	Since carobinstant.Instant
+}
--- /dev/null
+++ b/pkg/carobinbox/inbox.go
@@ -0,0 +1,32 @@
+// Package carobinbox holds the messages that a tick starts with.
+package carobinbox
+
+import (
+	"github.com/carobknot/carobknot/pkg/carobannouncement"
+	"github.com/carobknot/carobknot/pkg/carobarrival"
+	"github.com/carobknot/carobknot/pkg/carobcallid"
+	"github.com/carobknot/carobknot/pkg/carobdelivery"
+	"github.com/carobknot/carobknot/pkg/carobfinish"
+	"github.com/carobknot/carobknot/pkg/carobgossip"
+	"github.com/carobknot/carobknot/pkg/caroboffer"
+	"github.com/carobknot/carobknot/pkg/carobrecord"
+	"github.com/carobknot/carobknot/pkg/carobreply"
+)
+
+// Inbox has one queue for each kind of message from the traffic goroutines.
+// Systems read the queues that concern them. A later system, or a later message
+// in its queue, sees what the earlier ones did.
+type Inbox struct {
+	Announcements []carobannouncement.Announcement
+	Records       []carobrecord.Record
+	Gossips       []carobgossip.Gossip
+	Offers        []caroboffer.Offer
+	Finishes      []carobfinish.Finish
+	Arrivals      []carobarrival.Arrival
+	Replies       []carobreply.Reply
+	Deliveries    []carobdelivery.Delivery
+	// Hangups are the calls whose callers are gone.
+	Hangups []carobcallid.ID
+	// Stop asks the node to shut down gracefully.
+	Stop bool
+}
--- /dev/null
+++ b/pkg/carobload/load.go
@@ -0,0 +1,27 @@
+// Package carobload holds an entry node's view of the load of a target.
+package carobload
+
+import (
+	"time"
+
+	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/carobreport"
+)
+
+// Load is the view that one node has of one target.
+type Load struct {
+	// Report is the newest report, already stale when it comes.
+	Report carobreport.Report
+	// At is when the report came; Never before the first.
+	At carobinstant.Instant
+	// Sent counts the own attempts made since the report.
+	Sent int
+	// Open counts the own attempts that have no reply yet.
+	Open int
+	// Latency is the estimated time from sending to the reply, network included.
+	Latency time.Duration
+	// Successes and Failures decay with time; together they give the error rate.
+	Successes, Failures float64
+	// Ejected is until when the target gets no calls; Never if it is in.
+	Ejected carobinstant.Instant
+}
--- /dev/null
+++ b/pkg/carobrouting/system.go
@@ -0,0 +1,134 @@
+// Package carobrouting picks the target of each attempt.
+package carobrouting
+
+import (
+	"time"
+
+	"github.com/carobknot/carobknot/pkg/carobattempt"
+	"github.com/carobknot/carobknot/pkg/carobcall"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/carobjobid"
+	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/carobload"
+	"github.com/carobknot/carobknot/pkg/carobreadiness"
+	"github.com/carobknot/carobknot/pkg/carobreply"
+	"github.com/carobknot/carobknot/pkg/carobsend"
+	"github.com/carobknot/carobknot/pkg/carobstage"
+	"github.com/carobknot/carobknot/pkg/carobtargetid"
+	"github.com/carobknot/carobknot/pkg/carobworld"
+)
+
+// pause is how long a call waits before a target is looked for again.
+const pause = 5 * time.Millisecond
+
+// System places the calls that wait for a target.
+type System struct {
+	// candidates is kept between calls to save its memory.
+	candidates []candidate
+}
+
+// NewSystem returns the system.
+func NewSystem() *System {
+	return &System{}
+}
+
+// Run learns from replies and places waiting calls.
+func (s *System) Run(w *carobworld.World, now carobinstant.Instant) {
+	for _, rp := range w.Inbox.Replies {
+		learn(w, now, rp)
+	}
+	for _, cl := range w.Calls.All() {
+		if cl.Stage == carobstage.Waiting {
+			s.place(w, now, cl)
+		}
+	}
+}
+
+// learn takes in the report that rides on a reply.
+func learn(w *carobworld.World, now carobinstant.Instant, rp carobreply.Reply) {
+	if rp.Report == nil {
+		return
+	}
+	ld := load(w, rp.Report.Target)
+	if ld == nil {
+		return
+	}
+	ld.Report, ld.At, ld.Sent = *rp.Report, now, 0
+}
+
+func load(w *carobworld.World, id carobtargetid.ID) *carobload.Load {
+	if ld := w.Loads.Get(id); ld != nil {
+		return ld
+	}
+	return w.Loads.Put(id, carobload.Load{})
+}
+
+func (s *System) place(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call) {
+	s.collect(w, cl)
+	if len(s.candidates) == 0 {
+		w.WakeAt(now.Add(pause))
+		return
+	}
+	chosen := policyOf(cl.Profile.Policy).pick(w.Random, s.candidates)
+	s.send(w, now, cl, s.candidates[chosen])
+}
+
+// collect lists the targets that may get the next attempt. Targets that have
+// refused the call already come in only when no other is left.
+func (s *System) collect(w *carobworld.World, cl *carobcall.Call) {
+	s.candidates = s.candidates[:0]
+	gp := w.Groups.Get(cl.Arrival.Service)
+	if gp == nil {
+		return
+	}
+	for _, again := range []bool{false, true} {
+		for _, id := range gp.Targets {
+			if tried(cl, id) == again {
+				s.consider(w, id)
+			}
+		}
+		if len(s.candidates) > 0 {
+			return
+		}
+	}
+}
+
+func (s *System) consider(w *carobworld.World, id carobtargetid.ID) {
+	tg := w.Targets.Get(id)
+	if tg == nil || tg.State != carobreadiness.Ready {
+		return
+	}
+	cd := candidate{target: id, node: tg.Node, slots: tg.Slots, incarnation: w.Self.Incarnation}
+	if !w.Owns(tg) {
+		pr := w.Peers.Get(tg.Node)
+		if pr == nil || pr.Member.Leaving {
+			return
+		}
+		cd.peer, cd.incarnation = pr.Member.Peer, pr.Member.Incarnation
+	}
+	cd.load = load(w, id)
+	if cd.load != nil {
+		s.candidates = append(s.candidates, cd)
+	}
+}
+
+func tried(cl *carobcall.Call, id carobtargetid.ID) bool {
+	for i := range cl.Attempts {
+		if cl.Attempts[i].Target == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *System) send(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call, cd candidate) {
+	cl.Stage, cl.Last = carobstage.Placed, carobkind.None
+	cl.Attempts = append(cl.Attempts, carobattempt.Attempt{
+		Target: cd.target, Node: cd.node, Incarnation: cd.incarnation, Sent: now,
+	})
+	cd.load.Sent++
+	w.Outbox.Sends = append(w.Outbox.Sends, carobsend.Send{
+		Job:    carobjobid.ID{Call: cl.Arrival.Call, Attempt: len(cl.Attempts)},
+		Target: cd.target, Peer: cd.peer, Incarnation: cd.incarnation, Patience: cl.Deadline.Sub(now),
+	})
+}
--- /dev/null
+++ b/pkg/carobworld/world.go
@@ -0,0 +1,137 @@
+// Package carobworld holds all control state of a node.
+package carobworld
+
+import (
+	"math/rand/v2"
+
+	"github.com/carobknot/carobknot/pkg/carobcall"
+	"github.com/carobknot/carobknot/pkg/carobcallid"
+	"github.com/carobknot/carobknot/pkg/carobgate"
+	"github.com/carobknot/carobknot/pkg/carobgroup"
+	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/carobjob"
+	"github.com/carobknot/carobknot/pkg/carobjobid"
+	"github.com/carobknot/carobknot/pkg/caroblimits"
+	"github.com/carobknot/carobknot/pkg/carobload"
+	"github.com/carobknot/carobknot/pkg/carobmeasure"
+	"github.com/carobknot/carobknot/pkg/carobmember"
+	"github.com/carobknot/carobknot/pkg/carobnodeid"
+	"github.com/carobknot/carobknot/pkg/caroboffset"
+	"github.com/carobknot/carobknot/pkg/caroboutbox"
+	"github.com/carobknot/carobknot/pkg/carobpeer"
+	"github.com/carobknot/carobknot/pkg/carobprofile"
+	"github.com/carobknot/carobknot/pkg/carobrevision"
+	"github.com/carobknot/carobknot/pkg/carobservice"
+	"github.com/carobknot/carobknot/pkg/carobtable"
+	"github.com/carobknot/carobknot/pkg/carobtarget"
+	"github.com/carobknot/carobknot/pkg/carobtargetid"
+	"github.com/carobknot/carobknot/pkg/carobword"
+)
+
+// Config is how a world is made.
+type Config struct {
+	// Self describes this node as others will hear of it.
+	Self    carobmember.Member
+	Limits  caroblimits.Limits
+	Measure carobmeasure.Measure
+	// Seed is what all random choices follow from.
+	Seed uint64
+}
+
+// World is the tables of a node, and the messages and effects of the tick at
+// hand. It belongs to the control goroutine.
+type World struct {
+	// Self is this node; its Targets are filled in when it is gossiped.
+	Self    carobmember.Member
+	Limits  caroblimits.Limits
+	Measure carobmeasure.Measure
+	// Random is the only source of chance for systems.
+	Random *rand.Rand
+	// Stopping says that the node is shutting down.
+	Stopping bool
+
+	// Targets has all targets known, the node's own among them.
+	Targets *carobtable.Table[carobtargetid.ID, carobtarget.Target]
+	// TargetsChanged says that Groups does not match Targets yet.
+	TargetsChanged bool
+	// Groups has the services of Targets.
+	Groups *carobtable.Table[carobservice.Service, carobgroup.Group]
+	// Loads has the entry side's view of targets.
+	Loads *carobtable.Table[carobtargetid.ID, carobload.Load]
+	// Gates has the admission side's state of the node's own targets.
+	Gates *carobtable.Table[carobtargetid.ID, carobgate.Gate]
+	// Peers has all other nodes known.
+	Peers *carobtable.Table[carobnodeid.ID, carobpeer.Peer]
+	// Calls has the calls that this node is the entry of.
+	Calls *carobtable.Table[carobcallid.ID, carobcall.Call]
+	// Jobs has the jobs at the node's own targets.
+	Jobs *carobtable.Table[carobjobid.ID, carobjob.Job]
+	// ProfilesRead is the offset of the newest change that was folded in. It
+	// never goes down.
+	ProfilesRead caroboffset.Offset
+	// Profiles has the profiles in force.
+	Profiles *carobtable.Table[carobword.Word, carobrevision.Revision]
+
+	Inbox  carobinbox.Inbox
+	Outbox caroboutbox.Outbox
+
+	// wake is when the next tick is due though no message comes.
+	wake carobinstant.Instant
+}
+
+// NewWorld returns a world with empty tables.
+func NewWorld(c Config) *World {
+	const stream = 1
+	return &World{
+		Self:         c.Self,
+		ProfilesRead: caroboffset.None,
+		Limits:       c.Limits,
+		Measure:      c.Measure,
+		Random:       rand.New(rand.NewPCG(c.Seed, stream)), //nolint:gosec // choices must repeat under a seed
+		Targets:      carobtable.NewTable[carobtargetid.ID, carobtarget.Target](carobtable.Config{Limit: c.Limits.Targets}),
+		Groups:       carobtable.NewTable[carobservice.Service, carobgroup.Group](carobtable.Config{Limit: c.Limits.Targets}),
+		Loads:        carobtable.NewTable[carobtargetid.ID, carobload.Load](carobtable.Config{Limit: c.Limits.Targets}),
+		Gates:        carobtable.NewTable[carobtargetid.ID, carobgate.Gate](carobtable.Config{Limit: c.Limits.Targets}),
+		Peers:        carobtable.NewTable[carobnodeid.ID, carobpeer.Peer](carobtable.Config{Limit: c.Limits.Peers}),
+		Calls:        carobtable.NewTable[carobcallid.ID, carobcall.Call](carobtable.Config{Limit: c.Limits.Calls}),
+		Jobs:         carobtable.NewTable[carobjobid.ID, carobjob.Job](carobtable.Config{Limit: c.Limits.Jobs}),
+		Profiles:     carobtable.NewTable[carobword.Word, carobrevision.Revision](carobtable.Config{Limit: c.Limits.Profiles}),
+	}
+}
+
+// WakeAt asks for a tick at an instant at the latest.
+func (w *World) WakeAt(at carobinstant.Instant) {
+	w.wake = carobinstant.Earlier(w.wake, at)
+}
+
+// Wake returns when the next tick is due, or Never.
+func (w *World) Wake() carobinstant.Instant {
+	return w.wake
+}
+
+// Begin takes in the messages of a new tick.
+func (w *World) Begin(in carobinbox.Inbox) {
+	w.Inbox = in
+	w.Outbox = caroboutbox.Outbox{}
+	w.wake = carobinstant.Never
+}
+
+// ProfileOf returns the profile in force for a service, or nil if its targets
+// or the profile that they picked are not known.
+func (w *World) ProfileOf(service carobservice.Service) *carobprofile.Profile {
+	gp := w.Groups.Get(service)
+	if gp == nil {
+		return nil
+	}
+	rv := w.Profiles.Get(gp.Profile)
+	if rv == nil {
+		return nil
+	}
+	return &rv.Change.Profile
+}
+
+// Owns reports whether the target is on this node's VM.
+func (w *World) Owns(tg *carobtarget.Target) bool {
+	return tg.Node == w.Self.Node
+}
