Serve a request end to end through separate processes

Cause: nothing ran. The users ask for the whole path first, thin. Change: timer service, mailbox, control goroutine, front end for callers, admission at the target's node, connection pool, gossip over connect with CBOR, log client and tail, settings, admin side; stand-ins for the platform's log and for a target; the command line's look-up table. Calls and control messages share the peer address, sorted by their first four bytes. The HTTP library's own client is not used, since it sends again by itself.

--- /dev/null
+++ b/internal/carobmailbox/mailbox.go
@@ -0,0 +1,54 @@
+// Package carobmailbox carries messages from the traffic goroutines to the
+// control goroutine.
+package carobmailbox
+
+import (
+	"context"
+	"sync"
+
+	"github.com/carobknot/carobknot/pkg/carobinbox"
+)
+
+// Mailbox collects messages until the control goroutine takes them together.
+type Mailbox struct {
+	mutex sync.Mutex
+	inbox carobinbox.Inbox
+	// rung holds one element while the control goroutine has something to do.
+	rung chan struct{}
+}
+
+// NewMailbox returns an empty mailbox.
+func NewMailbox() *Mailbox {
+	return &Mailbox{rung: make(chan struct{}, 1)}
+}
+
+// Post adds messages. It never blocks on the control goroutine.
+func (m *Mailbox) Post(write func(in *carobinbox.Inbox)) {
+	m.mutex.Lock()
+	write(&m.inbox)
+	m.mutex.Unlock()
+	m.Ring()
+}
+
+// Ring starts a tick though no message came.
+func (m *Mailbox) Ring() {
+	select {
+	case m.rung <- struct{}{}:
+	default:
+	}
+}
+
+// Take waits until the mailbox was rung and returns what has come together. It
+// reports false once cx has ended.
+func (m *Mailbox) Take(cx context.Context) (carobinbox.Inbox, bool) {
+	select {
+	case <-cx.Done():
+		return carobinbox.Inbox{}, false
+	case <-m.rung:
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	in := m.inbox
+	m.inbox = carobinbox.Inbox{}
+	return in, true
+}
--- /dev/null
+++ b/internal/carobnode/node.go
@@ -0,0 +1,192 @@
+// Package carobnode puts the parts of a node together and runs them.
+package carobnode
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/samber/do/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/carobknot/carobknot/internal/carobadmin"
+	"github.com/carobknot/carobknot/internal/carobadmitter"
+	"github.com/carobknot/carobknot/internal/carobcontrol"
+	"github.com/carobknot/carobknot/internal/carobentrance"
+	"github.com/carobknot/carobknot/internal/carobgossiper"
+	"github.com/carobknot/carobknot/internal/carobmailbox"
+	"github.com/carobknot/carobknot/internal/carobplatform"
+	"github.com/carobknot/carobknot/internal/carobpool"
+	"github.com/carobknot/carobknot/internal/carobsettings"
+	"github.com/carobknot/carobknot/internal/carobsplitter"
+	"github.com/carobknot/carobknot/internal/carobtail"
+	"github.com/carobknot/carobknot/internal/carobtimer"
+	"github.com/carobknot/carobknot/pkg/carobaddress"
+	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/carobmember"
+	"github.com/carobknot/carobknot/pkg/caroboutbox"
+	"github.com/carobknot/carobknot/pkg/carobstream"
+)
+
+// Config is how a node is made.
+type Config struct {
+	Settings carobsettings.Settings
+	Logger   *logrus.Logger
+}
+
+// Node is one node: its listeners and its parts.
+type Node struct {
+	config   Config
+	call     net.Listener
+	peer     net.Listener
+	admin    net.Listener
+	injector do.Injector
+	// stopped is closed when a graceful shutdown is complete.
+	stopped chan struct{}
+}
+
+const (
+	logPatience  = 2 * time.Second
+	sortPatience = 5 * time.Second
+	lastPatience = 5 * time.Second
+	joinPause    = 500 * time.Millisecond
+)
+
+// NewNode opens a node's listeners and makes its parts.
+func NewNode(cx context.Context, c Config) (*Node, error) {
+	n := &Node{config: c, stopped: make(chan struct{})}
+	var listen net.ListenConfig
+	for _, l := range []struct {
+		address carobaddress.Address
+		into    *net.Listener
+	}{{c.Settings.Call, &n.call}, {c.Settings.Peer, &n.peer}, {c.Settings.Admin, &n.admin}} {
+		ls, err := listen.Listen(cx, "tcp", string(l.address))
+		if err != nil {
+			n.closeListeners()
+			return nil, carobkind.Wrap(carobkind.Invalid, err, "listen")
+		}
+		*l.into = ls
+	}
+	n.injector = n.wire()
+	return n, nil
+}
+
+// Call returns where callers reach the node.
+func (n *Node) Call() carobaddress.Address { return carobaddress.Address(n.call.Addr().String()) }
+
+// Peer returns where other nodes reach the node.
+func (n *Node) Peer() carobaddress.Address { return carobaddress.Address(n.peer.Addr().String()) }
+
+// Admin returns where the VM's own targets reach the node.
+func (n *Node) Admin() carobaddress.Address { return carobaddress.Address(n.admin.Addr().String()) }
+
+// Run runs the node until cx ends, and then shuts down gracefully.
+func (n *Node) Run(cx context.Context) error {
+	inner, cancel := context.WithCancel(context.WithoutCancel(cx))
+	defer cancel()
+	timer := do.MustInvoke[*carobtimer.Timer](n.injector)
+	mailbox := do.MustInvoke[*carobmailbox.Mailbox](n.injector)
+	control := do.MustInvoke[*carobcontrol.Control](n.injector)
+	splitter := do.MustInvoke[*carobsplitter.Splitter](n.injector)
+	entrance := do.MustInvoke[*carobentrance.Entrance](n.injector)
+	gossiper := do.MustInvoke[*carobgossiper.Gossiper](n.injector)
+	admin := do.MustInvoke[*carobadmin.Admin](n.injector)
+	attempts := do.MustInvoke[*attemptServer](n.injector)
+
+	control.Attach(do.MustInvoke[*carobadmitter.Admitter](n.injector))
+	control.Attach(entrance)
+	control.Attach(gossiper)
+	control.Attach(n)
+
+	go timer.Run(inner)
+	go control.Run(inner)
+	go splitter.Run(inner)
+	go n.follow(inner, carobstream.Profiles)
+	go n.follow(inner, carobstream.Nodes)
+	go n.join(inner)
+	failed := make(chan error, 1)
+	serve := func(part string, run func(net.Listener) error, ls net.Listener) {
+		if err := run(ls); err != nil && inner.Err() == nil {
+			select {
+			case failed <- carobkind.Wrap(carobkind.Internal, err, "serve "+part):
+			default:
+			}
+		}
+	}
+	go serve("calls", entrance.Serve, n.call)
+	go serve("attempts", attempts.Serve, splitter.Calls)
+	go serve("gossip", gossiper.Serve, splitter.Control)
+	go serve("admin", admin.Serve, n.admin)
+	n.config.Logger.WithFields(logrus.Fields{
+		"node": n.config.Settings.Name, "call": n.Call(), "peer": n.Peer(), "admin": n.Admin(),
+	}).Info("node: started")
+
+	select {
+	case err := <-failed:
+		return err
+	case <-cx.Done():
+	}
+	n.config.Logger.WithField("node", n.config.Settings.Name).Info("node: shutting down")
+	mailbox.Post(func(in *carobinbox.Inbox) { in.Stop = true })
+	<-n.stopped
+	last, done := context.WithTimeout(inner, lastPatience)
+	defer done()
+	_ = entrance.Shutdown(last)
+	_ = attempts.ShutdownWithContext(last)
+	_ = gossiper.Shutdown(last)
+	_ = admin.Shutdown(last)
+	n.config.Logger.WithField("node", n.config.Settings.Name).Info("node: stopped")
+	return nil
+}
+
+// Carry notes the end of a graceful shutdown.
+func (n *Node) Carry(out *caroboutbox.Outbox) {
+	if !out.Stopped {
+		return
+	}
+	select {
+	case <-n.stopped:
+	default:
+		close(n.stopped)
+	}
+}
+
+// follow reads a stream of the platform's log.
+func (n *Node) follow(cx context.Context, stream carobstream.Stream) {
+	carobtail.NewTail(carobtail.Config{
+		Stream: stream, Log: do.MustInvoke[*carobplatform.Client](n.injector),
+		Mailbox: do.MustInvoke[*carobmailbox.Mailbox](n.injector),
+		Timer:   do.MustInvoke[*carobtimer.Timer](n.injector), Logger: logrus.NewEntry(n.config.Logger),
+	}).Run(cx)
+}
+
+// join announces the node in the log, so that others find it.
+func (n *Node) join(cx context.Context) {
+	data, err := json.Marshal(do.MustInvoke[carobmember.Member](n.injector))
+	if err != nil {
+		return
+	}
+	client := do.MustInvoke[*carobplatform.Client](n.injector)
+	for cx.Err() == nil {
+		if _, err := client.Append(cx, carobstream.Nodes, data); err == nil {
+			return
+		}
+		_ = do.MustInvoke[*carobtimer.Timer](n.injector).Wait(cx, joinPause)
+	}
+}
+
+func (n *Node) closeListeners() {
+	for _, ls := range []net.Listener{n.call, n.peer, n.admin} {
+		if ls != nil {
+			_ = ls.Close()
+		}
+	}
+}
+
+// Pools of connections.
+var (
+	peerPool   = carobpool.Config{Dial: time.Second, Idle: 30 * time.Second, Kept: 256}
+	targetPool = carobpool.Config{Dial: time.Second, Idle: 5 * time.Second, Kept: 256}
+)
--- /dev/null
+++ b/internal/carobnode/wire.go
@@ -0,0 +1,108 @@
+package carobnode
+
+import (
+	"github.com/samber/do/v2"
+	"github.com/valyala/fasthttp"
+
+	"github.com/carobknot/carobknot/internal/carobadmin"
+	"github.com/carobknot/carobknot/internal/carobadmitter"
+	"github.com/carobknot/carobknot/internal/carobcodec"
+	"github.com/carobknot/carobknot/internal/carobcontrol"
+	"github.com/carobknot/carobknot/internal/carobentrance"
+	"github.com/carobknot/carobknot/internal/carobgossiper"
+	"github.com/carobknot/carobknot/internal/carobmailbox"
+	"github.com/carobknot/carobknot/internal/carobplatform"
+	"github.com/carobknot/carobknot/internal/carobpool"
+	"github.com/carobknot/carobknot/internal/carobrelay"
+	"github.com/carobknot/carobknot/internal/carobsplitter"
+	"github.com/carobknot/carobknot/internal/carobtimer"
+	"github.com/carobknot/carobknot/pkg/carobcore"
+	"github.com/carobknot/carobknot/pkg/carobincarnation"
+	"github.com/carobknot/carobknot/pkg/carobmember"
+	"github.com/carobknot/carobknot/pkg/carobworld"
+)
+
+// attemptServer answers the attempts of other nodes.
+type attemptServer struct {
+	*fasthttp.Server
+}
+
+// wire says how each part is made. Parts are made when they are first asked for.
+func (n *Node) wire() do.Injector {
+	st := n.config.Settings
+	i := do.New()
+	do.ProvideValue(i, carobtimer.NewTimer())
+	do.ProvideValue(i, carobmailbox.NewMailbox())
+	do.Provide(i, func(i do.Injector) (carobmember.Member, error) {
+		born := do.MustInvoke[*carobtimer.Timer](i).Wall()
+		return carobmember.Member{
+			Node: st.Name, Incarnation: carobincarnation.Incarnation(born.UnixNano()), //nolint:gosec // the year is past 1970
+			Region: st.Region, Centre: st.Centre, Peer: n.Peer(),
+		}, nil
+	})
+	do.Provide(i, func(i do.Injector) (*carobcore.Core, error) {
+		self := do.MustInvoke[carobmember.Member](i)
+		return carobcore.NewCore(carobcore.Config{
+			World: carobworld.Config{Self: self, Limits: st.Limits, Measure: st.Measure, Seed: uint64(self.Incarnation)},
+			Seeds: st.Seeds,
+		}), nil
+	})
+	do.Provide(i, func(i do.Injector) (*carobcontrol.Control, error) {
+		return carobcontrol.NewControl(carobcontrol.Config{
+			Core: do.MustInvoke[*carobcore.Core](i), Mailbox: do.MustInvoke[*carobmailbox.Mailbox](i),
+			Timer: do.MustInvoke[*carobtimer.Timer](i),
+		}), nil
+	})
+	do.Provide(i, func(i do.Injector) (*carobadmitter.Admitter, error) {
+		pool := targetPool
+		pool.Timer = do.MustInvoke[*carobtimer.Timer](i)
+		return carobadmitter.NewAdmitter(carobadmitter.Config{
+			Mailbox: do.MustInvoke[*carobmailbox.Mailbox](i), Targets: carobpool.NewPool(pool),
+		}), nil
+	})
+	do.Provide(i, func(i do.Injector) (*carobentrance.Entrance, error) {
+		pool := peerPool
+		pool.Timer = do.MustInvoke[*carobtimer.Timer](i)
+		self := do.MustInvoke[carobmember.Member](i)
+		return carobentrance.NewEntrance(carobentrance.Config{
+			Node: self.Node, Incarnation: self.Incarnation, Limits: st.Limits,
+			Mailbox: do.MustInvoke[*carobmailbox.Mailbox](i),
+			Relay: carobrelay.NewRelay(carobrelay.Config{
+				Peers: carobpool.NewPool(pool), Own: do.MustInvoke[*carobadmitter.Admitter](i),
+			}),
+		}), nil
+	})
+	do.Provide(i, func(i do.Injector) (*attemptServer, error) {
+		return &attemptServer{Server: &fasthttp.Server{
+			Handler:              do.MustInvoke[*carobadmitter.Admitter](i).Serve,
+			ReadBufferSize:       2 * int(st.Limits.Header),
+			MaxRequestBodySize:   int(st.Limits.Body),
+			StreamRequestBody:    true,
+			NoDefaultContentType: true, NoDefaultServerHeader: true, CloseOnShutdown: true,
+			DisablePreParseMultipartForm: true,
+		}}, nil
+	})
+	do.Provide(i, func(i do.Injector) (*carobgossiper.Gossiper, error) {
+		codec, err := carobcodec.NewCodec()
+		if err != nil {
+			return nil, err
+		}
+		return carobgossiper.NewGossiper(carobgossiper.Config{
+			Mailbox: do.MustInvoke[*carobmailbox.Mailbox](i), Codec: codec,
+		}), nil
+	})
+	do.Provide(i, func(i do.Injector) (*carobsplitter.Splitter, error) {
+		return carobsplitter.NewSplitter(carobsplitter.Config{
+			Listener: n.peer, Timer: do.MustInvoke[*carobtimer.Timer](i), Patience: sortPatience,
+		}), nil
+	})
+	do.Provide(i, func(do.Injector) (*carobplatform.Client, error) {
+		return carobplatform.NewClient(carobplatform.Config{URL: st.Log, Patience: logPatience}), nil
+	})
+	do.Provide(i, func(i do.Injector) (*carobadmin.Admin, error) {
+		return carobadmin.NewAdmin(carobadmin.Config{
+			Mailbox: do.MustInvoke[*carobmailbox.Mailbox](i), Control: do.MustInvoke[*carobcontrol.Control](i),
+		}), nil
+	})
+	return i
+}
--- /dev/null
+++ b/internal/carobpool/pool.go
@@ -0,0 +1,201 @@
+// Package carobpool exchanges requests and answers over pooled connections.
+//
+// The HTTP library's own client is not used: it sends a request again by itself
+// when a kept connection turns out closed, and it cannot give up one exchange
+// by closing its connection. Here a request is written once, to one connection,
+// which serves the next exchange only after its answer was read to the end.
+package carobpool
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/carobknot/carobknot/internal/carobanswer"
+	"github.com/carobknot/carobknot/internal/carobtimer"
+	"github.com/carobknot/carobknot/pkg/carobaddress"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/carobkind"
+)
+
+// Config is how a pool is made.
+type Config struct {
+	Timer *carobtimer.Timer
+	// Dial is how long opening a connection may take.
+	Dial time.Duration
+	// Idle is how long a connection is kept unused.
+	Idle time.Duration
+	// Kept is the most unused connections to one address.
+	Kept int
+}
+
+// Pool keeps connections to several addresses.
+type Pool struct {
+	config Config
+	dialer net.Dialer
+	mutex  sync.Mutex
+	// idle has the unused connections, the one used last at the end.
+	idle map[carobaddress.Address][]*conn
+}
+
+type conn struct {
+	net.Conn
+	address carobaddress.Address
+	reader  *bufio.Reader
+	writer  *bufio.Writer
+	// since is when the connection was last used.
+	since carobinstant.Instant
+}
+
+const bufferSize = 4096
+
+// NewPool returns a pool without connections.
+func NewPool(c Config) *Pool {
+	return &Pool{config: c, dialer: net.Dialer{Timeout: c.Dial}, idle: map[carobaddress.Address][]*conn{}}
+}
+
+// Do sends a request and returns the head of its answer. When cx ends, the
+// connection is closed, which the other end sees as cancellation. An error is
+// Unreachable if nothing was sent, and Cut otherwise.
+func (p *Pool) Do(cx context.Context, ad carobaddress.Address, rq *fasthttp.Request) (*carobanswer.Answer, error) {
+	cn, err := p.get(cx, ad)
+	if err != nil {
+		return nil, carobkind.Wrap(carobkind.Unreachable, err, "open connection")
+	}
+	stop := context.AfterFunc(cx, func() { _ = cn.Close() })
+	rs, err := exchange(cn, rq)
+	if err != nil {
+		stop()
+		_ = cn.Close()
+		return nil, carobkind.Wrap(carobkind.Cut, err, "exchange")
+	}
+	bd := &body{pool: p, conn: cn, stop: stop, keep: !rs.ConnectionClose(), stream: rs.BodyStream()}
+	length := rs.Header.ContentLength()
+	if bd.stream == nil {
+		length = 0
+	}
+	bd.left, bd.ended = length, length == 0
+	return &carobanswer.Answer{Response: rs, Length: length, Body: bd}, nil
+}
+
+func exchange(cn *conn, rq *fasthttp.Request) (*fasthttp.Response, error) {
+	if err := rq.Write(cn.writer); err != nil {
+		return nil, err
+	}
+	if err := cn.writer.Flush(); err != nil {
+		return nil, err
+	}
+	rs := &fasthttp.Response{StreamBody: true, SkipBody: rq.Header.IsHead()}
+	if err := rs.Read(cn.reader); err != nil {
+		return nil, err
+	}
+	return rs, nil
+}
+
+// get returns an unused connection or opens one.
+func (p *Pool) get(cx context.Context, ad carobaddress.Address) (*conn, error) {
+	for {
+		cn := p.pop(ad)
+		if cn == nil {
+			return p.open(cx, ad)
+		}
+		if p.config.Timer.Now().Sub(cn.since) < p.config.Idle && quiet(cn) {
+			return cn, nil
+		}
+		_ = cn.Close()
+	}
+}
+
+func (p *Pool) pop(ad carobaddress.Address) *conn {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	idle := p.idle[ad]
+	if len(idle) == 0 {
+		return nil
+	}
+	cn := idle[len(idle)-1]
+	p.idle[ad] = idle[:len(idle)-1]
+	return cn
+}
+
+func (p *Pool) put(cn *conn) {
+	cn.since = p.config.Timer.Now()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.idle[cn.address]) >= p.config.Kept {
+		_ = cn.Close()
+		return
+	}
+	p.idle[cn.address] = append(p.idle[cn.address], cn)
+}
+
+func (p *Pool) open(cx context.Context, ad carobaddress.Address) (*conn, error) {
+	nc, err := p.dialer.DialContext(cx, "tcp", string(ad))
+	if err != nil {
+		return nil, err
+	}
+	return &conn{
+		Conn: nc, address: ad,
+		reader: bufio.NewReaderSize(nc, bufferSize), writer: bufio.NewWriterSize(nc, bufferSize),
+	}, nil
+}
+
+// Close closes the unused connections.
+func (p *Pool) Close() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for ad, idle := range p.idle {
+		for _, cn := range idle {
+			_ = cn.Close()
+		}
+		delete(p.idle, ad)
+	}
+}
+
+// body reads an answer's body and gives its connection back.
+type body struct {
+	pool   *Pool
+	conn   *conn
+	stream io.Reader
+	// stop ends the watch for cancellation; it reports whether it was in time.
+	stop func() bool
+	// keep says that the connection may serve another exchange.
+	keep bool
+	// left is the number of bytes still to come; negative if it is not known.
+	left int
+	// ended says that the whole body was read.
+	ended  bool
+	closed bool
+}
+
+// Read reads on.
+func (b *body) Read(into []byte) (int, error) {
+	if b.ended {
+		return 0, io.EOF
+	}
+	n, err := b.stream.Read(into)
+	b.left -= n
+	if err == io.EOF || b.left == 0 { //nolint:errorlint // readers return io.EOF itself
+		b.ended = true
+	}
+	return n, err
+}
+
+// Close gives the connection back if the body was read to its end, and closes
+// it otherwise.
+func (b *body) Close() error {
+	if b.closed {
+		return nil
+	}
+	b.closed = true
+	if !b.stop() || !b.ended || !b.keep {
+		return b.conn.Close()
+	}
+	b.pool.put(b.conn)
+	return nil
+}
