Send all control messages one way, through one queue

Cause: fences, probes and claims will need messages too; one remote procedure for each would put answers, and with them decisions, into the transport. Ruled out: request and answer by procedure, since a tick would have to wait. Change: carobmessage is the one control message; an answer is another message. Gates have a limit of their own, which may be below the announced slots.

--- a/internal/carobnode/node.go
+++ b/internal/carobnode/node.go
@@ -13,8 +13,8 @@
 	"github.com/carobknot/carobknot/internal/carobadmin"
 	"github.com/carobknot/carobknot/internal/carobadmitter"
 	"github.com/carobknot/carobknot/internal/carobcontrol"
+	"github.com/carobknot/carobknot/internal/carobcourier"
 	"github.com/carobknot/carobknot/internal/carobentrance"
-	"github.com/carobknot/carobknot/internal/carobgossiper"
 	"github.com/carobknot/carobknot/internal/carobmailbox"
 	"github.com/carobknot/carobknot/internal/carobplatform"
 	"github.com/carobknot/carobknot/internal/carobpool"
@@ -91,13 +91,13 @@
 	control := do.MustInvoke[*carobcontrol.Control](n.injector)
 	splitter := do.MustInvoke[*carobsplitter.Splitter](n.injector)
 	entrance := do.MustInvoke[*carobentrance.Entrance](n.injector)
-	gossiper := do.MustInvoke[*carobgossiper.Gossiper](n.injector)
+	courier := do.MustInvoke[*carobcourier.Courier](n.injector)
 	admin := do.MustInvoke[*carobadmin.Admin](n.injector)
 	attempts := do.MustInvoke[*attemptServer](n.injector)
 
 	control.Attach(do.MustInvoke[*carobadmitter.Admitter](n.injector))
 	control.Attach(entrance)
-	control.Attach(gossiper)
+	control.Attach(courier)
 	control.Attach(n)
 
 	go timer.Run(inner)
@@ -117,7 +117,7 @@
 	}
 	go serve("calls", entrance.Serve, n.call)
 	go serve("attempts", attempts.Serve, splitter.Calls)
-	go serve("gossip", gossiper.Serve, splitter.Control)
+	go serve("control messages", courier.Serve, splitter.Control)
 	go serve("admin", admin.Serve, n.admin)
 	n.config.Logger.WithFields(logrus.Fields{
 		"node": n.config.Settings.Name, "call": n.Call(), "peer": n.Peer(), "admin": n.Admin(),
@@ -135,7 +135,7 @@
 	defer done()
 	_ = entrance.Shutdown(last)
 	_ = attempts.ShutdownWithContext(last)
-	_ = gossiper.Shutdown(last)
+	_ = courier.Shutdown(last)
 	_ = admin.Shutdown(last)
 	n.config.Logger.WithField("node", n.config.Settings.Name).Info("node: stopped")
 	return nil
--- a/internal/carobnode/wire.go
+++ b/internal/carobnode/wire.go
@@ -8,8 +8,8 @@
 	"github.com/carobknot/carobknot/internal/carobadmitter"
 	"github.com/carobknot/carobknot/internal/carobcodec"
 	"github.com/carobknot/carobknot/internal/carobcontrol"
+	"github.com/carobknot/carobknot/internal/carobcourier"
 	"github.com/carobknot/carobknot/internal/carobentrance"
-	"github.com/carobknot/carobknot/internal/carobgossiper"
 	"github.com/carobknot/carobknot/internal/carobmailbox"
 	"github.com/carobknot/carobknot/internal/carobplatform"
 	"github.com/carobknot/carobknot/internal/carobpool"
@@ -82,12 +82,12 @@
 			DisablePreParseMultipartForm: true,
 		}}, nil
 	})
-	do.Provide(i, func(i do.Injector) (*carobgossiper.Gossiper, error) {
+	do.Provide(i, func(i do.Injector) (*carobcourier.Courier, error) {
 		codec, err := carobcodec.NewCodec()
 		if err != nil {
 			return nil, err
 		}
-		return carobgossiper.NewGossiper(carobgossiper.Config{
+		return carobcourier.NewCourier(carobcourier.Config{
 			Mailbox: do.MustInvoke[*carobmailbox.Mailbox](i), Codec: codec,
 		}), nil
 	})
--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -64,7 +64,7 @@
 	}
 	s.touch(of.Target)
 	gt := w.Gates.Get(of.Target)
-	if gt.Running < tg.Slots && gt.Queued == 0 {
+	if gt.Running < gt.Limit && gt.Queued == 0 {
 		start(w, now, jb, tg, gt)
 		return
 	}
@@ -156,7 +156,7 @@
 // drain starts queued jobs, the earliest deadline first, while slots are free.
 func (s *System) drain(w *carobworld.World, now carobinstant.Instant, id carobtargetid.ID, gt *carobgate.Gate) {
 	tg := w.Targets.Get(id)
-	for tg != nil && gt.Queued > 0 && gt.Running < tg.Slots {
+	for tg != nil && gt.Queued > 0 && gt.Running < gt.Limit {
 		jb := mostUrgent(w, id)
 		if jb == nil {
 			return
@@ -191,12 +191,12 @@
 // report publishes the load of the targets that this tick touched.
 func (s *System) report(w *carobworld.World) {
 	for _, id := range s.touched {
-		tg, gt := w.Targets.Get(id), w.Gates.Get(id)
-		if tg == nil || gt == nil {
+		gt := w.Gates.Get(id)
+		if gt == nil {
 			continue
 		}
 		w.Outbox.Reports = append(w.Outbox.Reports, carobreport.Report{
-			Target: id, Running: gt.Running, Queued: gt.Queued, Slots: tg.Slots, Latency: carobspan.Span(gt.Latency),
+			Target: id, Running: gt.Running, Queued: gt.Queued, Slots: gt.Limit, Latency: carobspan.Span(gt.Latency),
 		})
 	}
 }
--- a/pkg/carobgate/gate.go
+++ b/pkg/carobgate/gate.go
@@ -10,6 +10,9 @@
 
 // Gate is the admission side's state of one of the node's own targets.
 type Gate struct {
+	// Limit is the number of jobs that may run now: the announced slots, or
+	// fewer while the target is cold or slow. It is at least 1.
+	Limit int
 	// Running is the number of started jobs that have not ended.
 	Running int
 	// Queued is the number of jobs that wait for a slot.
--- a/pkg/carobinbox/inbox.go
+++ b/pkg/carobinbox/inbox.go
@@ -7,7 +7,7 @@
 	"github.com/carobknot/carobknot/pkg/carobcallid"
 	"github.com/carobknot/carobknot/pkg/carobdelivery"
 	"github.com/carobknot/carobknot/pkg/carobfinish"
-	"github.com/carobknot/carobknot/pkg/carobgossip"
+	"github.com/carobknot/carobknot/pkg/carobmessage"
 	"github.com/carobknot/carobknot/pkg/caroboffer"
 	"github.com/carobknot/carobknot/pkg/carobrecord"
 	"github.com/carobknot/carobknot/pkg/carobreply"
@@ -17,16 +17,26 @@
 // Systems read the queues that concern them. A later system, or a later message
 // in its queue, sees what the earlier ones did.
 type Inbox struct {
+	// Messages are from other nodes.
+	Messages []carobmessage.Message
+
+	// Membership, targets and the log.
+
 	Announcements []carobannouncement.Announcement
 	Records       []carobrecord.Record
-	Gossips       []carobgossip.Gossip
-	Offers        []caroboffer.Offer
-	Finishes      []carobfinish.Finish
-	Arrivals      []carobarrival.Arrival
-	Replies       []carobreply.Reply
-	Deliveries    []carobdelivery.Delivery
-	// Hangups are the calls whose callers are gone.
-	Hangups []carobcallid.ID
 	// Stop asks the node to shut down gracefully.
 	Stop bool
+
+	// Admission and claims.
+
+	Offers   []caroboffer.Offer
+	Finishes []carobfinish.Finish
+
+	// Entry and routing.
+
+	Arrivals   []carobarrival.Arrival
+	Replies    []carobreply.Reply
+	Deliveries []carobdelivery.Delivery
+	// Hangups are the calls whose callers are gone.
+	Hangups []carobcallid.ID
 }
--- a/pkg/carobmembership/system.go
+++ b/pkg/carobmembership/system.go
@@ -9,6 +9,7 @@
 	"github.com/carobknot/carobknot/pkg/carobgossip"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobmember"
+	"github.com/carobknot/carobknot/pkg/carobmessage"
 	"github.com/carobknot/carobknot/pkg/carobpeer"
 	"github.com/carobknot/carobknot/pkg/carobstream"
 	"github.com/carobknot/carobknot/pkg/carobworld"
@@ -41,9 +42,9 @@
 // Run takes in gossip and starts a round when one is due or this node changed.
 func (s *System) Run(w *carobworld.World, now carobinstant.Instant) {
 	s.join(w, now)
-	for _, gs := range w.Inbox.Gossips {
-		for _, mb := range gs.Members {
-			merge(w, now, mb)
+	for _, ms := range w.Inbox.Messages {
+		if ms.Gossip != nil {
+			hear(w, now, ms.Gossip)
 		}
 	}
 	if s.due == carobinstant.Never || s.due.Reached(now) || s.told != w.Self.Beat {
@@ -66,6 +67,12 @@
 	}
 }
 
+func hear(w *carobworld.World, now carobinstant.Instant, gs *carobgossip.Gossip) {
+	for _, mb := range gs.Members {
+		merge(w, now, mb)
+	}
+}
+
 func merge(w *carobworld.World, now carobinstant.Instant, mb carobmember.Member) {
 	if mb.Node == w.Self.Node {
 		return
@@ -110,7 +117,7 @@
 	w.Random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	for _, ad := range addresses[:min(s.config.Fanout, len(addresses))] {
 		if ad != w.Self.Peer {
-			w.Outbox.Gossips = append(w.Outbox.Gossips, carobgossip.Gossip{To: ad, Members: members})
+			w.Tell(carobmessage.Message{To: ad, Gossip: &carobgossip.Gossip{Members: members}})
 		}
 	}
 }
--- a/pkg/carobregistry/system.go
+++ b/pkg/carobregistry/system.go
@@ -59,9 +59,11 @@
 	if w.Targets.Put(an.Target, next) == nil {
 		return
 	}
-	if w.Gates.Get(an.Target) == nil {
-		w.Gates.Put(an.Target, carobgate.Gate{Since: now})
+	gt := w.Gates.Get(an.Target)
+	if gt == nil {
+		gt = w.Gates.Put(an.Target, carobgate.Gate{Since: now})
 	}
+	gt.Limit = an.Slots
 	if changed {
 		tell(w)
 	}
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -16,6 +16,7 @@
 	"github.com/carobknot/carobknot/pkg/carobload"
 	"github.com/carobknot/carobknot/pkg/carobmeasure"
 	"github.com/carobknot/carobknot/pkg/carobmember"
+	"github.com/carobknot/carobknot/pkg/carobmessage"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/caroboffset"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
@@ -51,28 +52,41 @@
 	// Stopping says that the node is shutting down.
 	Stopping bool
 
+	// Membership and targets.
+
 	// Targets has all targets known, the node's own among them.
 	Targets *carobtable.Table[carobtargetid.ID, carobtarget.Target]
 	// TargetsChanged says that Groups does not match Targets yet.
 	TargetsChanged bool
 	// Groups has the services of Targets.
 	Groups *carobtable.Table[carobservice.Service, carobgroup.Group]
-	// Loads has the entry side's view of targets.
-	Loads *carobtable.Table[carobtargetid.ID, carobload.Load]
-	// Gates has the admission side's state of the node's own targets.
-	Gates *carobtable.Table[carobtargetid.ID, carobgate.Gate]
 	// Peers has all other nodes known.
 	Peers *carobtable.Table[carobnodeid.ID, carobpeer.Peer]
+
+	// Routing and measuring.
+
+	// Loads has the entry side's view of targets.
+	Loads *carobtable.Table[carobtargetid.ID, carobload.Load]
+
+	// Calls, admission and claims.
+
 	// Calls has the calls that this node is the entry of.
 	Calls *carobtable.Table[carobcallid.ID, carobcall.Call]
+	// Gates has the admission side's state of the node's own targets.
+	Gates *carobtable.Table[carobtargetid.ID, carobgate.Gate]
 	// Jobs has the jobs at the node's own targets.
 	Jobs *carobtable.Table[carobjobid.ID, carobjob.Job]
+
+	// Profiles.
+
 	// ProfilesRead is the offset of the newest change that was folded in. It
 	// never goes down.
 	ProfilesRead caroboffset.Offset
 	// Profiles has the profiles in force.
 	Profiles *carobtable.Table[carobword.Word, carobrevision.Revision]
 
+	// The tick at hand.
+
 	Inbox  carobinbox.Inbox
 	Outbox caroboutbox.Outbox
 
@@ -135,3 +149,9 @@
 func (w *World) Owns(tg *carobtarget.Target) bool {
 	return tg.Node == w.Self.Node
 }
+
+// Tell sends a control message from this node.
+func (w *World) Tell(ms carobmessage.Message) {
+	ms.From, ms.Incarnation, ms.Back = w.Self.Node, w.Self.Incarnation, w.Self.Peer
+	w.Outbox.Messages = append(w.Outbox.Messages, ms)
+}
