Fence attempts before telling "not run" or sending again

Cause: a call whose connection broke, or whose deadline came with an attempt open, could only be told "unknown", and nothing kept a late arrival from starting. A second copy of an offer replaced the job's row and started it again.

Change: Fence and Verdict as control messages. The target's node answers from its jobs, from a ring of ended jobs, and from a ring of tombstones; what the rings forget is covered by a watermark for each entry node, so that at the bound fences get "unknown" and late arrivals are refused: no clock decides. "Not run" needs all attempts to be certain. After a pause of more than 1 s a node refuses what it had queued, and what comes in the same tick, as withdrawn.

The cost of a fence under load is not measured yet.

--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/carobknot/carobknot/pkg/carobfencing"
 	"github.com/carobknot/carobknot/pkg/carobfinish"
 	"github.com/carobknot/carobknot/pkg/carobgate"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
@@ -23,10 +24,7 @@
 )
 
 // System admits jobs to the node's own targets.
-type System struct {
-	// touched has the targets whose load changed in this tick, in order.
-	touched []carobtargetid.ID
-}
+type System struct{}
 
 // NewSystem returns the system.
 func NewSystem() *System {
@@ -35,35 +33,50 @@
 
 // Run takes in offers and finishes, and starts what fits.
 func (s *System) Run(w *carobworld.World, now carobinstant.Instant) {
-	s.touched = s.touched[:0]
+	if w.Paused {
+		withdrawAll(w)
+	}
 	for _, of := range w.Inbox.Offers {
-		s.offer(w, now, of)
+		offer(w, now, of)
 	}
 	for _, fn := range w.Inbox.Finishes {
-		s.finish(w, now, fn)
+		finish(w, now, fn)
 	}
-	s.expire(w, now)
+	expire(w, now)
 	for id, gt := range w.Gates.All() {
 		if gt.Queued > 0 {
-			s.drain(w, now, id, gt)
+			drain(w, now, id, gt)
+		}
+	}
+	report(w)
+}
+
+// withdrawAll refuses the jobs that were queued before a pause. Their callers
+// may be gone since; those that are not place their calls again.
+func withdrawAll(w *carobworld.World) {
+	for _, jb := range w.Jobs.All() {
+		if jb.Started == carobinstant.Never {
+			carobfencing.Withdraw(w, jb, carobkind.Withdrawn)
 		}
 	}
-	s.report(w)
 }
 
-func (s *System) offer(w *carobworld.World, now carobinstant.Instant, of caroboffer.Offer) {
+func offer(w *carobworld.World, now carobinstant.Instant, of caroboffer.Offer) {
+	if known(w, of.Job) {
+		return
+	}
 	tg := w.Targets.Get(of.Target)
 	if kind := objection(w, tg, of); kind != carobkind.None {
 		refuse(w, of.Job, kind)
 		return
 	}
-	jb := w.Jobs.Put(of.Job, carobjob.Job{Offer: of, Came: now, Deadline: now.Add(of.Patience)})
-	if jb == nil {
+	gt := w.Gates.Get(of.Target)
+	if gt == nil || w.Jobs.Full() {
 		refuse(w, of.Job, carobkind.Busy)
 		return
 	}
-	s.touch(of.Target)
-	gt := w.Gates.Get(of.Target)
+	jb := w.Jobs.Put(of.Job, carobjob.Job{Offer: of, Came: now, Deadline: now.Add(of.Patience)})
+	gt.Changed = true
 	if gt.Running < gt.Limit && gt.Queued == 0 {
 		start(w, now, jb, tg, gt)
 		return
@@ -76,11 +89,23 @@
 	gt.Queued++
 }
 
+// known reports whether the offer of a job came before, so that this one is a
+// copy. A copy gets no refusal, which would say that the job did not run.
+func known(w *carobworld.World, job carobjobid.ID) bool {
+	if w.Jobs.Get(job) != nil {
+		return true
+	}
+	_, ok := w.Ended.Get(job)
+	return ok
+}
+
 // objection returns why an offer cannot be taken at all, or None.
 func objection(w *carobworld.World, tg *carobtarget.Target, of caroboffer.Offer) carobkind.Kind {
 	switch {
 	case of.Incarnation != w.Self.Incarnation, tg == nil, !w.Owns(tg):
 		return carobkind.Stale
+	case w.Paused, carobfencing.Fenced(w, of.Job):
+		return carobkind.Withdrawn
 	case w.Stopping, tg.State == carobreadiness.Leaving:
 		return carobkind.Leaving
 	case of.Patience <= 0:
@@ -106,19 +131,20 @@
 	})
 }
 
-func (s *System) finish(w *carobworld.World, now carobinstant.Instant, fn carobfinish.Finish) {
+func finish(w *carobworld.World, now carobinstant.Instant, fn carobfinish.Finish) {
 	jb := w.Jobs.Get(fn.Job)
 	if jb == nil {
 		return
 	}
 	gt := w.Gates.Get(jb.Offer.Target)
-	s.touch(jb.Offer.Target)
 	if jb.Started == carobinstant.Never {
-		gt.Queued--
-	} else {
-		gt.Running--
-		learn(gt, now.Sub(jb.Started))
+		carobfencing.Withdraw(w, jb, carobkind.Withdrawn)
+		return
 	}
+	gt.Running--
+	gt.Changed = true
+	learn(gt, now.Sub(jb.Started))
+	carobfencing.Remember(w, fn)
 	w.Jobs.Delete(fn.Job)
 }
 
@@ -133,8 +159,8 @@
 }
 
 // expire refuses queued jobs whose deadline has come.
-func (s *System) expire(w *carobworld.World, now carobinstant.Instant) {
-	for id, jb := range w.Jobs.All() {
+func expire(w *carobworld.World, now carobinstant.Instant) {
+	for _, jb := range w.Jobs.All() {
 		if jb.Started != carobinstant.Never {
 			continue
 		}
@@ -142,19 +168,12 @@
 			w.WakeAt(jb.Deadline)
 			continue
 		}
-		s.unqueue(w, id, jb, carobkind.Late)
+		carobfencing.Withdraw(w, jb, carobkind.Late)
 	}
 }
 
-func (s *System) unqueue(w *carobworld.World, id carobjobid.ID, jb *carobjob.Job, kind carobkind.Kind) {
-	w.Gates.Get(jb.Offer.Target).Queued--
-	s.touch(jb.Offer.Target)
-	w.Jobs.Delete(id)
-	refuse(w, id, kind)
-}
-
 // drain starts queued jobs, the earliest deadline first, while slots are free.
-func (s *System) drain(w *carobworld.World, now carobinstant.Instant, id carobtargetid.ID, gt *carobgate.Gate) {
+func drain(w *carobworld.World, now carobinstant.Instant, id carobtargetid.ID, gt *carobgate.Gate) {
 	tg := w.Targets.Get(id)
 	for tg != nil && gt.Queued > 0 && gt.Running < gt.Limit {
 		jb := mostUrgent(w, id)
@@ -162,7 +181,7 @@
 			return
 		}
 		gt.Queued--
-		s.touch(id)
+		gt.Changed = true
 		start(w, now, jb, tg, gt)
 	}
 }
@@ -184,17 +203,13 @@
 	w.Outbox.Refusals = append(w.Outbox.Refusals, carobrefusal.Refusal{Job: job, Kind: kind})
 }
 
-func (s *System) touch(id carobtargetid.ID) {
-	s.touched = append(s.touched, id)
-}
-
-// report publishes the load of the targets that this tick touched.
-func (s *System) report(w *carobworld.World) {
-	for _, id := range s.touched {
-		gt := w.Gates.Get(id)
-		if gt == nil {
+// report publishes the load of the targets whose load changed.
+func report(w *carobworld.World) {
+	for id, gt := range w.Gates.All() {
+		if !gt.Changed {
 			continue
 		}
+		gt.Changed = false
 		w.Outbox.Reports = append(w.Outbox.Reports, carobreport.Report{
 			Target: id, Running: gt.Running, Queued: gt.Queued, Slots: gt.Limit, Latency: carobspan.Span(gt.Latency),
 		})
--- a/pkg/carobattempt/attempt.go
+++ b/pkg/carobattempt/attempt.go
@@ -2,6 +2,7 @@
 package carobattempt
 
 import (
+	"github.com/carobknot/carobknot/pkg/carobfate"
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobkind"
@@ -21,4 +22,13 @@
 	Over bool
 	// Kind is how the attempt ended; None for an answer.
 	Kind carobkind.Kind
+	// Fate is what the target's node last told of the attempt.
+	Fate carobfate.Fate
+	// Asked is when the target's node was last asked; Never if it was not.
+	Asked carobinstant.Instant
+}
+
+// NotRun reports whether the attempt has certainly not run and never will.
+func (a *Attempt) NotRun() bool {
+	return a.Fate == carobfate.Never || a.Over && a.Kind.NotRun()
 }
--- a/pkg/carobcall/call.go
+++ b/pkg/carobcall/call.go
@@ -19,7 +19,10 @@
 	Came carobinstant.Instant
 	// Deadline is when the caller's patience ends.
 	Deadline carobinstant.Instant
-	// Stage only ever goes up, but for Placed back to Waiting.
+	// Grace is when a call whose deadline has come is settled though verdicts
+	// are missing; Never before the deadline.
+	Grace carobinstant.Instant
+	// Stage only ever goes up, but for Placed and Fencing back to Waiting.
 	Stage carobstage.Stage
 	// Attempts has attempt n at index n-1.
 	Attempts []carobattempt.Attempt
@@ -37,3 +40,14 @@
 	}
 	return n
 }
+
+// NotRun reports whether the call has certainly not run and never will, unless
+// it is sent again.
+func (c *Call) NotRun() bool {
+	for i := range c.Attempts {
+		if !c.Attempts[i].NotRun() {
+			return false
+		}
+	}
+	return true
+}
--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -11,12 +11,14 @@
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobadmission"
 	"github.com/carobknot/carobknot/pkg/carobentry"
+	"github.com/carobknot/carobknot/pkg/carobfencing"
 	"github.com/carobknot/carobknot/pkg/carobfold"
 	"github.com/carobknot/carobknot/pkg/carobgrouping"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobmembership"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
+	"github.com/carobknot/carobknot/pkg/carobpause"
 	"github.com/carobknot/carobknot/pkg/carobregistry"
 	"github.com/carobknot/carobknot/pkg/carobrouting"
 	"github.com/carobknot/carobknot/pkg/carobshutdown"
@@ -43,6 +45,8 @@
 }
 
 const (
+	tickPeriod    = 200 * time.Millisecond
+	tickAllowance = time.Second
 	targetSilence = 3 * time.Second
 	gossipPeriod  = 200 * time.Millisecond
 	gossipFanout  = 3
@@ -53,10 +57,12 @@
 	return &Core{
 		world: carobworld.NewWorld(c.World),
 		systems: []system{
+			carobpause.NewSystem(carobpause.Config{Period: tickPeriod, Allowance: tickAllowance}),
 			carobregistry.NewSystem(carobregistry.Config{Silence: targetSilence}),
 			carobmembership.NewSystem(carobmembership.Config{Period: gossipPeriod, Fanout: gossipFanout, Seeds: c.Seeds}),
 			carobfold.NewSystem(),
 			carobgrouping.NewSystem(),
+			carobfencing.NewSystem(),
 			carobadmission.NewSystem(),
 			carobentry.NewSystem(),
 			carobrouting.NewSystem(),
--- /dev/null
+++ b/pkg/carobentry/rig_test.go
@@ -0,0 +1,149 @@
+package carobentry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobknot/carobknot/pkg/carobarrival"
+	"github.com/carobknot/carobknot/pkg/carobcallid"
+	"github.com/carobknot/carobknot/pkg/carobconclusion"
+	"github.com/carobknot/carobknot/pkg/carobentry"
+	"github.com/carobknot/carobknot/pkg/carobfate"
+	"github.com/carobknot/carobknot/pkg/carobgroup"
+	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/carobjobid"
+	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/caroblimits"
+	"github.com/carobknot/carobknot/pkg/carobmember"
+	"github.com/carobknot/carobknot/pkg/carobmessage"
+	"github.com/carobknot/carobknot/pkg/carobnodeid"
+	"github.com/carobknot/carobknot/pkg/carobonce"
+	"github.com/carobknot/carobknot/pkg/carobpeer"
+	"github.com/carobknot/carobknot/pkg/carobprofile"
+	"github.com/carobknot/carobknot/pkg/carobreadiness"
+	"github.com/carobknot/carobknot/pkg/carobreply"
+	"github.com/carobknot/carobknot/pkg/carobrevision"
+	"github.com/carobknot/carobknot/pkg/carobrouting"
+	"github.com/carobknot/carobknot/pkg/carobservice"
+	"github.com/carobknot/carobknot/pkg/carobtarget"
+	"github.com/carobknot/carobknot/pkg/carobtargetid"
+	"github.com/carobknot/carobknot/pkg/carobverdict"
+	"github.com/carobknot/carobknot/pkg/carobword"
+	"github.com/carobknot/carobknot/pkg/carobworld"
+)
+
+const (
+	service  = carobservice.Service("payouts")
+	patience = time.Second
+	// atMost is how long after its deadline a call may be concluded.
+	atMost = 100 * time.Millisecond
+	life   = 5
+)
+
+// rig is an entry node with one call, and several targets on other nodes.
+type rig struct {
+	t      *testing.T
+	world  *carobworld.World
+	now    carobinstant.Instant
+	call   carobcallid.ID
+	entry  *carobentry.System
+	router *carobrouting.System
+}
+
+func newRig(t *testing.T, once carobonce.Once) *rig {
+	t.Helper()
+	w := carobworld.NewWorld(carobworld.Config{
+		Self: carobmember.Member{Node: "here", Incarnation: 3}, Limits: caroblimits.NewLimits(), Seed: 1,
+	})
+	gp := carobgroup.Group{Profile: "p"}
+	for _, name := range []string{"a", "b", "c", "d"} {
+		id := carobtargetid.ID{Service: service, Name: carobword.Word(name)}
+		node := carobnodeid.ID("node-" + name)
+		w.Targets.Put(id, carobtarget.Target{ID: id, Node: node, Profile: "p", Slots: 4, State: carobreadiness.Ready})
+		w.Peers.Put(node, carobpeer.Peer{Member: carobmember.Member{Node: node, Incarnation: life, Peer: "peer"}})
+		gp.Targets = append(gp.Targets, id)
+	}
+	w.Groups.Put(service, gp)
+	rv := carobrevision.Revision{}
+	rv.Change.Profile = carobprofile.NewProfile("p")
+	rv.Change.Profile.Once = once
+	w.Profiles.Put("p", rv)
+	r := &rig{
+		t: t, world: w, now: 1, entry: carobentry.NewSystem(), router: carobrouting.NewSystem(),
+		call: carobcallid.ID{Node: "here", Incarnation: 3, Sequence: 1},
+	}
+	return r
+}
+
+func (r *rig) step(in carobinbox.Inbox) {
+	r.now++
+	r.world.Begin(in)
+	r.entry.Run(r.world, r.now)
+	r.router.Run(r.world, r.now)
+}
+
+// rest lets time pass, with the ticks that are due.
+func (r *rig) rest(d time.Duration) {
+	end := r.now.Add(d)
+	for wake := r.world.Wake(); wake.Reached(end); wake = r.world.Wake() {
+		r.now = max(r.now, wake)
+		r.step(carobinbox.Inbox{})
+		if len(r.world.Outbox.Conclusions) > 0 {
+			return
+		}
+	}
+	r.now = end
+}
+
+func (r *rig) arrive(streamed bool) {
+	r.step(carobinbox.Inbox{Arrivals: []carobarrival.Arrival{
+		{Call: r.call, Service: service, Patience: patience, Streamed: streamed},
+	}})
+	r.sent(1)
+}
+
+func (r *rig) reply(attempt int, kind carobkind.Kind) {
+	r.step(carobinbox.Inbox{Replies: []carobreply.Reply{{Job: r.job(attempt), Kind: kind}}})
+}
+
+func (r *rig) verdict(attempt int, fate carobfate.Fate) {
+	r.step(carobinbox.Inbox{Messages: []carobmessage.Message{
+		{Verdict: &carobverdict.Verdict{Job: r.job(attempt), Fate: fate}},
+	}})
+}
+
+func (r *rig) job(attempt int) carobjobid.ID { return carobjobid.ID{Call: r.call, Attempt: attempt} }
+
+// sent requires that the last tick sent one attempt of that number.
+func (r *rig) sent(attempt int) {
+	r.t.Helper()
+	require.Len(r.t, r.world.Outbox.Sends, 1)
+	require.Equal(r.t, r.job(attempt), r.world.Outbox.Sends[0].Job)
+}
+
+// fenced returns the attempts that the last tick asked about.
+func (r *rig) fenced() []int {
+	var attempts []int
+	for _, ms := range r.world.Outbox.Messages {
+		if ms.Fence != nil {
+			require.EqualValues(r.t, life, ms.Fence.Incarnation)
+			attempts = append(attempts, ms.Fence.Job.Attempt)
+		}
+	}
+	return attempts
+}
+
+// concluded requires that the last tick told the caller an error.
+func (r *rig) concluded(kind carobkind.Kind) {
+	r.t.Helper()
+	require.Equal(r.t, []carobconclusion.Conclusion{{Call: r.call, Kind: kind}}, r.world.Outbox.Conclusions)
+	require.Zero(r.t, r.world.Calls.Len())
+}
+
+func (r *rig) open() {
+	r.t.Helper()
+	require.Empty(r.t, r.world.Outbox.Conclusions)
+}
--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -33,6 +33,11 @@
 	for _, rp := range w.Inbox.Replies {
 		reply(w, now, rp)
 	}
+	for _, ms := range w.Inbox.Messages {
+		if ms.Verdict != nil {
+			hear(w, now, ms.Verdict)
+		}
+	}
 	for _, dl := range w.Inbox.Deliveries {
 		deliver(w, dl)
 	}
@@ -42,7 +47,7 @@
 		}
 	}
 	for _, cl := range w.Calls.All() {
-		expire(w, now, cl)
+		watch(w, now, cl)
 	}
 }
 
@@ -52,6 +57,7 @@
 		refuse(w, ar.Call, kind)
 		return
 	}
+	w.BudgetOf(ar.Service).Earn()
 	pf := w.ProfileOf(ar.Service)
 	patience := ar.Patience
 	if patience <= 0 {
@@ -88,7 +94,7 @@
 		return
 	}
 	at.Over, at.Kind = true, rp.Kind
-	if cl.Stage != carobstage.Placed {
+	if cl.Stage != carobstage.Placed && cl.Stage != carobstage.Fencing {
 		return
 	}
 	if rp.Kind == carobkind.None {
@@ -96,14 +102,28 @@
 		return
 	}
 	cl.Last = rp.Kind
-	if cl.Open() > 0 {
-		return
+	if cl.Open() == 0 {
+		failed(w, now, cl)
 	}
-	if mayTryAgain(now, cl) {
+}
+
+// failed decides on a call of which all attempts have failed.
+func failed(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call) {
+	left := len(cl.Attempts) < cl.Profile.Tries && !cl.Deadline.Reached(now)
+	switch {
+	case left && cl.NotRun():
+		w.BudgetOf(cl.Arrival.Service).Moves++
 		cl.Stage = carobstage.Waiting
-		return
+	case left && mayRepeat(cl) && w.BudgetOf(cl.Arrival.Service).Spend():
+		cl.Stage = carobstage.Waiting
+	default:
+		fence(w, now, cl)
 	}
-	conclude(w, cl, verdict(cl))
+}
+
+// mayRepeat reports whether a call may run though an attempt at it may have.
+func mayRepeat(cl *carobcall.Call) bool {
+	return cl.Profile.Once == carobonce.No && !cl.Arrival.Streamed
 }
 
 // answer picks the attempt whose answer the caller gets.
@@ -115,47 +135,25 @@
 	})
 }
 
-// mayTryAgain reports whether one more attempt keeps the profile's promise.
-func mayTryAgain(now carobinstant.Instant, cl *carobcall.Call) bool {
-	if len(cl.Attempts) >= cl.Profile.Tries || cl.Deadline.Reached(now) {
-		return false
-	}
-	return verdict(cl).NotRun() || cl.Profile.Once == carobonce.No && !cl.Arrival.Streamed
-}
-
-// verdict returns the kind of a call of which all attempts failed: the last one
-// that may have run, or else the last one.
-func verdict(cl *carobcall.Call) carobkind.Kind {
-	kind := cl.Last
-	for i := range cl.Attempts {
-		if at := &cl.Attempts[i]; at.Kind != carobkind.None && !at.Kind.NotRun() {
-			kind = at.Kind
-		}
-	}
-	return kind
-}
-
 func deliver(w *carobworld.World, dl carobdelivery.Delivery) {
 	w.Calls.Delete(dl.Job.Call)
 }
 
-func expire(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call) {
+// watch sees to it that a call goes on when no message comes.
+func watch(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call) {
 	if cl.Stage == carobstage.Delivering {
 		return
 	}
 	if !cl.Deadline.Reached(now) {
 		w.WakeAt(cl.Deadline)
-		return
+	} else if cl.Grace == carobinstant.Never {
+		cl.Grace = now.Add(grace)
+		cl.Stage = carobstage.Fencing
 	}
-	if cl.Open() > 0 {
-		conclude(w, cl, carobkind.Expired)
-		return
-	}
-	if kind := verdict(cl); !kind.NotRun() {
-		conclude(w, cl, kind)
-		return
+	w.WakeAt(cl.Grace)
+	if cl.Stage == carobstage.Fencing {
+		pursue(w, now, cl)
 	}
-	conclude(w, cl, carobkind.Late)
 }
 
 // conclude tells the caller an error and forgets the call.
@@ -167,12 +165,19 @@
 
 func cancelOthers(w *carobworld.World, cl *carobcall.Call, keep int) {
 	for i := range cl.Attempts {
-		if number := i + 1; number != keep && !cl.Attempts[i].Over {
-			w.Outbox.Cancels = append(w.Outbox.Cancels, carobjobid.ID{Call: cl.Arrival.Call, Attempt: number})
+		if i+1 != keep {
+			cancel(w, cl, i+1)
 		}
 	}
 }
 
+// cancel gives an attempt up that has no reply yet.
+func cancel(w *carobworld.World, cl *carobcall.Call, number int) {
+	if !cl.Attempts[number-1].Over {
+		w.Outbox.Cancels = append(w.Outbox.Cancels, carobjobid.ID{Call: cl.Arrival.Call, Attempt: number})
+	}
+}
+
 func refuse(w *carobworld.World, call carobcallid.ID, kind carobkind.Kind) {
 	w.Outbox.Conclusions = append(w.Outbox.Conclusions, carobconclusion.Conclusion{Call: call, Kind: kind})
 }
--- /dev/null
+++ b/pkg/carobfencing/system_test.go
@@ -0,0 +1,246 @@
+package carobfencing_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobknot/carobknot/pkg/carobadmission"
+	"github.com/carobknot/carobknot/pkg/carobcallid"
+	"github.com/carobknot/carobknot/pkg/carobfate"
+	"github.com/carobknot/carobknot/pkg/carobfence"
+	"github.com/carobknot/carobknot/pkg/carobfencing"
+	"github.com/carobknot/carobknot/pkg/carobfinish"
+	"github.com/carobknot/carobknot/pkg/carobgate"
+	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobincarnation"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/carobjobid"
+	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/caroblimits"
+	"github.com/carobknot/carobknot/pkg/carobmember"
+	"github.com/carobknot/carobknot/pkg/carobmessage"
+	"github.com/carobknot/carobknot/pkg/caroboffer"
+	"github.com/carobknot/carobknot/pkg/carobprofile"
+	"github.com/carobknot/carobknot/pkg/carobreadiness"
+	"github.com/carobknot/carobknot/pkg/carobrefusal"
+	"github.com/carobknot/carobknot/pkg/carobrevision"
+	"github.com/carobknot/carobknot/pkg/carobtarget"
+	"github.com/carobknot/carobknot/pkg/carobtargetid"
+	"github.com/carobknot/carobknot/pkg/carobworld"
+)
+
+const (
+	life     = carobincarnation.Incarnation(7)
+	patience = 10 * time.Second
+)
+
+var target = carobtargetid.ID{Service: "payouts", Name: "a"}
+
+// rig is a target's node with one slot, and its clock.
+type rig struct {
+	world *carobworld.World
+	now   carobinstant.Instant
+}
+
+func newRig(jobs int) *rig {
+	limits := caroblimits.NewLimits()
+	limits.Jobs, limits.Peers = jobs, 1
+	w := carobworld.NewWorld(carobworld.Config{Self: carobmember.Member{Node: "here", Incarnation: life}, Limits: limits})
+	w.Targets.Put(target, carobtarget.Target{ID: target, Node: "here", Profile: "p", Slots: 1, State: carobreadiness.Ready})
+	w.Gates.Put(target, carobgate.Gate{Limit: 1})
+	rv := carobrevision.Revision{}
+	rv.Change.Profile = carobprofile.NewProfile("p")
+	w.Profiles.Put("p", rv)
+	return &rig{world: w, now: 1}
+}
+
+func (r *rig) step(in carobinbox.Inbox) {
+	r.now++
+	r.world.Begin(in)
+	carobfencing.NewSystem().Run(r.world, r.now)
+	carobadmission.NewSystem().Run(r.world, r.now)
+}
+
+// job names the first attempt of a call of another node.
+func job(sequence uint64) carobjobid.ID {
+	return carobjobid.ID{Call: carobcallid.ID{Node: "entry", Incarnation: 1, Sequence: sequence}, Attempt: 1}
+}
+
+func offer(id carobjobid.ID) caroboffer.Offer {
+	return caroboffer.Offer{Job: id, Target: target, Incarnation: life, Patience: patience}
+}
+
+func (r *rig) offer(id carobjobid.ID) {
+	r.step(carobinbox.Inbox{Offers: []caroboffer.Offer{offer(id)}})
+}
+
+func (r *rig) finish(id carobjobid.ID) {
+	r.step(carobinbox.Inbox{Finishes: []carobfinish.Finish{{Job: id}}})
+}
+
+func (r *rig) run(id carobjobid.ID) {
+	r.offer(id)
+	r.finish(id)
+}
+
+// fence asks over a message, as another node does.
+func (r *rig) fence(id carobjobid.ID) carobfate.Fate {
+	fc := &carobfence.Fence{Job: id, Incarnation: life}
+	r.step(carobinbox.Inbox{Messages: []carobmessage.Message{{Back: "entry", Fence: fc}}})
+	return r.world.Outbox.Messages[0].Verdict.Fate
+}
+
+func (r *rig) started() int { return len(r.world.Outbox.Starts) }
+
+func TestFate(t *testing.T) {
+	cases := map[string]struct {
+		before func(r *rig)
+		want   carobfate.Fate
+	}{
+		"never came": {func(*rig) {}, carobfate.Never},
+		"running":    {func(r *rig) { r.offer(job(2)) }, carobfate.Running},
+		"ended":      {func(r *rig) { r.run(job(2)) }, carobfate.Done},
+		"queued": {func(r *rig) {
+			r.offer(job(1))
+			r.offer(job(2))
+		}, carobfate.Never},
+		"fenced before": {func(r *rig) { r.fence(job(2)) }, carobfate.Never},
+		"expired in the queue": {func(r *rig) {
+			r.offer(job(1))
+			r.offer(job(2))
+			r.now = r.now.Add(patience)
+			r.step(carobinbox.Inbox{})
+		}, carobfate.Never},
+		"gave up in the queue": {func(r *rig) {
+			r.offer(job(1))
+			r.offer(job(2))
+			r.finish(job(2))
+		}, carobfate.Never},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(10)
+			c.before(r)
+			require.Equal(t, c.want, r.fence(job(2)))
+		})
+	}
+}
+
+// A job that was promised never to run does not run, however late it comes and
+// however often.
+func TestFenceOvertakesItsJob(t *testing.T) {
+	r := newRig(10)
+	require.Equal(t, carobfate.Never, r.fence(job(1)))
+	for range 2 {
+		r.offer(job(1))
+		require.Zero(t, r.started())
+		require.Equal(t, []carobrefusal.Refusal{{Job: job(1), Kind: carobkind.Withdrawn}}, r.world.Outbox.Refusals)
+	}
+}
+
+// Fence and offer come in one tick.
+func TestFenceBesideItsJob(t *testing.T) {
+	r := newRig(10)
+	r.step(carobinbox.Inbox{
+		Messages: []carobmessage.Message{{Fence: &carobfence.Fence{Job: job(1), Incarnation: life}}},
+		Offers:   []caroboffer.Offer{offer(job(1))},
+	})
+	require.Equal(t, carobfate.Never, r.world.Outbox.Messages[0].Verdict.Fate)
+	require.Zero(t, r.started())
+}
+
+func TestWithdrawFreesTheQueue(t *testing.T) {
+	r := newRig(10)
+	r.offer(job(1))
+	r.offer(job(2))
+	require.Equal(t, 1, r.world.Gates.Get(target).Queued)
+	r.fence(job(2))
+	require.Zero(t, r.world.Gates.Get(target).Queued)
+	require.Equal(t, 1, r.world.Jobs.Len())
+	require.Zero(t, r.world.Outbox.Reports[0].Queued, "others hear of the free place")
+}
+
+// A copy of an offer gets neither a second start nor a refusal.
+func TestOfferTwice(t *testing.T) {
+	r := newRig(10)
+	r.offer(job(1))
+	require.Equal(t, 1, r.started())
+	r.offer(job(1))
+	require.Zero(t, r.started())
+	require.Empty(t, r.world.Outbox.Refusals)
+	r.finish(job(1))
+	r.offer(job(1))
+	require.Zero(t, r.started())
+	require.Empty(t, r.world.Outbox.Refusals)
+}
+
+func TestOtherIncarnation(t *testing.T) {
+	r := newRig(10)
+	fc := carobfence.Fence{Job: job(1), Incarnation: life - 1}
+	require.Equal(t, carobfate.Unknown, carobfencing.Judge(r.world, fc))
+}
+
+// What the bounded memories forget is never answered wrongly.
+func TestBounds(t *testing.T) {
+	const limit = 3
+	t.Run("ended jobs", func(t *testing.T) {
+		r := newRig(limit)
+		for sequence := range uint64(limit + 2) {
+			r.run(job(sequence + 10))
+		}
+		require.Equal(t, carobfate.Unknown, r.fence(job(10)), "it ran and was forgotten")
+		require.Equal(t, carobfate.Unknown, r.fence(job(9)), "it could have run and been forgotten")
+		require.Equal(t, carobfate.Done, r.fence(job(12)))
+		require.Equal(t, carobfate.Never, r.fence(job(99)))
+		r.offer(job(8))
+		require.Equal(t, 1, r.started(), "a late first offer is no copy")
+	})
+	t.Run("tombstones", func(t *testing.T) {
+		r := newRig(limit)
+		for sequence := range uint64(limit + 2) {
+			require.Equal(t, carobfate.Never, r.fence(job(sequence+10)))
+		}
+		for _, sequence := range []uint64{9, 10, 11, 12} {
+			r.offer(job(sequence))
+			require.Zero(t, r.started())
+		}
+		r.offer(job(15))
+		require.Equal(t, 1, r.started())
+	})
+	t.Run("watermarks", func(t *testing.T) {
+		r := newRig(limit)
+		for _, entry := range []string{"x", "y"} {
+			for sequence := range uint64(limit + 1) {
+				id := job(sequence)
+				id.Call.Node = "entry-a"
+				if entry == "y" {
+					id.Call.Node = "other"
+				}
+				r.fence(id)
+			}
+		}
+		for sequence := range uint64(limit) {
+			id := job(sequence + 1)
+			id.Call.Node = "third"
+			r.fence(id)
+		}
+		id := job(0)
+		id.Call.Node = "entry-a"
+		r.offer(id)
+		require.Zero(t, r.started(), "its tombstone and its node's watermark are forgotten")
+	})
+	t.Run("older incarnation of the entry", func(t *testing.T) {
+		r := newRig(limit)
+		old := job(1)
+		r.fence(old)
+		for sequence := range uint64(2 * limit) {
+			id := job(sequence)
+			id.Call.Incarnation++
+			r.fence(id)
+		}
+		r.offer(old)
+		require.Zero(t, r.started())
+	})
+}
--- a/pkg/carobgate/gate.go
+++ b/pkg/carobgate/gate.go
@@ -19,6 +19,8 @@
 	Queued int
 	// Latency is the estimated time that the target takes over a call.
 	Latency time.Duration
+	// Changed says that the newest report of the target's load is out of date.
+	Changed bool
 	// Since is when the target came, for the ramp of a cold start.
 	Since carobinstant.Instant
 }
--- a/pkg/carobmessage/message.go
+++ b/pkg/carobmessage/message.go
@@ -4,9 +4,11 @@
 
 import (
 	"github.com/carobknot/carobknot/pkg/carobaddress"
+	"github.com/carobknot/carobknot/pkg/carobfence"
 	"github.com/carobknot/carobknot/pkg/carobgossip"
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
+	"github.com/carobknot/carobknot/pkg/carobverdict"
 )
 
 // Message is one control message. Of the pointers exactly one is set, which
@@ -26,5 +28,10 @@
 
 	// Calls and claims.
 
+	// Fence asks what became of a job.
+	Fence *carobfence.Fence `json:"fence,omitempty"`
+	// Verdict answers a fence.
+	Verdict *carobverdict.Verdict `json:"verdict,omitempty"`
+
 	// Measuring.
 }
--- /dev/null
+++ b/pkg/carobpause/system_test.go
@@ -0,0 +1,92 @@
+package carobpause_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobknot/carobknot/pkg/carobadmission"
+	"github.com/carobknot/carobknot/pkg/carobcallid"
+	"github.com/carobknot/carobknot/pkg/carobfinish"
+	"github.com/carobknot/carobknot/pkg/carobgate"
+	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/carobjobid"
+	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/caroblimits"
+	"github.com/carobknot/carobknot/pkg/carobmember"
+	"github.com/carobknot/carobknot/pkg/caroboffer"
+	"github.com/carobknot/carobknot/pkg/carobpause"
+	"github.com/carobknot/carobknot/pkg/carobprofile"
+	"github.com/carobknot/carobknot/pkg/carobreadiness"
+	"github.com/carobknot/carobknot/pkg/carobrefusal"
+	"github.com/carobknot/carobknot/pkg/carobrevision"
+	"github.com/carobknot/carobknot/pkg/carobtarget"
+	"github.com/carobknot/carobknot/pkg/carobtargetid"
+	"github.com/carobknot/carobknot/pkg/carobworld"
+)
+
+const (
+	period    = 200 * time.Millisecond
+	allowance = time.Second
+)
+
+// A node that was paused starts nothing that it took in before, nor what came
+// while it was paused.
+func TestPausedNodeStartsNothingOld(t *testing.T) {
+	for name, c := range map[string]struct {
+		gap    time.Duration
+		paused bool
+	}{"in time": {period, false}, "paused": {allowance + 1, true}} {
+		t.Run(name, func(t *testing.T) {
+			w := world()
+			pause := carobpause.NewSystem(carobpause.Config{Period: period, Allowance: allowance})
+			step := func(now carobinstant.Instant, in carobinbox.Inbox) {
+				w.Begin(in)
+				pause.Run(w, now)
+				carobadmission.NewSystem().Run(w, now)
+			}
+			now := carobinstant.Instant(1)
+			step(now, carobinbox.Inbox{Offers: []caroboffer.Offer{offer(1), offer(2)}})
+			require.Len(t, w.Outbox.Starts, 1)
+			require.True(t, w.Wake().Reached(now.Add(period)), "an idle node ticks too")
+
+			now = now.Add(c.gap)
+			step(now, carobinbox.Inbox{
+				Offers: []caroboffer.Offer{offer(3)}, Finishes: []carobfinish.Finish{{Job: offer(1).Job}},
+			})
+			if !c.paused {
+				require.Equal(t, offer(2).Job, w.Outbox.Starts[0].Job)
+				return
+			}
+			require.Empty(t, w.Outbox.Starts)
+			require.Equal(t, []carobrefusal.Refusal{
+				{Job: offer(2).Job, Kind: carobkind.Withdrawn}, {Job: offer(3).Job, Kind: carobkind.Withdrawn},
+			}, w.Outbox.Refusals)
+
+			step(now+1, carobinbox.Inbox{Offers: []caroboffer.Offer{offer(4)}})
+			require.Len(t, w.Outbox.Starts, 1, "what comes after is served")
+		})
+	}
+}
+
+var target = carobtargetid.ID{Service: "payouts", Name: "a"}
+
+func offer(sequence uint64) caroboffer.Offer {
+	id := carobjobid.ID{Call: carobcallid.ID{Node: "entry", Incarnation: 1, Sequence: sequence}, Attempt: 1}
+	return caroboffer.Offer{Job: id, Target: target, Incarnation: 7, Patience: time.Minute}
+}
+
+// world returns the world of a node whose target has one slot.
+func world() *carobworld.World {
+	w := carobworld.NewWorld(carobworld.Config{
+		Self: carobmember.Member{Node: "here", Incarnation: 7}, Limits: caroblimits.NewLimits(),
+	})
+	w.Targets.Put(target, carobtarget.Target{ID: target, Node: "here", Profile: "p", Slots: 1, State: carobreadiness.Ready})
+	w.Gates.Put(target, carobgate.Gate{Limit: 1})
+	rv := carobrevision.Revision{}
+	rv.Change.Profile = carobprofile.NewProfile("p")
+	w.Profiles.Put("p", rv)
+	return w
+}
--- /dev/null
+++ b/pkg/carobring/ring_test.go
@@ -0,0 +1,29 @@
+package carobring_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobknot/carobknot/pkg/carobring"
+)
+
+func TestRingForgetsTheOldest(t *testing.T) {
+	const limit = 3
+	r := carobring.NewRing[int, string](carobring.Config{Limit: limit})
+	for key := range 10 * limit {
+		old, row, full := r.Put(key, "row")
+		require.Equal(t, key >= limit, full)
+		if full {
+			require.Equal(t, key-limit, old)
+			require.Equal(t, "row", row)
+		}
+		_, _, full = r.Put(key, "row")
+		require.False(t, full, "a key that is there takes no new place")
+		require.Equal(t, min(key+1, limit), r.Len())
+	}
+	_, ok := r.Get(10*limit - limit)
+	require.True(t, ok)
+	_, ok = r.Get(10*limit - limit - 1)
+	require.False(t, ok)
+}
--- a/pkg/carobstage/stage.go
+++ b/pkg/carobstage/stage.go
@@ -10,6 +10,8 @@
 	Waiting Stage = iota
 	// Placed: an attempt is under way.
 	Placed
+	// Fencing: it is being found out whether the attempts ran.
+	Fencing
 	// Delivering: an answer is on its way to the caller.
 	Delivering
 	// Settled: the caller has been told.
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -4,11 +4,14 @@
 import (
 	"math/rand/v2"
 
+	"github.com/carobknot/carobknot/pkg/carobbudget"
 	"github.com/carobknot/carobknot/pkg/carobcall"
 	"github.com/carobknot/carobknot/pkg/carobcallid"
+	"github.com/carobknot/carobknot/pkg/carobfinish"
 	"github.com/carobknot/carobknot/pkg/carobgate"
 	"github.com/carobknot/carobknot/pkg/carobgroup"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobincarnation"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobjob"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
@@ -23,10 +26,12 @@
 	"github.com/carobknot/carobknot/pkg/carobpeer"
 	"github.com/carobknot/carobknot/pkg/carobprofile"
 	"github.com/carobknot/carobknot/pkg/carobrevision"
+	"github.com/carobknot/carobknot/pkg/carobring"
 	"github.com/carobknot/carobknot/pkg/carobservice"
 	"github.com/carobknot/carobknot/pkg/carobtable"
 	"github.com/carobknot/carobknot/pkg/carobtarget"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
+	"github.com/carobknot/carobknot/pkg/carobwatermark"
 	"github.com/carobknot/carobknot/pkg/carobword"
 )
 
@@ -76,6 +81,19 @@
 	Gates *carobtable.Table[carobtargetid.ID, carobgate.Gate]
 	// Jobs has the jobs at the node's own targets.
 	Jobs *carobtable.Table[carobjobid.ID, carobjob.Job]
+	// Ended has the newest started jobs that have ended.
+	Ended *carobring.Ring[carobjobid.ID, carobfinish.Finish]
+	// Tombstones has the newest jobs that were promised never to run.
+	Tombstones *carobring.Ring[carobjobid.ID, struct{}]
+	// Watermarks stand in for the forgotten rows of Ended and Tombstones.
+	Watermarks *carobring.Ring[carobnodeid.ID, carobwatermark.Watermark]
+	// Forgotten and Barred stand in for forgotten watermarks: the newest
+	// incarnation of those, and of those with tombstones. They never go down.
+	Forgotten, Barred carobincarnation.Incarnation
+	// Budgets has the budget of each service's resends and hedges.
+	Budgets *carobtable.Table[carobservice.Service, carobbudget.Budget]
+	// Paused says that more time passed before this tick than ticks allow.
+	Paused bool
 
 	// Profiles.
 
@@ -110,6 +128,10 @@
 		Peers:        carobtable.NewTable[carobnodeid.ID, carobpeer.Peer](carobtable.Config{Limit: c.Limits.Peers}),
 		Calls:        carobtable.NewTable[carobcallid.ID, carobcall.Call](carobtable.Config{Limit: c.Limits.Calls}),
 		Jobs:         carobtable.NewTable[carobjobid.ID, carobjob.Job](carobtable.Config{Limit: c.Limits.Jobs}),
+		Budgets:      carobtable.NewTable[carobservice.Service, carobbudget.Budget](carobtable.Config{Limit: c.Limits.Targets}),
+		Ended:        carobring.NewRing[carobjobid.ID, carobfinish.Finish](carobring.Config{Limit: c.Limits.Jobs}),
+		Tombstones:   carobring.NewRing[carobjobid.ID, struct{}](carobring.Config{Limit: c.Limits.Jobs}),
+		Watermarks:   carobring.NewRing[carobnodeid.ID, carobwatermark.Watermark](carobring.Config{Limit: c.Limits.Peers}),
 		Profiles:     carobtable.NewTable[carobword.Word, carobrevision.Revision](carobtable.Config{Limit: c.Limits.Profiles}),
 	}
 }
@@ -145,6 +167,18 @@
 	return &rv.Change.Profile
 }
 
+// BudgetOf returns the budget of a service's resends and hedges. When the table
+// is full, a service without a row has none to spend.
+func (w *World) BudgetOf(service carobservice.Service) *carobbudget.Budget {
+	if bg := w.Budgets.Get(service); bg != nil {
+		return bg
+	}
+	if bg := w.Budgets.Put(service, carobbudget.NewBudget()); bg != nil {
+		return bg
+	}
+	return &carobbudget.Budget{}
+}
+
 // Owns reports whether the target is on this node's VM.
 func (w *World) Owns(tg *carobtarget.Target) bool {
 	return tg.Node == w.Self.Node
