Show a node's view and its counts

Cause: on call could see nothing of a running node. Change: /status and the status command (tables or JSON), asked of the control goroutine between ticks; /metrics by tally in Prometheus text, fed by the effects of each tick. The reporter has a registry of its own, since the default one is shared by all nodes of a process; tally's own cardinality metrics are left out, since their names hold dots, which the reporter refuses. Figures: TestPath passes; after 3 calls, status lists one target and one peer, /metrics counts 3 attempts and 3 calls.

--- a/internal/carobadmin/admin.go
+++ b/internal/carobadmin/admin.go
@@ -9,8 +9,11 @@
 	"net/http"
 
 	"github.com/gofiber/fiber/v3"
+	"github.com/gofiber/fiber/v3/middleware/adaptor"
 
 	"github.com/carobknot/carobknot/internal/carobmailbox"
+	"github.com/carobknot/carobknot/internal/carobstatus"
+	"github.com/carobknot/carobknot/internal/carobtimer"
 	"github.com/carobknot/carobknot/pkg/carobannouncement"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobkind"
@@ -29,6 +32,9 @@
 type Config struct {
 	Mailbox *carobmailbox.Mailbox
 	Control asker
+	Timer   *carobtimer.Timer
+	// Metrics answers with the counts.
+	Metrics http.Handler
 }
 
 // Admin answers at the admin address.
@@ -43,6 +49,8 @@
 	a.app.Put("/targets/:service/:name", a.announce)
 	a.app.Delete("/targets/:service/:name", a.withdraw)
 	a.app.Get("/health", a.health)
+	a.app.Get("/status", a.status)
+	a.app.Get("/metrics", adaptor.HTTPHandler(c.Metrics))
 	return a
 }
 
@@ -103,6 +111,18 @@
 	return c.SendString("ready\n")
 }
 
+// status shows what the node knows.
+func (a *Admin) status(c fiber.Ctx) error {
+	var st carobstatus.Status
+	err := a.config.Control.Ask(c.Context(), func(w *carobworld.World) {
+		st = carobstatus.Describe(w, a.config.Timer.Now())
+	})
+	if err != nil {
+		return carobkind.Wrap(carobkind.Internal, err, "ask control")
+	}
+	return c.JSON(st)
+}
+
 func targetOf(c fiber.Ctx) (carobtargetid.ID, error) {
 	id := carobtargetid.ID{
 		Service: carobservice.Service(c.Params("service")), Name: carobword.Word(c.Params("name")),
--- a/internal/carobcommand/command.go
+++ b/internal/carobcommand/command.go
@@ -50,6 +50,7 @@
 		nodeCommand(),
 		publishCommand(),
 		checkCommand(),
+		statusCommand(),
 		logCommand(),
 		targetCommand(),
 	}
--- a/internal/carobnode/node.go
+++ b/internal/carobnode/node.go
@@ -16,6 +16,7 @@
 	"github.com/carobknot/carobknot/internal/carobcourier"
 	"github.com/carobknot/carobknot/internal/carobentrance"
 	"github.com/carobknot/carobknot/internal/carobmailbox"
+	"github.com/carobknot/carobknot/internal/carobmeter"
 	"github.com/carobknot/carobknot/internal/carobplatform"
 	"github.com/carobknot/carobknot/internal/carobpool"
 	"github.com/carobknot/carobknot/internal/carobsettings"
@@ -98,6 +99,7 @@
 	control.Attach(do.MustInvoke[*carobadmitter.Admitter](n.injector))
 	control.Attach(entrance)
 	control.Attach(courier)
+	control.Attach(do.MustInvoke[*carobmeter.Meter](n.injector))
 	control.Attach(n)
 
 	go timer.Run(inner)
--- a/internal/carobnode/wire.go
+++ b/internal/carobnode/wire.go
@@ -11,6 +11,7 @@
 	"github.com/carobknot/carobknot/internal/carobcourier"
 	"github.com/carobknot/carobknot/internal/carobentrance"
 	"github.com/carobknot/carobknot/internal/carobmailbox"
+	"github.com/carobknot/carobknot/internal/carobmeter"
 	"github.com/carobknot/carobknot/internal/carobplatform"
 	"github.com/carobknot/carobknot/internal/carobpool"
 	"github.com/carobknot/carobknot/internal/carobrelay"
@@ -33,6 +34,7 @@
 	i := do.New()
 	do.ProvideValue(i, carobtimer.NewTimer())
 	do.ProvideValue(i, carobmailbox.NewMailbox())
+	do.ProvideValue(i, carobmeter.NewMeter())
 	do.Provide(i, func(i do.Injector) (carobmember.Member, error) {
 		born := do.MustInvoke[*carobtimer.Timer](i).Wall()
 		return carobmember.Member{
@@ -102,6 +104,7 @@
 	do.Provide(i, func(i do.Injector) (*carobadmin.Admin, error) {
 		return carobadmin.NewAdmin(carobadmin.Config{
 			Mailbox: do.MustInvoke[*carobmailbox.Mailbox](i), Control: do.MustInvoke[*carobcontrol.Control](i),
+			Timer: do.MustInvoke[*carobtimer.Timer](i), Metrics: do.MustInvoke[*carobmeter.Meter](i).Handler(),
 		}), nil
 	})
 	return i
