Keep what is due in an agenda, and let the timer service use it

Cause: systems will have thousands of rows with deadlines; to read a table through each tick costs time in proportion to its rows, and the timer service had a heap of its own. Change: pkg/carobagenda, a heap of keys by instant; the timer service stands on it.

--- a/internal/carobtimer/timer.go
+++ b/internal/carobtimer/timer.go
@@ -3,11 +3,11 @@
 package carobtimer
 
 import (
-	"container/heap"
 	"context"
 	"sync"
 	"time"
 
+	"github.com/carobknot/carobknot/pkg/carobagenda"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 )
 
@@ -16,16 +16,23 @@
 	// start is when the timer was made; its monotonic reading is what counts.
 	start time.Time
 	mutex sync.Mutex
-	// queue has the subscriptions that are due some time, the earliest first.
-	queue queue
-	// rung tells the timer's goroutine that the queue has a new head. It holds
+	// agenda has the subscriptions that are due some time.
+	agenda *carobagenda.Agenda[*subscription]
+	// rung tells the timer's goroutine that another subscription is due first. It holds
 	// one element, so that ringing never blocks.
 	rung chan struct{}
 }
 
+// subscription is what is called when it is due.
+type subscription struct {
+	call func()
+}
+
 // NewTimer returns a timer. It wakes nobody before Run.
 func NewTimer() *Timer {
-	return &Timer{start: time.Now(), rung: make(chan struct{}, 1)}
+	return &Timer{
+		start: time.Now(), agenda: carobagenda.NewAgenda[*subscription](), rung: make(chan struct{}, 1),
+	}
 }
 
 // Now returns the instant on the node's clock, which never goes back.
@@ -41,7 +48,7 @@
 // Subscribe has call run on the timer's goroutine at the instant last given to
 // set. call must not block.
 func (t *Timer) Subscribe(call func()) (set func(at carobinstant.Instant)) {
-	sb := &subscription{call: call, place: absent}
+	sb := &subscription{call: call}
 	return func(at carobinstant.Instant) { t.set(sb, at) }
 }
 
@@ -90,31 +97,21 @@
 func (t *Timer) pop() (func(), carobinstant.Instant) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if len(t.queue) == 0 {
-		return nil, carobinstant.Never
-	}
-	if head := t.queue[0]; !head.at.Reached(t.Now()) {
-		return nil, head.at
+	if sb, ok := t.agenda.Pop(t.Now()); ok {
+		return sb.call, carobinstant.Never
 	}
-	sb, _ := heap.Pop(&t.queue).(*subscription)
-	return sb.call, carobinstant.Never
+	return nil, t.agenda.Next()
 }
 
 func (t *Timer) set(sb *subscription, at carobinstant.Instant) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if sb.place != absent {
-		heap.Remove(&t.queue, sb.place)
-	}
-	if at == carobinstant.Never {
+	t.agenda.Set(sb, at)
+	if first, ok := t.agenda.First(); !ok || first != sb {
 		return
 	}
-	sb.at = at
-	heap.Push(&t.queue, sb)
-	if sb.place == 0 {
-		select {
-		case t.rung <- struct{}{}:
-		default:
-		}
+	select {
+	case t.rung <- struct{}{}:
+	default:
 	}
 }
