Shut a node down without cutting what callers and nodes have sent

Cause: the call listener stayed open until nothing was in flight, so that a busy node never ended; and the peer port closed at once, where an attempt just sent would meet a closed connection, of which nobody can tell whether it ran. Change: first callers' listener, then what is in flight, then one second in which attempts are still refused, then the peer port.

--- a/internal/carobnode/node.go
+++ b/internal/carobnode/node.go
@@ -51,8 +51,12 @@
 const (
 	logPatience  = 2 * time.Second
 	sortPatience = 5 * time.Second
-	lastPatience = 5 * time.Second
-	joinPause    = 500 * time.Millisecond
+	// drainPatience is how long a shutdown waits for what is in flight.
+	drainPatience = 60 * time.Second
+	// goodbye is how long a node that has nothing left still refuses attempts.
+	goodbye       = time.Second
+	closePatience = 2 * time.Second
+	joinPause     = 500 * time.Millisecond
 )
 
 // NewNode opens a node's listeners and makes its parts.
@@ -88,7 +92,6 @@
 	inner, cancel := context.WithCancel(context.WithoutCancel(cx))
 	defer cancel()
 	timer := do.MustInvoke[*carobtimer.Timer](n.injector)
-	mailbox := do.MustInvoke[*carobmailbox.Mailbox](n.injector)
 	control := do.MustInvoke[*carobcontrol.Control](n.injector)
 	splitter := do.MustInvoke[*carobsplitter.Splitter](n.injector)
 	entrance := do.MustInvoke[*carobentrance.Entrance](n.injector)
@@ -130,17 +133,34 @@
 		return err
 	case <-cx.Done():
 	}
-	n.config.Logger.WithField("node", n.config.Settings.Name).Info("node: shutting down")
+	n.shutDown(inner)
+	return nil
+}
+
+// shutDown ends the node gracefully. Callers can open no more connections; what
+// they have sent is still answered. Other nodes are told, and get refusals for
+// what they send all the same, until they have had time to hear: an attempt
+// that met a closed connection instead could not be told from one that ran.
+func (n *Node) shutDown(cx context.Context) {
+	logger := n.config.Logger.WithField("node", n.config.Settings.Name)
+	logger.Info("node: shutting down")
+	mailbox := do.MustInvoke[*carobmailbox.Mailbox](n.injector)
 	mailbox.Post(func(in *carobinbox.Inbox) { in.Stop = true })
-	<-n.stopped
-	last, done := context.WithTimeout(inner, lastPatience)
+	last, done := context.WithTimeout(cx, drainPatience)
 	defer done()
-	_ = entrance.Shutdown(last)
-	_ = attempts.ShutdownWithContext(last)
-	_ = courier.Shutdown(last)
-	_ = admin.Shutdown(last)
-	n.config.Logger.WithField("node", n.config.Settings.Name).Info("node: stopped")
-	return nil
+	_ = do.MustInvoke[*carobentrance.Entrance](n.injector).Shutdown(last)
+	select {
+	case <-n.stopped:
+	case <-last.Done():
+		logger.Warn("node: calls still in flight are cut")
+	}
+	_ = do.MustInvoke[*carobtimer.Timer](n.injector).Wait(last, goodbye)
+	closing, closed := context.WithTimeout(cx, closePatience)
+	defer closed()
+	_ = do.MustInvoke[*attemptServer](n.injector).ShutdownWithContext(closing)
+	_ = do.MustInvoke[*carobcourier.Courier](n.injector).Shutdown(closing)
+	_ = do.MustInvoke[*carobadmin.Admin](n.injector).Shutdown(closing)
+	logger.Info("node: stopped")
 }
 
 // Carry notes the end of a graceful shutdown.
