Send a seeded open load and check every answer

The load tool draws Poisson arrivals from a seed, counts latency from the intended arrival, and gives every call a body that no other call has, so that a cut or mixed-up answer is found. With -direct a second load goes to targets beside the first, for the latency that nodes add.

--- a/internal/carobcommand/command.go
+++ b/internal/carobcommand/command.go
@@ -52,6 +52,7 @@
 		checkCommand(),
 		logCommand(),
 		targetCommand(),
+		loadCommand(),
 	}
 }
 
