--- a/internal/carobcommand/command.go
+++ b/internal/carobcommand/command.go
@@ -53,6 +53,7 @@
 		statusCommand(),
 		logCommand(),
 		targetCommand(),
+		loadCommand(),
 	}
 }
 
