--- a/internal/carobcommand/command.go
+++ b/internal/carobcommand/command.go
@@ -51,6 +51,7 @@
 		publishCommand(),
 		checkCommand(),
 		statusCommand(),
+		demoCommand(),
 		logCommand(),
 		targetCommand(),
 		loadCommand(),
--- /dev/null
+++ b/internal/carobcommand/demo.go
@@ -0,0 +1,31 @@
+package carobcommand
+
+import (
+	"context"
+	"flag"
+	"time"
+
+	"github.com/carobknot/carobknot/internal/carobdemo"
+)
+
+func demoCommand() Command {
+	return Command{
+		name:     "demo",
+		summary:  "Run log, targets, nodes and load on this machine",
+		examples: "  carobknot demo\n  carobknot demo -phase 10s\n",
+		parse:    parseDemo,
+	}
+}
+
+func parseDemo(flags *flag.FlagSet) runner {
+	c := carobdemo.Config{}
+	flags.DurationVar(&c.Phase, "phase", 3*time.Second, "`TIME` that each of the three phases takes")
+	flags.Uint64Var(&c.Seed, "seed", 1, "`SEED` of arrivals and service times")
+	return func(cx context.Context, sd *streams, args []string) error {
+		if c.Phase <= 0 || c.Phase > 15*time.Second || len(args) > 0 {
+			return errUsage("-phase is between 0 and 15s, and no operands are taken")
+		}
+		c.Out = sd.out
+		return carobdemo.NewDemo(c).Run(cx)
+	}
+}
