Stream bodies both ways, watch callers, check requests strictly

Cause: the entrance read every body whole, the pool wrote a whole request before it read an answer, a caller that hung up was not noticed, and what the HTTP library forgives in a request was forgiven here too. Change: a body up to the profile's keep is kept, a longer one is streamed once, and a target's node admits the job (100-continue) before the body goes. The pool sends long bodies beside reading the answer. A watch asks the kernel which callers and entry nodes are gone.

--- a/internal/carobadmitter/admitter.go
+++ b/internal/carobadmitter/admitter.go
@@ -16,6 +16,8 @@
 	"github.com/carobknot/carobknot/internal/carobdesk"
 	"github.com/carobknot/carobknot/internal/carobheader"
 	"github.com/carobknot/carobknot/internal/carobmailbox"
+	"github.com/carobknot/carobknot/internal/carobtimer"
+	"github.com/carobknot/carobknot/internal/carobwatch"
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobfinish"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
@@ -38,6 +40,11 @@
 	Mailbox *carobmailbox.Mailbox
 	// Targets reaches the node's own targets.
 	Targets exchanger
+	// Watch notices entry nodes that hang up.
+	Watch *carobwatch.Watch
+	Timer *carobtimer.Timer
+	// Stall is how long an entry node may send nothing of a body.
+	Stall time.Duration
 }
 
 // Admitter carries jobs to the node's own targets.
@@ -77,6 +84,15 @@
 // Do offers a job and, once it is started, sends its request to the target.
 // Every answer and error comes with the target's newest report.
 func (a *Admitter) Do(cx context.Context, of caroboffer.Offer, rq *fasthttp.Request) (*carobanswer.Answer, error) {
+	st, err := a.admit(cx, of)
+	if err != nil {
+		return nil, err
+	}
+	return a.run(cx, st, rq, of.Target)
+}
+
+// admit offers a job and waits until it is started or refused.
+func (a *Admitter) admit(cx context.Context, of caroboffer.Offer) (*carobstart.Start, error) {
 	orders := a.desk.Open(of.Job)
 	defer a.desk.Close(of.Job)
 	a.config.Mailbox.Post(func(in *carobinbox.Inbox) { in.Offers = append(in.Offers, of) })
@@ -88,7 +104,7 @@
 		if od.start == nil {
 			return nil, carobkind.New(od.kind, "offer refused")
 		}
-		return a.run(cx, od.start, rq, of.Target)
+		return od.start, nil
 	}
 }
 
--- a/internal/carobanswer/answer.go
+++ b/internal/carobanswer/answer.go
@@ -14,6 +14,8 @@
 type Answer struct {
 	// Response has the status and headers. Its body is not used.
 	Response *fasthttp.Response
+	// Bodiless says that there is no body, whatever Length says.
+	Bodiless bool
 	// Length is the length of the body; negative if it is chunked.
 	Length int
 	// Body gives the whole body or an error. It must be closed.
--- a/internal/carobbody/body.go
+++ b/internal/carobbody/body.go
@@ -13,6 +13,9 @@
 	Stream io.ReadCloser
 	// Length is the length of the body; negative if it is not known.
 	Length int
+	// Allow is called before bytes are handed out, so that the receiver has time
+	// anew to take them. May be nil.
+	Allow func()
 	// Over is told once, when the body is closed: None if all of it was read,
 	// Cut otherwise.
 	Over func(kind carobkind.Kind)
@@ -24,19 +27,23 @@
 	// left is the number of bytes still to come; negative if it is not known.
 	left  int
 	whole bool
+	allow func()
 	over  func(kind carobkind.Kind)
 	once  sync.Once
 }
 
 // NewBody returns a body of which nothing was read yet.
 func NewBody(c Config) *Body {
-	return &Body{stream: c.Stream, left: c.Length, whole: c.Length == 0, over: c.Over}
+	return &Body{stream: c.Stream, left: c.Length, whole: c.Length == 0, allow: c.Allow, over: c.Over}
 }
 
 // Read reads on.
 func (b *Body) Read(into []byte) (int, error) {
 	n, err := b.stream.Read(into)
 	b.left -= n
+	if b.allow != nil {
+		b.allow()
+	}
 	if err == io.EOF && b.left > 0 { //nolint:errorlint // readers return io.EOF itself
 		return n, io.ErrUnexpectedEOF
 	}
--- a/internal/carobentrance/entrance.go
+++ b/internal/carobentrance/entrance.go
@@ -4,36 +4,31 @@
 
 import (
 	"context"
-	"io"
+	"math"
 	"net"
-	"strconv"
-	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/carobknot/carobknot/internal/carobanswer"
-	"github.com/carobknot/carobknot/internal/carobbody"
 	"github.com/carobknot/carobknot/internal/carobdesk"
-	"github.com/carobknot/carobknot/internal/carobheader"
 	"github.com/carobknot/carobknot/internal/carobmailbox"
-	"github.com/carobknot/carobknot/pkg/carobarrival"
+	"github.com/carobknot/carobknot/internal/carobtimer"
+	"github.com/carobknot/carobknot/internal/carobupload"
+	"github.com/carobknot/carobknot/internal/carobwatch"
 	"github.com/carobknot/carobknot/pkg/carobcallid"
 	"github.com/carobknot/carobknot/pkg/carobconclusion"
-	"github.com/carobknot/carobknot/pkg/carobdelivery"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
-	"github.com/carobknot/carobknot/pkg/carobjobid"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroblimits"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
-	"github.com/carobknot/carobknot/pkg/caroboutcome"
-	"github.com/carobknot/carobknot/pkg/carobreply"
 	"github.com/carobknot/carobknot/pkg/carobreport"
 	"github.com/carobknot/carobknot/pkg/carobsend"
 	"github.com/carobknot/carobknot/pkg/carobservice"
+	"github.com/carobknot/carobknot/pkg/carobsize"
+	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
 // relay carries an attempt to a target's node.
@@ -41,6 +36,11 @@
 	Do(cx context.Context, sd carobsend.Send, rq *fasthttp.Request) (*carobanswer.Answer, *carobreport.Report, error)
 }
 
+// asker runs a question on the control goroutine.
+type asker interface {
+	Ask(cx context.Context, question func(w *carobworld.World)) error
+}
+
 // Config is how an entrance is made.
 type Config struct {
 	Node        carobnodeid.ID
@@ -48,6 +48,9 @@
 	Limits      caroblimits.Limits
 	Mailbox     *carobmailbox.Mailbox
 	Relay       relay
+	Control     asker
+	Watch       *carobwatch.Watch
+	Timer       *carobtimer.Timer
 }
 
 // Entrance takes calls from callers.
@@ -57,6 +60,8 @@
 	desk   *carobdesk.Desk[carobcallid.ID, order]
 	// sequence is that of the newest call.
 	sequence atomic.Uint64
+	// kept is the number of bytes of all bodies that are kept now.
+	kept atomic.Int64
 }
 
 // order is what the control goroutine decided on a call. One field is set.
@@ -67,14 +72,21 @@
 	cancel int
 }
 
+// maxWholeBody is more than any body has, so that the library streams them all.
+const maxWholeBody = math.MaxInt
+
 // NewEntrance returns an entrance that does not listen yet.
 func NewEntrance(c Config) *Entrance {
 	e := &Entrance{config: c, desk: carobdesk.NewDesk[carobcallid.ID, order]()}
 	e.server = &fasthttp.Server{
 		Handler:                      e.serve,
-		Concurrency:                  c.Limits.Conns,
+		ExpectHandler:                e.expect,
+		ErrorHandler:                 e.fail,
 		ReadBufferSize:               int(c.Limits.Header),
-		MaxRequestBodySize:           int(c.Limits.Body),
+		MaxRequestBodySize:           maxWholeBody,
+		ReadTimeout:                  c.Limits.Head.Duration(),
+		IdleTimeout:                  c.Limits.Idle.Duration(),
+		WriteTimeout:                 c.Limits.Stall.Duration(),
 		StreamRequestBody:            true,
 		DisablePreParseMultipartForm: true,
 		NoDefaultServerHeader:        true,
@@ -87,7 +99,7 @@
 
 // Serve answers calls until Shutdown.
 func (e *Entrance) Serve(ls net.Listener) error {
-	return e.server.Serve(ls)
+	return e.server.Serve(&door{Listener: ls, timer: e.config.Timer, limit: int64(e.config.Limits.Conns)})
 }
 
 // Shutdown stops listening and returns when all connections are closed.
@@ -109,178 +121,95 @@
 }
 
 func (e *Entrance) serve(rc *fasthttp.RequestCtx) {
-	call := carobcallid.ID{Node: e.config.Node, Incarnation: e.config.Incarnation, Sequence: e.sequence.Add(1)}
+	call := e.newCall()
+	came := e.config.Timer.Now()
 	ar, err := parseArrival(call, &rc.Request.Header)
 	if err != nil {
-		refuse(rc, call, carobkind.Of(err), err.Error())
+		e.refuse(rc, call, err)
 		return
 	}
-	kept, err := readBody(rc)
+	keep := e.reserve(rc, ar.Service)
+	defer e.kept.Add(-int64(keep))
+	upload, err := e.open(rc, keep)
 	if err != nil {
-		refuse(rc, call, carobkind.Of(err), err.Error())
+		e.refuse(rc, call, err)
 		return
 	}
+	if ar.Patience > 0 {
+		// What is left of the caller's patience once its body is here. Zero
+		// would mean that it gave none.
+		ar.Patience = max(1, ar.Patience-e.config.Timer.Now().Sub(came))
+	}
+	ar.Streamed = upload.Streamed()
 	orders := e.desk.Open(call)
 	defer e.desk.Close(call)
-	e.config.Mailbox.Post(func(in *carobinbox.Inbox) { in.Arrivals = append(in.Arrivals, ar) })
-	ex := &exchange{entrance: e, call: call, request: &rc.Request, kept: kept, attempts: map[int]*attempt{}}
-	ex.follow(rc, orders)
-}
-
-// readBody reads the whole body of a call. A body that is cut short is an error.
-func readBody(rc *fasthttp.RequestCtx) ([]byte, error) {
-	stream := rc.RequestBodyStream()
-	if stream == nil {
-		return rc.PostBody(), nil
+	hangup := func() {
+		e.config.Mailbox.Post(func(in *carobinbox.Inbox) { in.Hangups = append(in.Hangups, call) })
 	}
-	kept, err := io.ReadAll(stream)
-	if err != nil {
-		return nil, carobkind.Wrap(carobkind.Invalid, err, "read body")
-	}
-	return kept, nil
+	defer e.config.Watch.Add(rc.Conn(), hangup)()
+	e.config.Mailbox.Post(func(in *carobinbox.Inbox) { in.Arrivals = append(in.Arrivals, ar) })
+	x := &exchange{entrance: e, call: call, request: &rc.Request, upload: upload, attempts: map[int]*attempt{}}
+	x.follow(rc, orders)
 }
 
-func parseArrival(call carobcallid.ID, hd *fasthttp.RequestHeader) (carobarrival.Arrival, error) {
-	ar := carobarrival.Arrival{
-		Call: call, Key: string(hd.Peek(carobheader.Key)), Trace: string(hd.Peek(carobheader.Trace)),
-	}
-	host := string(hd.Host())
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	ar.Service = carobservice.Service(host)
-	if err := ar.Service.Check(); err != nil {
-		return ar, err
-	}
-	if text := hd.Peek(carobheader.Deadline); len(text) > 0 {
-		ms, err := strconv.Atoi(string(text))
-		if err != nil || ms < 1 {
-			return ar, carobkind.New(carobkind.Invalid, "%s is not a number of milliseconds above 0", carobheader.Deadline)
-		}
-		ar.Patience = time.Duration(ms) * time.Millisecond
-	}
-	return ar, nil
+func (e *Entrance) newCall() carobcallid.ID {
+	return carobcallid.ID{Node: e.config.Node, Incarnation: e.config.Incarnation, Sequence: e.sequence.Add(1)}
 }
 
-// exchange is a call in traffic.
-type exchange struct {
-	entrance *Entrance
-	call     carobcallid.ID
-	request  *fasthttp.Request
-	// kept is the whole body, for every attempt.
-	kept  []byte
-	mutex sync.Mutex
-	// attempts are those sent so far.
-	attempts map[int]*attempt
+// open reads the body of a call if it is short.
+func (e *Entrance) open(rc *fasthttp.RequestCtx, keep carobsize.Size) (*carobupload.Upload, error) {
+	return carobupload.NewUpload(carobupload.Config{
+		Stream: rc.RequestBodyStream(), Length: rc.Request.Header.ContentLength(),
+		Keep: max(keep, small), Limit: e.config.Limits.Body,
+		Conn: rc.Conn(), Timer: e.config.Timer, Stall: e.config.Limits.Stall.Duration(),
+	})
 }
 
-// attempt is one sending of the call.
-type attempt struct {
-	cancel context.CancelFunc
-	// answer is nil until its head is here.
-	answer *carobanswer.Answer
-	// dropped says that nobody wants the answer.
-	dropped bool
-}
+// small is the longest body that is always kept. It comes with the header.
+const small = 4 * carobsize.KiB
 
-// follow carries out orders until the call is concluded.
-func (x *exchange) follow(rc *fasthttp.RequestCtx, orders <-chan order) {
-	for od := range orders {
-		switch {
-		case od.send != nil:
-			x.send(*od.send)
-		case od.cancel != 0:
-			x.drop(od.cancel)
-		case od.conclusion.Kind != carobkind.None:
-			refuse(rc, x.call, od.conclusion.Kind, "")
-			return
-		default:
-			x.deliver(rc, od.conclusion.Attempt)
-			return
-		}
+// reserve returns how long a body may be to be kept, and counts it as kept; 0 if
+// the body is small anyway or too long.
+func (e *Entrance) reserve(rc *fasthttp.RequestCtx, service carobservice.Service) carobsize.Size {
+	length := carobsize.Size(rc.Request.Header.ContentLength())
+	if rc.RequestBodyStream() == nil || 0 <= length && length <= small {
+		return 0
 	}
-}
-
-func (x *exchange) send(sd carobsend.Send) {
-	cx, cancel := context.WithCancel(context.Background())
-	at := &attempt{cancel: cancel}
-	x.attempts[sd.Job.Attempt] = at
-	rq := &fasthttp.Request{}
-	x.request.Header.CopyTo(&rq.Header)
-	carobheader.CleanRequest(&rq.Header)
-	rq.SetRequestURIBytes(x.request.RequestURI())
-	rq.Header.SetHostBytes(x.request.Header.Host())
-	rq.SetBodyRaw(x.kept)
-	go func() {
-		an, report, err := x.entrance.config.Relay.Do(cx, sd, rq)
-		x.keep(at, an)
-		rp := carobreply.Reply{Job: sd.Job, Kind: carobkind.Of(err), Report: report}
-		if an != nil {
-			rp.Status = an.Response.StatusCode()
-		}
-		x.entrance.config.Mailbox.Post(func(in *carobinbox.Inbox) { in.Replies = append(in.Replies, rp) })
-	}()
-}
-
-// keep holds an answer until it is delivered, or closes it if nobody wants it.
-func (x *exchange) keep(at *attempt, an *carobanswer.Answer) {
-	x.mutex.Lock()
-	defer x.mutex.Unlock()
-	at.answer = an
-	if at.dropped && an != nil {
-		_ = an.Body.Close()
+	keep := e.keepOf(service)
+	if length > keep {
+		return 0
 	}
-}
-
-// drop gives an attempt up.
-func (x *exchange) drop(number int) {
-	at := x.attempts[number]
-	if at == nil {
-		return
+	if length >= 0 {
+		keep = length
 	}
-	at.cancel()
-	x.mutex.Lock()
-	defer x.mutex.Unlock()
-	at.dropped = true
-	if at.answer != nil {
-		_ = at.answer.Body.Close()
+	if e.kept.Add(int64(keep)) > int64(e.config.Limits.Kept) {
+		e.kept.Add(-int64(keep))
+		return 0
 	}
+	return keep
 }
 
-// deliver passes the answer of an attempt on.
-func (x *exchange) deliver(rc *fasthttp.RequestCtx, number int) {
-	at := x.attempts[number]
-	x.mutex.Lock()
-	an := at.answer
-	x.mutex.Unlock()
-	carobheader.CleanResponse(&an.Response.Header)
-	an.Response.Header.CopyTo(&rc.Response.Header)
-	rc.Response.Header.Set(carobheader.Outcome, string(caroboutcome.Answered))
-	rc.Response.Header.Set(carobheader.Call, x.call.String())
-	job := carobjobid.ID{Call: x.call, Attempt: number}
-	rc.Response.SetBodyStream(carobbody.NewBody(carobbody.Config{Stream: an.Body, Length: an.Length, Over: func(kind carobkind.Kind) {
-		at.cancel()
-		x.entrance.config.Mailbox.Post(func(in *carobinbox.Inbox) {
-			in.Deliveries = append(in.Deliveries, carobdelivery.Delivery{Job: job, Kind: kind})
-		})
-	}}), an.Length)
+// keepOf returns the longest body that the service's profile has kept.
+func (e *Entrance) keepOf(service carobservice.Service) carobsize.Size {
+	var keep carobsize.Size
+	_ = e.config.Control.Ask(context.Background(), func(w *carobworld.World) {
+		if pf := w.ProfileOf(service); pf != nil {
+			keep = pf.Keep
+		}
+	})
+	return keep
 }
 
-// refuse answers a caller with an error.
-func refuse(rc *fasthttp.RequestCtx, call carobcallid.ID, kind carobkind.Kind, detail string) {
-	rc.Response.Reset()
-	rc.Response.SetStatusCode(kind.Status())
-	rc.Response.Header.Set(carobheader.Outcome, string(kind.Outcome()))
-	rc.Response.Header.Set(carobheader.Call, call.String())
-	rc.Response.Header.Set(carobheader.Kind, string(kind))
-	if retry := kind.Retry(); retry > 0 {
-		rc.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(int(retry/time.Second)))
+// expect decides whether a caller that asks first may send its body.
+func (e *Entrance) expect(rc *fasthttp.RequestCtx) int {
+	call := e.newCall()
+	_, err := parseArrival(call, &rc.Request.Header)
+	if length := rc.Request.Header.ContentLength(); err == nil && length > int(e.config.Limits.Body) {
+		err = carobkind.New(carobkind.TooLarge, "the body is longer than the limit of %s", e.config.Limits.Body)
 	}
-	rc.Response.SetBodyString(string(kind) + ": " + detail + "\n")
+	if err != nil {
+		e.refuse(rc, call, err)
+		return rc.Response.StatusCode()
+	}
+	return fasthttp.StatusContinue
 }
-
-// silence drops the HTTP library's own log lines.
-type silence struct{}
-
-// Printf drops a line.
-func (silence) Printf(string, ...any) {}
--- /dev/null
+++ b/internal/carobentrance/exchange.go
@@ -0,0 +1,151 @@
+package carobentrance
+
+import (
+	"context"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/carobknot/carobknot/internal/carobanswer"
+	"github.com/carobknot/carobknot/internal/carobbody"
+	"github.com/carobknot/carobknot/internal/carobheader"
+	"github.com/carobknot/carobknot/internal/carobupload"
+	"github.com/carobknot/carobknot/pkg/carobcallid"
+	"github.com/carobknot/carobknot/pkg/carobconclusion"
+	"github.com/carobknot/carobknot/pkg/carobdelivery"
+	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobjobid"
+	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/caroboutcome"
+	"github.com/carobknot/carobknot/pkg/carobreply"
+	"github.com/carobknot/carobknot/pkg/carobsend"
+)
+
+// exchange is a call in traffic.
+type exchange struct {
+	entrance *Entrance
+	call     carobcallid.ID
+	request  *fasthttp.Request
+	// upload is the body, for every attempt.
+	upload *carobupload.Upload
+	mutex  sync.Mutex
+	// attempts are those sent so far.
+	attempts map[int]*attempt
+}
+
+// attempt is one sending of the call.
+type attempt struct {
+	cancel context.CancelFunc
+	// answer is nil until its head is here.
+	answer *carobanswer.Answer
+	// dropped says that nobody wants the answer.
+	dropped bool
+}
+
+// follow carries out orders until the call is concluded.
+func (x *exchange) follow(rc *fasthttp.RequestCtx, orders <-chan order) {
+	for od := range orders {
+		switch {
+		case od.send != nil:
+			x.send(*od.send)
+		case od.cancel != 0:
+			x.drop(od.cancel)
+		default:
+			x.conclude(rc, *od.conclusion)
+			return
+		}
+	}
+}
+
+// conclude tells the caller how its call ended. Attempts that the control
+// goroutine does not want any more were cancelled by earlier orders.
+func (x *exchange) conclude(rc *fasthttp.RequestCtx, cn carobconclusion.Conclusion) {
+	if cn.Kind == carobkind.None {
+		x.deliver(rc, cn.Attempt)
+		return
+	}
+	x.upload.Release()
+	detail := "the call ended without an answer"
+	switch {
+	case x.upload.Streamed() && !cn.Kind.NotRun():
+		detail = "the body was too long to be kept, so that it was sent once and can not be sent again"
+	case cn.Kind.NotRun():
+		detail = "no target ran the call"
+	}
+	x.entrance.refuse(rc, x.call, carobkind.New(cn.Kind, "%s", detail))
+}
+
+func (x *exchange) send(sd carobsend.Send) {
+	rq := &fasthttp.Request{}
+	x.request.Header.CopyTo(&rq.Header)
+	carobheader.CleanRequest(&rq.Header)
+	if err := x.upload.Attach(rq); err != nil {
+		x.reply(carobreply.Reply{Job: sd.Job, Kind: carobkind.Of(err)})
+		return
+	}
+	cx, cancel := context.WithCancel(context.Background())
+	at := &attempt{cancel: cancel}
+	x.attempts[sd.Job.Attempt] = at
+	go func() {
+		an, report, err := x.entrance.config.Relay.Do(cx, sd, rq)
+		x.keep(at, an)
+		rp := carobreply.Reply{Job: sd.Job, Kind: carobkind.Of(err), Report: report}
+		if an != nil {
+			rp.Status = an.Response.StatusCode()
+		}
+		x.reply(rp)
+	}()
+}
+
+func (x *exchange) reply(rp carobreply.Reply) {
+	x.entrance.config.Mailbox.Post(func(in *carobinbox.Inbox) { in.Replies = append(in.Replies, rp) })
+}
+
+// keep holds an answer until it is delivered, or closes it if nobody wants it.
+func (x *exchange) keep(at *attempt, an *carobanswer.Answer) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	at.answer = an
+	if at.dropped && an != nil {
+		_ = an.Body.Close()
+	}
+}
+
+// drop gives an attempt up.
+func (x *exchange) drop(number int) {
+	at := x.attempts[number]
+	if at == nil {
+		return
+	}
+	at.cancel()
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	at.dropped = true
+	if at.answer != nil {
+		_ = at.answer.Body.Close()
+	}
+}
+
+// deliver passes the answer of an attempt on. If the caller hangs up meanwhile,
+// the attempt is cancelled.
+func (x *exchange) deliver(rc *fasthttp.RequestCtx, number int) {
+	at := x.attempts[number]
+	x.mutex.Lock()
+	an := at.answer
+	x.mutex.Unlock()
+	carobheader.CleanResponse(&an.Response.Header)
+	an.Response.Header.CopyTo(&rc.Response.Header)
+	rc.Response.Header.Set(carobheader.Outcome, string(caroboutcome.Answered))
+	rc.Response.Header.Set(carobheader.Call, x.call.String())
+	job := carobjobid.ID{Call: x.call, Attempt: number}
+	cf := x.entrance.config
+	unwatch := cf.Watch.Add(rc.Conn(), at.cancel)
+	carobbody.Attach(rc, an, cf.Timer, cf.Limits.Stall.Duration(), func(kind carobkind.Kind) {
+		unwatch()
+		at.cancel()
+		x.upload.Release()
+		cf.Mailbox.Post(func(in *carobinbox.Inbox) {
+			in.Deliveries = append(in.Deliveries, carobdelivery.Delivery{Job: job, Kind: kind})
+		})
+	})
+}
--- a/internal/carobheader/hop.go
+++ b/internal/carobheader/hop.go
@@ -1,43 +1,74 @@
 package carobheader
 
 import (
+	"iter"
 	"strings"
 
 	"github.com/valyala/fasthttp"
 )
 
 // hopByHop are the headers that belong to one connection and are not passed on.
+// Expect is among them since each hop decides by itself when a body goes.
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Upgrade",
+	"Proxy-Authorization", "Te", "Trailer", "Upgrade", "Expect", "Http2-Settings",
+}
+
+// fields is what requests and answers have in common.
+type fields interface {
+	All() iter.Seq2[[]byte, []byte]
+	Del(key string)
 }
 
 // CleanRequest removes from a request what belongs to one connection or to the
 // system.
 func CleanRequest(hd *fasthttp.RequestHeader) {
-	var reserved []string
-	for key := range hd.All() {
-		if IsReserved(string(key)) {
-			reserved = append(reserved, string(key))
-		}
-	}
-	for _, key := range append(reserved, hopByHop...) {
-		hd.Del(key)
-	}
+	clean(hd)
 }
 
 // CleanResponse removes from an answer what belongs to one connection or to the
 // system.
 func CleanResponse(hd *fasthttp.ResponseHeader) {
-	var reserved []string
-	for key := range hd.All() {
-		if IsReserved(string(key)) {
-			reserved = append(reserved, string(key))
+	clean(hd)
+}
+
+func clean(hd fields) {
+	var unwanted []string
+	for key, value := range hd.All() {
+		switch name := string(key); {
+		case IsReserved(name):
+			unwanted = append(unwanted, name)
+		case strings.EqualFold(name, fasthttp.HeaderConnection):
+			unwanted = append(unwanted, named(string(value))...)
 		}
 	}
-	for _, key := range append(reserved, hopByHop...) {
-		hd.Del(key)
+	for _, name := range append(unwanted, hopByHop...) {
+		hd.Del(name)
+	}
+}
+
+// named lists the headers that a Connection header names, which belong to the
+// connection too.
+func named(value string) []string {
+	var names []string
+	for option := range strings.SplitSeq(value, ",") {
+		option = strings.TrimSpace(option)
+		if option != "" && !protected(option) {
+			names = append(names, option)
+		}
+	}
+	return names
+}
+
+// protected reports whether a header is needed for the message itself, so that
+// no Connection header can have it removed.
+func protected(name string) bool {
+	for _, needed := range []string{"Host", "Content-Length", "Content-Type", "Transfer-Encoding", Key, Trace} {
+		if strings.EqualFold(name, needed) {
+			return true
+		}
 	}
+	return false
 }
 
 // IsReserved reports whether a header is the system's own.
--- a/internal/carobnode/node.go
+++ b/internal/carobnode/node.go
@@ -189,6 +189,6 @@
 
 // Pools of connections.
 var (
-	peerPool   = carobpool.Config{Dial: time.Second, Idle: 30 * time.Second, Kept: 256}
+	peerPool   = carobpool.Config{Dial: time.Second, Idle: 30 * time.Second, Kept: 256, Ask: true}
 	targetPool = carobpool.Config{Dial: time.Second, Idle: 5 * time.Second, Kept: 256}
 )
--- a/internal/carobnode/wire.go
+++ b/internal/carobnode/wire.go
@@ -2,19 +2,14 @@
 
 import (
 	"github.com/samber/do/v2"
-	"github.com/valyala/fasthttp"
 
 	"github.com/carobknot/carobknot/internal/carobadmin"
-	"github.com/carobknot/carobknot/internal/carobadmitter"
 	"github.com/carobknot/carobknot/internal/carobcodec"
 	"github.com/carobknot/carobknot/internal/carobcontrol"
 	"github.com/carobknot/carobknot/internal/carobcourier"
-	"github.com/carobknot/carobknot/internal/carobentrance"
 	"github.com/carobknot/carobknot/internal/carobmailbox"
 	"github.com/carobknot/carobknot/internal/carobmeter"
 	"github.com/carobknot/carobknot/internal/carobplatform"
-	"github.com/carobknot/carobknot/internal/carobpool"
-	"github.com/carobknot/carobknot/internal/carobrelay"
 	"github.com/carobknot/carobknot/internal/carobsplitter"
 	"github.com/carobknot/carobknot/internal/carobtimer"
 	"github.com/carobknot/carobknot/pkg/carobcore"
@@ -23,11 +18,6 @@
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
-// attemptServer answers the attempts of other nodes.
-type attemptServer struct {
-	*fasthttp.Server
-}
-
 // wire says how each part is made. Parts are made when they are first asked for.
 func (n *Node) wire() do.Injector {
 	st := n.config.Settings
@@ -55,35 +45,7 @@
 			Timer: do.MustInvoke[*carobtimer.Timer](i),
 		}), nil
 	})
-	do.Provide(i, func(i do.Injector) (*carobadmitter.Admitter, error) {
-		pool := targetPool
-		pool.Timer = do.MustInvoke[*carobtimer.Timer](i)
-		return carobadmitter.NewAdmitter(carobadmitter.Config{
-			Mailbox: do.MustInvoke[*carobmailbox.Mailbox](i), Targets: carobpool.NewPool(pool),
-		}), nil
-	})
-	do.Provide(i, func(i do.Injector) (*carobentrance.Entrance, error) {
-		pool := peerPool
-		pool.Timer = do.MustInvoke[*carobtimer.Timer](i)
-		self := do.MustInvoke[carobmember.Member](i)
-		return carobentrance.NewEntrance(carobentrance.Config{
-			Node: self.Node, Incarnation: self.Incarnation, Limits: st.Limits,
-			Mailbox: do.MustInvoke[*carobmailbox.Mailbox](i),
-			Relay: carobrelay.NewRelay(carobrelay.Config{
-				Peers: carobpool.NewPool(pool), Own: do.MustInvoke[*carobadmitter.Admitter](i),
-			}),
-		}), nil
-	})
-	do.Provide(i, func(i do.Injector) (*attemptServer, error) {
-		return &attemptServer{Server: &fasthttp.Server{
-			Handler:              do.MustInvoke[*carobadmitter.Admitter](i).Serve,
-			ReadBufferSize:       2 * int(st.Limits.Header),
-			MaxRequestBodySize:   int(st.Limits.Body),
-			StreamRequestBody:    true,
-			NoDefaultContentType: true, NoDefaultServerHeader: true, CloseOnShutdown: true,
-			DisablePreParseMultipartForm: true,
-		}}, nil
-	})
+	n.wireTraffic(i)
 	do.Provide(i, func(i do.Injector) (*carobcourier.Courier, error) {
 		codec, err := carobcodec.NewCodec()
 		if err != nil {
--- a/internal/carobpool/pool.go
+++ b/internal/carobpool/pool.go
@@ -32,6 +32,14 @@
 	Idle time.Duration
 	// Kept is the most unused connections to one address.
 	Kept int
+	// Header is the longest header of an answer.
+	Header int
+	// Stall is how long the other end may take or send nothing while a body is
+	// on its way.
+	Stall time.Duration
+	// Ask says that the other end is asked whether it takes the request before
+	// a body that needs more than one write is sent to it.
+	Ask bool
 }
 
 // Pool keeps connections to several addresses.
@@ -52,7 +60,12 @@
 	since carobinstant.Instant
 }
 
-const bufferSize = 4096
+const (
+	// bufferSize is the longest request that is sent in one write.
+	bufferSize = 4096
+	// smallestHeader is the least room for the header of an answer.
+	smallestHeader = 4096
+)
 
 // NewPool returns a pool without connections.
 func NewPool(c Config) *Pool {
@@ -61,40 +74,38 @@
 
 // Do sends a request and returns the head of its answer. When cx ends, the
 // connection is closed, which the other end sees as cancellation. An error is
-// Unreachable if nothing was sent, and Cut otherwise.
+// Unreachable if nothing was sent, Cancelled if cx ended, and Cut otherwise.
+//
+// The request's body may still be on its way when Do returns. It is until the
+// answer's body is closed.
 func (p *Pool) Do(cx context.Context, ad carobaddress.Address, rq *fasthttp.Request) (*carobanswer.Answer, error) {
 	cn, err := p.get(cx, ad)
 	if err != nil {
 		return nil, carobkind.Wrap(carobkind.Unreachable, err, "open connection")
 	}
 	stop := context.AfterFunc(cx, func() { _ = cn.Close() })
-	rs, err := exchange(cn, rq)
+	x := &exchange{config: p.config, conn: cn, request: rq}
+	rs, err := x.run()
 	if err != nil {
 		stop()
 		_ = cn.Close()
+		if cx.Err() != nil {
+			return nil, carobkind.Wrap(carobkind.Cancelled, err, "exchange")
+		}
 		return nil, carobkind.Wrap(carobkind.Cut, err, "exchange")
 	}
-	bd := &body{pool: p, conn: cn, stop: stop, keep: !rs.ConnectionClose(), stream: rs.BodyStream()}
+	bd := &body{pool: p, conn: cn, stop: stop, exchange: x, keep: !rs.ConnectionClose(), stream: rs.BodyStream()}
 	length := rs.Header.ContentLength()
-	if bd.stream == nil {
-		length = 0
-	}
-	bd.left, bd.ended = length, length == 0
-	return &carobanswer.Answer{Response: rs, Length: length, Body: bd}, nil
+	bd.left, bd.ended = length, bd.stream == nil || length == 0
+	return &carobanswer.Answer{Response: rs, Bodiless: bd.stream == nil, Length: length, Body: bd}, nil
 }
 
-func exchange(cn *conn, rq *fasthttp.Request) (*fasthttp.Response, error) {
-	if err := rq.Write(cn.writer); err != nil {
-		return nil, err
-	}
-	if err := cn.writer.Flush(); err != nil {
-		return nil, err
-	}
-	rs := &fasthttp.Response{StreamBody: true, SkipBody: rq.Header.IsHead()}
-	if err := rs.Read(cn.reader); err != nil {
-		return nil, err
+// await bounds the next read of a body. Bytes that are here already need no
+// bound.
+func (c *conn) await(cf Config) {
+	if c.reader.Buffered() == 0 {
+		_ = c.SetReadDeadline(cf.Timer.Wall().Add(cf.Stall))
 	}
-	return rs, nil
 }
 
 // get returns an unused connection or opens one.
@@ -125,6 +136,7 @@
 
 func (p *Pool) put(cn *conn) {
 	cn.since = p.config.Timer.Now()
+	_ = cn.SetDeadline(time.Time{})
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if len(p.idle[cn.address]) >= p.config.Kept {
@@ -141,7 +153,7 @@
 	}
 	return &conn{
 		Conn: nc, address: ad,
-		reader: bufio.NewReaderSize(nc, bufferSize), writer: bufio.NewWriterSize(nc, bufferSize),
+		reader: bufio.NewReaderSize(nc, max(p.config.Header, smallestHeader)), writer: bufio.NewWriterSize(nc, bufferSize),
 	}, nil
 }
 
@@ -162,6 +174,8 @@
 	pool   *Pool
 	conn   *conn
 	stream io.Reader
+	// exchange tells whether the whole request was sent.
+	exchange *exchange
 	// stop ends the watch for cancellation; it reports whether it was in time.
 	stop func() bool
 	// keep says that the connection may serve another exchange.
@@ -178,6 +192,7 @@
 	if b.ended {
 		return 0, io.EOF
 	}
+	b.conn.await(b.pool.config)
 	n, err := b.stream.Read(into)
 	b.left -= n
 	if err == io.EOF || b.left == 0 { //nolint:errorlint // readers return io.EOF itself
@@ -193,7 +208,7 @@
 		return nil
 	}
 	b.closed = true
-	if !b.stop() || !b.ended || !b.keep {
+	if !b.stop() || !b.ended || !b.keep || !b.exchange.sent.Load() {
 		return b.conn.Close()
 	}
 	b.pool.put(b.conn)
--- a/internal/carobsplitter/splitter.go
+++ b/internal/carobsplitter/splitter.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/carobknot/carobknot/internal/carobtimer"
@@ -79,6 +80,15 @@
 	return p.reader.Read(into)
 }
 
+// SyscallConn gives access to the file descriptor.
+func (p *peeked) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := p.Conn.(syscall.Conn)
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return sc.SyscallConn()
+}
+
 // queue is a listener of the connections put into it.
 type queue struct {
 	address net.Addr
--- a/pkg/carobkind/kind.go
+++ b/pkg/carobkind/kind.go
@@ -22,8 +22,14 @@
 	None Kind = ""
 	// Invalid: what came in breaks its own rules.
 	Invalid Kind = "invalid"
-	// TooLarge: a header or body passes a limit.
+	// TooLarge: the body of a call passes the limit.
 	TooLarge Kind = "too-large"
+	// HeaderTooLarge: the header of a call passes the limit.
+	HeaderTooLarge Kind = "header-too-large"
+	// Slow: the caller took too long to send its call.
+	Slow Kind = "slow"
+	// Spent: no target ran the call, and its body cannot be sent again.
+	Spent Kind = "spent"
 	// NotReady: the node has no profile or no view of the targets yet.
 	NotReady Kind = "not-ready"
 	// NoTarget: no target of the service is known and ready.
@@ -78,26 +84,29 @@
 )
 
 var table = map[Kind]row{
-	Invalid:     {http.StatusBadRequest, caroboutcome.NotRun, 0, logrus.InfoLevel},
-	TooLarge:    {http.StatusRequestEntityTooLarge, caroboutcome.NotRun, 0, logrus.InfoLevel},
-	NotReady:    {http.StatusServiceUnavailable, caroboutcome.NotRun, soon, logrus.WarnLevel},
-	NoTarget:    {http.StatusServiceUnavailable, caroboutcome.NotRun, soon, logrus.WarnLevel},
-	Busy:        {http.StatusServiceUnavailable, caroboutcome.NotRun, soon, logrus.InfoLevel},
-	Late:        {http.StatusGatewayTimeout, caroboutcome.NotRun, soon, logrus.InfoLevel},
-	Leaving:     {http.StatusServiceUnavailable, caroboutcome.NotRun, soon, logrus.InfoLevel},
-	Stale:       {http.StatusServiceUnavailable, caroboutcome.NotRun, soon, logrus.InfoLevel},
-	Withdrawn:   {http.StatusServiceUnavailable, caroboutcome.NotRun, soon, logrus.InfoLevel},
-	Unreachable: {http.StatusServiceUnavailable, caroboutcome.NotRun, soon, logrus.WarnLevel},
-	Expired:     {http.StatusGatewayTimeout, caroboutcome.Unknown, 0, logrus.WarnLevel},
-	Cut:         {http.StatusBadGateway, caroboutcome.Unknown, 0, logrus.WarnLevel},
-	Cancelled:   {statusClientClosed, caroboutcome.Unknown, 0, logrus.InfoLevel},
-	Repeated:    {http.StatusConflict, caroboutcome.NotRun, 0, logrus.InfoLevel},
-	Unclaimed:   {http.StatusServiceUnavailable, caroboutcome.NotRun, later, logrus.WarnLevel},
-	KeyUnknown:  {http.StatusConflict, caroboutcome.Unknown, 0, logrus.WarnLevel},
-	Conflict:    {http.StatusConflict, caroboutcome.NotRun, 0, logrus.InfoLevel},
-	LogOut:      {http.StatusServiceUnavailable, caroboutcome.NotRun, later, logrus.WarnLevel},
-	Unsure:      {http.StatusBadGateway, caroboutcome.Unknown, 0, logrus.WarnLevel},
-	Internal:    {http.StatusInternalServerError, caroboutcome.Unknown, 0, logrus.ErrorLevel},
+	Invalid:        {http.StatusBadRequest, caroboutcome.NotRun, 0, logrus.InfoLevel},
+	TooLarge:       {http.StatusRequestEntityTooLarge, caroboutcome.NotRun, 0, logrus.InfoLevel},
+	HeaderTooLarge: {http.StatusRequestHeaderFieldsTooLarge, caroboutcome.NotRun, 0, logrus.InfoLevel},
+	Slow:           {http.StatusRequestTimeout, caroboutcome.NotRun, soon, logrus.InfoLevel},
+	Spent:          {http.StatusServiceUnavailable, caroboutcome.NotRun, soon, logrus.InfoLevel},
+	NotReady:       {http.StatusServiceUnavailable, caroboutcome.NotRun, soon, logrus.WarnLevel},
+	NoTarget:       {http.StatusServiceUnavailable, caroboutcome.NotRun, soon, logrus.WarnLevel},
+	Busy:           {http.StatusServiceUnavailable, caroboutcome.NotRun, soon, logrus.InfoLevel},
+	Late:           {http.StatusGatewayTimeout, caroboutcome.NotRun, soon, logrus.InfoLevel},
+	Leaving:        {http.StatusServiceUnavailable, caroboutcome.NotRun, soon, logrus.InfoLevel},
+	Stale:          {http.StatusServiceUnavailable, caroboutcome.NotRun, soon, logrus.InfoLevel},
+	Withdrawn:      {http.StatusServiceUnavailable, caroboutcome.NotRun, soon, logrus.InfoLevel},
+	Unreachable:    {http.StatusServiceUnavailable, caroboutcome.NotRun, soon, logrus.WarnLevel},
+	Expired:        {http.StatusGatewayTimeout, caroboutcome.Unknown, 0, logrus.WarnLevel},
+	Cut:            {http.StatusBadGateway, caroboutcome.Unknown, 0, logrus.WarnLevel},
+	Cancelled:      {statusClientClosed, caroboutcome.Unknown, 0, logrus.InfoLevel},
+	Repeated:       {http.StatusConflict, caroboutcome.NotRun, 0, logrus.InfoLevel},
+	Unclaimed:      {http.StatusServiceUnavailable, caroboutcome.NotRun, later, logrus.WarnLevel},
+	KeyUnknown:     {http.StatusConflict, caroboutcome.Unknown, 0, logrus.WarnLevel},
+	Conflict:       {http.StatusConflict, caroboutcome.NotRun, 0, logrus.InfoLevel},
+	LogOut:         {http.StatusServiceUnavailable, caroboutcome.NotRun, later, logrus.WarnLevel},
+	Unsure:         {http.StatusBadGateway, caroboutcome.Unknown, 0, logrus.WarnLevel},
+	Internal:       {http.StatusInternalServerError, caroboutcome.Unknown, 0, logrus.ErrorLevel},
 }
 
 // Error returns the kind's name.
--- a/pkg/caroblimits/limits.go
+++ b/pkg/caroblimits/limits.go
@@ -2,7 +2,12 @@
 // may send.
 package caroblimits
 
-import "github.com/carobknot/carobknot/pkg/carobsize"
+import (
+	"time"
+
+	"github.com/carobknot/carobknot/pkg/carobsize"
+	"github.com/carobknot/carobknot/pkg/carobspan"
+)
 
 // Limits bounds every table of a node and every message to it.
 type Limits struct {
@@ -22,6 +27,15 @@
 	Header carobsize.Size `json:"header"`
 	// Body is the longest body of a call.
 	Body carobsize.Size `json:"body"`
+	// Kept is the most bytes of bodies that are kept for another attempt, those
+	// of all calls together. Bodies beyond it are streamed.
+	Kept carobsize.Size `json:"kept"`
+	// Head is how long a caller may take to send the header of a call.
+	Head carobspan.Span `json:"head"`
+	// Stall is how long a body may stand still before it counts as cut.
+	Stall carobspan.Span `json:"stall"`
+	// Idle is how long a connection of a caller may be unused.
+	Idle carobspan.Span `json:"idle"`
 }
 
 // NewLimits returns the defaults, which suit several times the size of the
@@ -36,5 +50,9 @@
 		Conns:    4_000,
 		Header:   16 * carobsize.KiB,
 		Body:     1024 * carobsize.MiB,
+		Kept:     32 * carobsize.MiB,
+		Head:     carobspan.Span(10 * time.Second),
+		Stall:    carobspan.Span(30 * time.Second),
+		Idle:     carobspan.Span(60 * time.Second),
 	}
 }
