--- a/internal/carobcommand/check.go
+++ b/internal/carobcommand/check.go
@@ -9,6 +9,7 @@
 	"github.com/carobknot/carobknot/internal/carobdocument"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobprofile"
+	"github.com/carobknot/carobknot/pkg/carobrouting"
 )
 
 func checkCommand() Command {
@@ -26,7 +27,7 @@
 		if len(args) != 1 {
 			return errUsage("one FILE is needed")
 		}
-		pf, err := readProfile(args[0])
+		pf, _, err := readProfile(args[0])
 		if err != nil {
 			return err
 		}
@@ -35,12 +36,18 @@
 	}
 }
 
-func readProfile(file string) (carobprofile.Profile, error) {
-	var pf carobprofile.Profile
+// readProfile reads a file, and reports whether it names the base.
+func readProfile(file string) (pf carobprofile.Profile, based bool, err error) {
 	data, err := os.ReadFile(file) //nolint:gosec // the operator names the file
 	if err != nil {
-		return pf, carobkind.Wrap(carobkind.Invalid, err, "read profile")
+		return pf, false, carobkind.Wrap(carobkind.Invalid, err, "read profile")
 	}
-	err = carobdocument.NewDocument(carobdocument.Config{Name: file, Data: data}).Decode(&pf)
-	return pf, err
+	dc := carobdocument.NewDocument(carobdocument.Config{Name: file, Data: data})
+	if err := dc.Decode(&pf); err != nil {
+		return pf, false, err
+	}
+	if !carobrouting.Known(pf.Policy) {
+		return pf, false, dc.Refuse(carobkind.New(carobkind.Invalid, "policy: there is no policy %q", string(pf.Policy)))
+	}
+	return pf, dc.Has("base"), nil
 }
--- a/internal/carobcommand/command.go
+++ b/internal/carobcommand/command.go
@@ -49,6 +49,7 @@
 	return []Command{
 		nodeCommand(),
 		publishCommand(),
+		profilesCommand(),
 		checkCommand(),
 		statusCommand(),
 		logCommand(),
--- a/internal/carobsettings/settings.go
+++ b/internal/carobsettings/settings.go
@@ -2,7 +2,9 @@
 package carobsettings
 
 import (
+	"net/url"
 	"os"
+	"strings"
 
 	"github.com/carobknot/carobknot/internal/carobdocument"
 	"github.com/carobknot/carobknot/pkg/carobaddress"
@@ -46,31 +48,36 @@
 // Parse checks settings; the file's name is for errors.
 func Parse(file string, data []byte) (Settings, error) {
 	st := Settings{Measure: carobmeasure.NewMeasure(), Limits: caroblimits.NewLimits()}
-	if err := carobdocument.NewDocument(carobdocument.Config{Name: file, Data: data}).Decode(&st); err != nil {
+	dc := carobdocument.NewDocument(carobdocument.Config{Name: file, Data: data})
+	if err := dc.Decode(&st); err != nil {
 		return Settings{}, err
 	}
+	if err := missing(dc); err != nil {
+		return Settings{}, dc.Refuse(err)
+	}
 	if err := st.check(); err != nil {
-		return Settings{}, carobkind.New(carobkind.Invalid, "%s: %s", file, err)
+		return Settings{}, dc.Refuse(err)
 	}
 	return st, nil
 }
 
-func (s Settings) check() error {
-	if err := s.Name.Check(); err != nil {
-		return err
-	}
-	required := []struct{ key, value string }{
-		{"region", string(s.Region)},
-		{"centre", string(s.Centre)},
-		{"call", string(s.Call)},
-		{"peer", string(s.Peer)},
-		{"admin", string(s.Admin)},
-		{"log", s.Log},
-	}
-	for _, r := range required {
-		if r.value == "" {
-			return carobkind.New(carobkind.Invalid, "%s: is missing", r.key)
+// missing names all required keys that the document does not have.
+func missing(dc *carobdocument.Document) error {
+	var keys []string
+	for _, key := range []string{"name", "region", "centre", "call", "peer", "admin", "log"} {
+		if !dc.Has(key) {
+			keys = append(keys, key)
 		}
 	}
+	if len(keys) > 0 {
+		return carobkind.New(carobkind.Invalid, "missing keys: %s", strings.Join(keys, ", "))
+	}
 	return nil
 }
+
+func (s Settings) check() error {
+	if at, err := url.Parse(s.Log); err != nil || at.Scheme != "http" && at.Scheme != "https" || at.Host == "" {
+		return carobkind.New(carobkind.Invalid, "log: %q is not a URL such as \"http://127.0.0.1:7100\"", s.Log)
+	}
+	return s.Limits.Check()
+}
--- /dev/null
+++ b/internal/carobsettings/settings_test.go
@@ -0,0 +1,72 @@
+package carobsettings_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobknot/carobknot/internal/carobsettings"
+)
+
+const good = `{
+  // the first node
+  "name": "first",
+  "region": "bavaria",
+  "centre": "west",
+  "call": "127.0.0.1:7001",
+  "peer": "127.0.0.1:7002",
+  "admin": "127.0.0.1:7003",
+  "log": "http://127.0.0.1:7100",
+  "seeds": ["127.0.0.1:7012"],
+  "measure": {"rate": "1KiB/s"},
+  "limits": {"calls": 10},
+}`
+
+func TestParse(t *testing.T) {
+	st, err := carobsettings.Parse("node.json", []byte(good))
+	require.NoError(t, err)
+	require.EqualValues(t, "first", st.Name)
+	require.InDelta(t, 1024, float64(st.Measure.Rate), 0)
+	require.InDelta(t, 0.01, float64(st.Measure.Share), 1e-9, "keys that are left out have their defaults")
+	require.Equal(t, 10, st.Limits.Calls)
+	require.Equal(t, 4000, st.Limits.Peers)
+}
+
+func TestParseExample(t *testing.T) {
+	data, err := os.ReadFile("../../examples/node.json")
+	require.NoError(t, err)
+	_, err = carobsettings.Parse("node.json", data)
+	require.NoError(t, err)
+}
+
+func TestParseRefuses(t *testing.T) {
+	for _, c := range []struct{ name, old, new, want string }{
+		{"unknown key", `"centre"`, `"center"`, `node.json:5:3: center: there is no such key`},
+		{"unknown inner key", `"rate"`, `"speed"`, `node.json:11:15: measure.speed: there is no such key`},
+		{"name", `"first"`, `"First"`, `node.json:3:11: name: node: name "First" has a character other than a-z, 0-9, '-' and '.'`},
+		{"null", `"first"`, `null`, `node.json:3:11: name: a null does not fit`},
+		{"type", `"first"`, `1`, `node.json:3:11: name: a number does not fit`},
+		{"address", `127.0.0.1:7002`, `localhost:7002`, `node.json:7:11: peer: address "localhost:7002" is not an IP number and a port`},
+		{"element of a list", `["127.0.0.1:7012"]`, "[\n\"nowhere\"]", `node.json:11:1: seeds: address "nowhere" is not an IP number and a port`},
+		{"not a list", `["127.0.0.1:7012"]`, `"127.0.0.1:7012"`, `node.json:10:12: seeds: a list is needed`},
+		{"rate", `"1KiB/s"`, `"1KiB"`, `node.json:11:23: measure.rate: rate "1KiB" does not end in "/s"`},
+		{"log", `"http://127.0.0.1:7100"`, `"127.0.0.1"`, `node.json:9:10: log: "127.0.0.1" is not a URL such as "http://127.0.0.1:7100"`},
+		{"limit", `10}`, `0}`, `node.json:12:23: limits.calls: must be at least 1`},
+		{"missing", "\"name\": \"first\",\n  \"region\": \"bavaria\",", ``, `node.json: missing keys: name, region`},
+		{"twice", `"centre": "west",`, `"centre": "west", "centre": "east",`, `node.json:5:21: centre: the key stands twice`},
+		{"cut", `"limits": {"calls": 10},`, ``, ``},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			text := strings.Replace(good, c.old, c.new, 1)
+			require.NotEqual(t, good, text)
+			_, err := carobsettings.Parse("node.json", []byte(text))
+			if c.want == "" {
+				require.NoError(t, err)
+				return
+			}
+			require.EqualError(t, err, c.want)
+		})
+	}
+}
--- a/internal/carobtail/tail.go
+++ b/internal/carobtail/tail.go
@@ -11,6 +11,7 @@
 	"github.com/carobknot/carobknot/internal/carobpage"
 	"github.com/carobknot/carobknot/internal/carobtimer"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobmark"
 	"github.com/carobknot/carobknot/pkg/caroboffset"
 	"github.com/carobknot/carobknot/pkg/carobstream"
 )
@@ -59,10 +60,18 @@
 		}
 		t.say(&out, nil)
 		next = max(next, pg.Next)
-		t.config.Mailbox.Post(func(in *carobinbox.Inbox) { in.Records = append(in.Records, pg.Records...) })
+		t.post(pg)
 	}
 }
 
+// post passes on what a read found.
+func (t *Tail) post(pg carobpage.Page) {
+	t.config.Mailbox.Post(func(in *carobinbox.Inbox) {
+		in.Records = append(in.Records, pg.Records...)
+		in.Marks = append(in.Marks, carobmark.Mark{Stream: t.config.Stream, First: pg.First, Next: pg.Next})
+	})
+}
+
 // say logs when the log goes out and when it is back.
 func (t *Tail) say(out *bool, err error) {
 	if *out == (err != nil) {
--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -10,6 +10,8 @@
 
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobadmission"
+	"github.com/carobknot/carobknot/pkg/carobcatchup"
+	"github.com/carobknot/carobknot/pkg/carobcompaction"
 	"github.com/carobknot/carobknot/pkg/carobentry"
 	"github.com/carobknot/carobknot/pkg/carobfold"
 	"github.com/carobknot/carobknot/pkg/carobgrouping"
@@ -56,6 +58,8 @@
 			carobregistry.NewSystem(carobregistry.Config{Silence: targetSilence}),
 			carobmembership.NewSystem(carobmembership.Config{Period: gossipPeriod, Fanout: gossipFanout, Seeds: c.Seeds}),
 			carobfold.NewSystem(),
+			carobcatchup.NewSystem(),
+			carobcompaction.NewSystem(),
 			carobgrouping.NewSystem(),
 			carobadmission.NewSystem(),
 			carobentry.NewSystem(),
--- a/pkg/carobgossip/gossip.go
+++ b/pkg/carobgossip/gossip.go
@@ -2,15 +2,28 @@
 package carobgossip
 
 import (
+	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobmember"
-	"github.com/carobknot/carobknot/pkg/carobrecord"
 )
 
-// Gossip is one half of an exchange: what the sender knows.
+// Gossip is some of what the sender knows: the news, or what was asked for.
 type Gossip struct {
-	// Members are the nodes that the sender knows, itself among them.
+	// Members have different nodes.
 	Members []carobmember.Member `json:"members"`
-	// Records are profile records from the log, so that a change read by one
-	// node reaches all though the log fails after.
-	Records []carobrecord.Record `json:"records,omitempty"`
+}
+
+// Most is the most members in one message.
+const Most = 64
+
+// Check tells whether the message is within its bounds.
+func (g Gossip) Check() error {
+	if len(g.Members) > Most {
+		return carobkind.New(carobkind.Invalid, "gossip: more than %d members", Most)
+	}
+	for i := range g.Members {
+		if err := g.Members[i].Check(); err != nil {
+			return err
+		}
+	}
+	return nil
 }
--- a/pkg/carobinbox/inbox.go
+++ b/pkg/carobinbox/inbox.go
@@ -7,6 +7,7 @@
 	"github.com/carobknot/carobknot/pkg/carobcallid"
 	"github.com/carobknot/carobknot/pkg/carobdelivery"
 	"github.com/carobknot/carobknot/pkg/carobfinish"
+	"github.com/carobknot/carobknot/pkg/carobmark"
 	"github.com/carobknot/carobknot/pkg/carobmessage"
 	"github.com/carobknot/carobknot/pkg/caroboffer"
 	"github.com/carobknot/carobknot/pkg/carobrecord"
@@ -24,6 +25,8 @@
 
 	Announcements []carobannouncement.Announcement
 	Records       []carobrecord.Record
+	// Marks say how far the streams reach that Records are from.
+	Marks []carobmark.Mark
 	// Stop asks the node to shut down gracefully.
 	Stop bool
 
--- a/pkg/caroblimits/limits.go
+++ b/pkg/caroblimits/limits.go
@@ -2,7 +2,10 @@
 // may send.
 package caroblimits
 
-import "github.com/carobknot/carobknot/pkg/carobsize"
+import (
+	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/carobsize"
+)
 
 // Limits bounds every table of a node and every message to it.
 type Limits struct {
@@ -14,8 +17,6 @@
 	Targets int `json:"targets"`
 	// Peers is the most other nodes that the node knows.
 	Peers int `json:"peers"`
-	// Profiles is the most profiles.
-	Profiles int `json:"profiles"`
 	// Conns is the most connections that callers may open.
 	Conns int `json:"conns"`
 	// Header is the longest header of a call.
@@ -28,13 +29,33 @@
 // largest deployment known.
 func NewLimits() Limits {
 	return Limits{
-		Calls:    20_000,
-		Jobs:     20_000,
-		Targets:  4_000,
-		Peers:    4_000,
-		Profiles: 1_000,
-		Conns:    4_000,
-		Header:   16 * carobsize.KiB,
-		Body:     1024 * carobsize.MiB,
+		Calls:   20_000,
+		Jobs:    20_000,
+		Targets: 4_000,
+		Peers:   4_000,
+		Conns:   4_000,
+		Header:  16 * carobsize.KiB,
+		Body:    1024 * carobsize.MiB,
 	}
 }
+
+// Check tells whether all limits are positive.
+func (l Limits) Check() error {
+	for _, f := range []struct {
+		key   string
+		value int64
+	}{
+		{"calls", int64(l.Calls)},
+		{"jobs", int64(l.Jobs)},
+		{"targets", int64(l.Targets)},
+		{"peers", int64(l.Peers)},
+		{"conns", int64(l.Conns)},
+		{"header", int64(l.Header)},
+		{"body", int64(l.Body)},
+	} {
+		if f.value < 1 {
+			return carobkind.New(carobkind.Invalid, "limits.%s: must be at least 1", f.key)
+		}
+	}
+	return nil
+}
--- a/pkg/carobmessage/message.go
+++ b/pkg/carobmessage/message.go
@@ -4,9 +4,13 @@
 
 import (
 	"github.com/carobknot/carobknot/pkg/carobaddress"
+	"github.com/carobknot/carobknot/pkg/carobdigest"
+	"github.com/carobknot/carobknot/pkg/carobfetch"
 	"github.com/carobknot/carobknot/pkg/carobgossip"
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
+	"github.com/carobknot/carobknot/pkg/carobprobe"
+	"github.com/carobknot/carobknot/pkg/carobsupply"
 )
 
 // Message is one control message. Of the pointers exactly one is set, which
@@ -23,6 +27,13 @@
 
 	// Gossip tells who is there.
 	Gossip *carobgossip.Gossip `json:"gossip,omitempty"`
+	// Probe asks whether a node is there, or answers.
+	Probe *carobprobe.Probe `json:"probe,omitempty"`
+	// Digest says what the sender knows of a part of the nodes, in short.
+	Digest *carobdigest.Digest `json:"digest,omitempty"`
+	// Fetch asks for profile records, and Supply gives them.
+	Fetch  *carobfetch.Fetch   `json:"fetch,omitempty"`
+	Supply *carobsupply.Supply `json:"supply,omitempty"`
 
 	// Calls and claims.
 
--- a/pkg/caroboutbox/outbox.go
+++ b/pkg/caroboutbox/outbox.go
@@ -12,6 +12,7 @@
 	"github.com/carobknot/carobknot/pkg/carobreport"
 	"github.com/carobknot/carobknot/pkg/carobsend"
 	"github.com/carobknot/carobknot/pkg/carobstart"
+	"github.com/carobknot/carobknot/pkg/carobverdict"
 )
 
 // Outbox has one queue for each kind of effect. Systems append; the traffic
@@ -23,6 +24,8 @@
 	// Membership and the log.
 
 	Appends []carobappend.Append
+	// Verdicts say what became of the changes of profiles that were folded in.
+	Verdicts []carobverdict.Verdict
 	// Stopped says that a graceful shutdown is complete.
 	Stopped bool
 
--- a/pkg/carobprofile/profile.go
+++ b/pkg/carobprofile/profile.go
@@ -52,10 +52,12 @@
 
 // Bounds of the fields.
 const (
-	MaxSpread = 64
-	MaxTries  = 10
-	MaxQueue  = 10_000
-	MaxKeep   = 16 * carobsize.MiB
+	MaxSpread   = 64
+	MaxTries    = 10
+	MaxQueue    = 10_000
+	MaxKeep     = 16 * carobsize.MiB
+	MaxDeadline = carobspan.Span(time.Hour)
+	MaxMeasure  = carobspan.Span(time.Minute)
 )
 
 // NewProfile returns a profile with the defaults.
@@ -100,17 +102,31 @@
 		return err
 	}
 	switch {
-	case p.Spread < 1 || p.Spread > MaxSpread:
-		return carobkind.New(carobkind.Invalid, "spread: %d is not between 1 and %d", p.Spread, MaxSpread)
-	case p.Tries < 1 || p.Tries > MaxTries:
-		return carobkind.New(carobkind.Invalid, "tries: %d is not between 1 and %d", p.Tries, MaxTries)
-	case p.Queue < 0 || p.Queue > MaxQueue:
-		return carobkind.New(carobkind.Invalid, "queue: %d is not between 0 and %d", p.Queue, MaxQueue)
-	case p.Deadline <= 0:
-		return carobkind.New(carobkind.Invalid, "deadline: must be longer than 0")
-	case p.Keep > MaxKeep:
-		return carobkind.New(carobkind.Invalid, "keep: %s is more than %s", p.Keep, MaxKeep)
-	default:
-		return nil
+	case p.Base < caroboffset.None:
+		return carobkind.New(carobkind.Invalid, "base: %d is not between %d and the newest revision", p.Base, caroboffset.None)
+	case p.Deadline <= 0 || p.Deadline > MaxDeadline:
+		return carobkind.New(carobkind.Invalid, "deadline: %s is not longer than 0s and at most %s", p.Deadline, MaxDeadline)
+	case p.Measure > MaxMeasure:
+		return carobkind.New(carobkind.Invalid, "measure: %s is more than %s", p.Measure, MaxMeasure)
+	case p.Keep < 0 || p.Keep > MaxKeep:
+		return carobkind.New(carobkind.Invalid, "keep: %s is not between 0 B and %s", p.Keep, MaxKeep)
 	}
+	return p.checkCounts()
+}
+
+func (p Profile) checkCounts() error {
+	for _, f := range []struct {
+		key         string
+		value       int
+		least, most int
+	}{
+		{"spread", p.Spread, 1, MaxSpread},
+		{"tries", p.Tries, 1, MaxTries},
+		{"queue", p.Queue, 0, MaxQueue},
+	} {
+		if f.value < f.least || f.value > f.most {
+			return carobkind.New(carobkind.Invalid, "%s: %d is not between %d and %d", f.key, f.value, f.least, f.most)
+		}
+	}
+	return nil
 }
--- a/pkg/carobreadiness/readiness.go
+++ b/pkg/carobreadiness/readiness.go
@@ -16,11 +16,18 @@
 
 // UnmarshalText decodes a state and checks it.
 func (r *Readiness) UnmarshalText(text []byte) error {
-	switch rd := Readiness(text); rd {
-	case Ready, Leaving:
-		*r = rd
-		return nil
-	default:
-		return carobkind.New(carobkind.Invalid, "state %q is neither \"ready\" nor \"leaving\"", text)
+	rd := Readiness(text)
+	if err := rd.Check(); err != nil {
+		return err
 	}
+	*r = rd
+	return nil
+}
+
+// Check tells whether the state is one of those above.
+func (r Readiness) Check() error {
+	if r != Ready && r != Leaving {
+		return carobkind.New(carobkind.Invalid, "state %q is neither \"ready\" nor \"leaving\"", string(r))
+	}
+	return nil
 }
--- a/pkg/carobrevision/revision.go
+++ b/pkg/carobrevision/revision.go
@@ -6,6 +6,10 @@
 	"github.com/carobknot/carobknot/pkg/caroboffset"
 )
 
+// Most is the most profiles that can be in force. It is the same on every node,
+// since a change that passes it is void.
+const Most = 1000
+
 // Revision is the profile in force under a name.
 type Revision struct {
 	// Change is the one that won.
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -22,8 +22,10 @@
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobpeer"
 	"github.com/carobknot/carobknot/pkg/carobprofile"
+	"github.com/carobknot/carobknot/pkg/carobrecord"
 	"github.com/carobknot/carobknot/pkg/carobrevision"
 	"github.com/carobknot/carobknot/pkg/carobservice"
+	"github.com/carobknot/carobknot/pkg/carobsnapshot"
 	"github.com/carobknot/carobknot/pkg/carobtable"
 	"github.com/carobknot/carobknot/pkg/carobtarget"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
@@ -84,6 +86,14 @@
 	ProfilesRead caroboffset.Offset
 	// Profiles has the profiles in force.
 	Profiles *carobtable.Table[carobword.Word, carobrevision.Revision]
+	// Changes has the newest records that were folded in, for nodes that miss them.
+	Changes *carobtable.Table[caroboffset.Offset, carobrecord.Record]
+	// HeldChanges has the records behind a gap; all offsets are above ProfilesRead.
+	HeldChanges *carobtable.Table[caroboffset.Offset, carobrecord.Record]
+	// Snapshot is the offset of the newest snapshot in the log, and
+	// SnapshotThrough the last offset that one holds; None if none is known.
+	Snapshot        caroboffset.Offset
+	SnapshotThrough caroboffset.Offset
 
 	// The tick at hand.
 
@@ -94,23 +104,32 @@
 	wake carobinstant.Instant
 }
 
+// Bounds of the tables of profile records.
+const (
+	keptChanges = 256
+	heldChanges = 1024
+)
+
 // NewWorld returns a world with empty tables.
 func NewWorld(c Config) *World {
 	const stream = 1
 	return &World{
 		Self:         c.Self,
 		ProfilesRead: caroboffset.None,
-		Limits:       c.Limits,
-		Measure:      c.Measure,
-		Random:       rand.New(rand.NewPCG(c.Seed, stream)), //nolint:gosec // choices must repeat under a seed
-		Targets:      carobtable.NewTable[carobtargetid.ID, carobtarget.Target](carobtable.Config{Limit: c.Limits.Targets}),
-		Groups:       carobtable.NewTable[carobservice.Service, carobgroup.Group](carobtable.Config{Limit: c.Limits.Targets}),
-		Loads:        carobtable.NewTable[carobtargetid.ID, carobload.Load](carobtable.Config{Limit: c.Limits.Targets}),
-		Gates:        carobtable.NewTable[carobtargetid.ID, carobgate.Gate](carobtable.Config{Limit: c.Limits.Targets}),
-		Peers:        carobtable.NewTable[carobnodeid.ID, carobpeer.Peer](carobtable.Config{Limit: c.Limits.Peers}),
-		Calls:        carobtable.NewTable[carobcallid.ID, carobcall.Call](carobtable.Config{Limit: c.Limits.Calls}),
-		Jobs:         carobtable.NewTable[carobjobid.ID, carobjob.Job](carobtable.Config{Limit: c.Limits.Jobs}),
-		Profiles:     carobtable.NewTable[carobword.Word, carobrevision.Revision](carobtable.Config{Limit: c.Limits.Profiles}),
+		Snapshot:     caroboffset.None, SnapshotThrough: caroboffset.None,
+		Changes:     carobtable.NewTable[caroboffset.Offset, carobrecord.Record](carobtable.Config{Limit: keptChanges}),
+		HeldChanges: carobtable.NewTable[caroboffset.Offset, carobrecord.Record](carobtable.Config{Limit: heldChanges}),
+		Limits:      c.Limits,
+		Measure:     c.Measure,
+		Random:      rand.New(rand.NewPCG(c.Seed, stream)), //nolint:gosec // choices must repeat under a seed
+		Targets:     carobtable.NewTable[carobtargetid.ID, carobtarget.Target](carobtable.Config{Limit: c.Limits.Targets}),
+		Groups:      carobtable.NewTable[carobservice.Service, carobgroup.Group](carobtable.Config{Limit: c.Limits.Targets}),
+		Loads:       carobtable.NewTable[carobtargetid.ID, carobload.Load](carobtable.Config{Limit: c.Limits.Targets}),
+		Gates:       carobtable.NewTable[carobtargetid.ID, carobgate.Gate](carobtable.Config{Limit: c.Limits.Targets}),
+		Peers:       carobtable.NewTable[carobnodeid.ID, carobpeer.Peer](carobtable.Config{Limit: c.Limits.Peers}),
+		Calls:       carobtable.NewTable[carobcallid.ID, carobcall.Call](carobtable.Config{Limit: c.Limits.Calls}),
+		Jobs:        carobtable.NewTable[carobjobid.ID, carobjob.Job](carobtable.Config{Limit: c.Limits.Jobs}),
+		Profiles:    carobtable.NewTable[carobword.Word, carobrevision.Revision](carobtable.Config{Limit: carobrevision.Most}),
 	}
 }
 
@@ -145,6 +164,15 @@
 	return &rv.Change.Profile
 }
 
+// TakeSnapshot returns the profiles in force as they are now.
+func (w *World) TakeSnapshot() carobsnapshot.Snapshot {
+	sn := carobsnapshot.Snapshot{Through: w.ProfilesRead, Revisions: make([]carobrevision.Revision, 0, w.Profiles.Len())}
+	for _, rv := range w.Profiles.All() {
+		sn.Revisions = append(sn.Revisions, *rv)
+	}
+	return sn
+}
+
 // Owns reports whether the target is on this node's VM.
 func (w *World) Owns(tg *carobtarget.Target) bool {
 	return tg.Node == w.Self.Node
