--- a/internal/carobcommand/command.go
+++ b/internal/carobcommand/command.go
@@ -52,6 +52,7 @@
 		profilesCommand(),
 		checkCommand(),
 		statusCommand(),
+		demoCommand(),
 		logCommand(),
 		targetCommand(),
 		loadCommand(),
