Give the log stand-in deafness, dropped appends and expiry on command

Cause: the stand-in had no way to drop an append, to refuse reads alone or to let records expire, so the ends of publish could not be told apart in a test.

Change: faults are a type that checks itself and refuses unknown keys; PUT and GET /fault, all in the help.

--- a/internal/carobcommand/log.go
+++ b/internal/carobcommand/log.go
@@ -13,10 +13,24 @@
 
 func logCommand() Command {
 	return Command{
-		name:     "log",
-		summary:  "Run a stand-in for the platform's log, for tests",
-		examples: "  carobknot log -listen 127.0.0.1:7100\n",
-		parse:    parseLog,
+		name:    "log",
+		summary: "Run a stand-in for the platform's log, for tests",
+		examples: "  carobknot log -listen 127.0.0.1:7100\n" +
+			"  curl -X PUT -d '{\"slow\": \"2s\"}' http://127.0.0.1:7100/fault\n" +
+			"\nRequests:\n" +
+			"  POST /streams/NAME               append the body; answers {\"offset\": N}\n" +
+			"  GET /streams/NAME?from=N&wait=MS records from N on, the first kept offset and the next;\n" +
+			"                                   waits for records if there are none yet\n" +
+			"  PUT /fault                       misbehave from now on; {} ends it\n" +
+			"  GET /fault                       the faults in force\n" +
+			"\nFaults:\n" +
+			"  \"out\": true   refuse every request (status 503)\n" +
+			"  \"deaf\": true  refuse reads (status 503)\n" +
+			"  \"slow\": \"2s\" take that much longer over every request\n" +
+			"  \"lose\": 3     the next 3 appends take effect without an answer (status 504)\n" +
+			"  \"drop\": 3     the next 3 appends after those take no effect (status 504)\n" +
+			"  \"keep\": 100   let all but the last 100 records of each stream expire\n",
+		parse: parseLog,
 	}
 }
 
--- a/internal/carobstandlog/log.go
+++ b/internal/carobstandlog/log.go
@@ -5,12 +5,15 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
 
+	"github.com/carobknot/carobknot/internal/carobdocument"
+	"github.com/carobknot/carobknot/internal/carobfault"
 	"github.com/carobknot/carobknot/internal/carobpage"
 	"github.com/carobknot/carobknot/internal/carobtimer"
 	"github.com/carobknot/carobknot/pkg/caroboffset"
@@ -33,7 +36,7 @@
 	// streams has the records of each stream.
 	streams map[carobstream.Stream]*stream
 	// fault is how the log misbehaves at present.
-	fault fault
+	fault carobfault.Fault
 }
 
 type stream struct {
@@ -43,20 +46,11 @@
 	grown chan struct{}
 }
 
-// fault is set on command.
-type fault struct {
-	// Out makes every request fail.
-	Out bool `json:"out"`
-	// Slow is how long every request takes longer.
-	Slow string `json:"slow"`
-	// Lose makes that many appends take effect without an answer.
-	Lose int `json:"lose"`
-}
-
 // NewLog returns an empty log.
 func NewLog(c Config) *Log {
 	l := &Log{config: c, app: fiber.New(fiber.Config{Immutable: true}), streams: map[carobstream.Stream]*stream{}}
 	l.app.Put("/fault", l.setFault)
+	l.app.Get("/fault", l.getFault)
 	l.app.Use("/streams", l.misbehave)
 	l.app.Post("/streams/:name", l.append)
 	l.app.Get("/streams/:name", l.read)
@@ -73,26 +67,39 @@
 	return l.app.ShutdownWithContext(cx)
 }
 
+// setFault takes a command: how the log misbehaves from now on.
 func (l *Log) setFault(c fiber.Ctx) error {
-	var f fault
-	if err := c.Bind().JSON(&f); err != nil {
+	var f carobfault.Fault
+	if err := carobdocument.NewDocument(carobdocument.Config{Name: "fault", Data: c.Body()}).Decode(&f); err != nil {
+		return fiber.NewError(http.StatusBadRequest, err.Error())
+	}
+	if err := f.Check(); err != nil {
 		return fiber.NewError(http.StatusBadRequest, err.Error())
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.fault = f
+	for _, st := range l.streams {
+		l.expire(st)
+	}
 	return c.SendStatus(http.StatusNoContent)
 }
 
-// misbehave fails or delays a request as commanded.
+func (l *Log) getFault(c fiber.Ctx) error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return c.JSON(l.fault)
+}
+
+// misbehave refuses or delays a request as commanded.
 func (l *Log) misbehave(c fiber.Ctx) error {
 	l.mutex.Lock()
 	f := l.fault
 	l.mutex.Unlock()
-	if d, err := time.ParseDuration(f.Slow); err == nil {
-		_ = l.config.Timer.Wait(c.Context(), d)
+	if f.Slow > 0 {
+		_ = l.config.Timer.Wait(c.Context(), f.Slow.Duration())
 	}
-	if f.Out {
+	if f.Out || f.Deaf && c.Method() == fiber.MethodGet {
 		return fiber.NewError(http.StatusServiceUnavailable, "outage")
 	}
 	return c.Next()
@@ -100,26 +107,36 @@
 
 func (l *Log) append(c fiber.Ctx) error {
 	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.fault.Lose == 0 && l.fault.Drop > 0 {
+		l.fault.Drop--
+		return fiber.NewError(http.StatusGatewayTimeout, "append dropped")
+	}
 	st := l.streamOf(carobstream.Stream(c.Params("name")))
 	offset := st.next
 	st.records = append(st.records, carobrecord.Record{Offset: offset, Data: append([]byte(nil), c.Body()...)})
 	st.next++
-	if keep := l.config.Retention; keep > 0 && len(st.records) > keep {
-		st.records = st.records[len(st.records)-keep:]
-	}
+	l.expire(st)
 	close(st.grown)
 	st.grown = make(chan struct{})
-	lost := l.fault.Lose > 0
-	if lost {
+	if l.fault.Lose > 0 {
 		l.fault.Lose--
-	}
-	l.mutex.Unlock()
-	if lost {
 		return fiber.NewError(http.StatusGatewayTimeout, "answer lost")
 	}
 	return c.JSON(map[string]caroboffset.Offset{"offset": offset})
 }
 
+// expire drops the records that are not kept any more.
+func (l *Log) expire(st *stream) {
+	keep := l.config.Retention
+	if l.fault.Keep > 0 {
+		keep = l.fault.Keep
+	}
+	if keep > 0 && len(st.records) > keep {
+		st.records = slices.Clone(st.records[len(st.records)-keep:])
+	}
+}
+
 func (l *Log) read(c fiber.Ctx) error {
 	from, err := strconv.ParseInt(c.Query("from", "0"), 10, 64)
 	if err != nil || from < 0 {
