--- a/pkg/caroblimits/limits.go
+++ b/pkg/caroblimits/limits.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobsize"
 	"github.com/carobknot/carobknot/pkg/carobspan"
 )
@@ -19,8 +20,6 @@
 	Targets int `json:"targets"`
 	// Peers is the most other nodes that the node knows.
 	Peers int `json:"peers"`
-	// Profiles is the most profiles.
-	Profiles int `json:"profiles"`
 	// Conns is the most connections that callers may open.
 	Conns int `json:"conns"`
 	// Header is the longest header of a call.
@@ -42,17 +41,41 @@
 // largest deployment known.
 func NewLimits() Limits {
 	return Limits{
-		Calls:    20_000,
-		Jobs:     20_000,
-		Targets:  4_000,
-		Peers:    4_000,
-		Profiles: 1_000,
-		Conns:    4_000,
-		Header:   16 * carobsize.KiB,
-		Body:     1024 * carobsize.MiB,
-		Kept:     32 * carobsize.MiB,
-		Head:     carobspan.Span(10 * time.Second),
-		Stall:    carobspan.Span(30 * time.Second),
-		Idle:     carobspan.Span(60 * time.Second),
+		Calls:   20_000,
+		Jobs:    20_000,
+		Targets: 4_000,
+		Peers:   4_000,
+		Conns:   4_000,
+		Header:  16 * carobsize.KiB,
+		Body:    1024 * carobsize.MiB,
+		Kept:    32 * carobsize.MiB,
+		Head:    carobspan.Span(10 * time.Second),
+		Stall:   carobspan.Span(30 * time.Second),
+		Idle:    carobspan.Span(60 * time.Second),
 	}
 }
+
+// Check tells whether all limits are positive.
+func (l Limits) Check() error {
+	for _, f := range []struct {
+		key   string
+		value int64
+	}{
+		{"calls", int64(l.Calls)},
+		{"jobs", int64(l.Jobs)},
+		{"targets", int64(l.Targets)},
+		{"peers", int64(l.Peers)},
+		{"conns", int64(l.Conns)},
+		{"header", int64(l.Header)},
+		{"body", int64(l.Body)},
+		{"kept", int64(l.Kept)},
+		{"head", int64(l.Head)},
+		{"stall", int64(l.Stall)},
+		{"idle", int64(l.Idle)},
+	} {
+		if f.value < 1 {
+			return carobkind.New(carobkind.Invalid, "limits.%s: must be at least 1", f.key)
+		}
+	}
+	return nil
+}
