Measure variants of a profile side by side under faults

make bench starts a deployment as processes on loopback, puts one profile after another in force, and sends each the same seeded load with the same fault at the same instant. A call without a good answer counts as its whole deadline, so that fast errors cannot make a tail look short. Variants take turns, so that a busy spell of the machine does not fall on one alone.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 TOOLS := $(CURDIR)/.tools
 LINT  := $(TOOLS)/golangci-lint
 
-.PHONY: build test lint fmt check demo clean
+.PHONY: build test lint fmt check demo bench clean
 
 build:
 	go build -o bin/carobknot ./cmd/carobknot
@@ -28,5 +28,9 @@
 demo: build
 	bin/carobknot demo
 
+# At most 10 minutes; BENCH narrows it, as in BENCH="-cases noisy -rounds 5".
+bench: build
+	bin/carobknot bench -report reports/bench.json $(BENCH)
+
 clean:
 	rm -rf bin reports
--- /dev/null
+++ b/internal/carobbench/bench.go
@@ -0,0 +1,112 @@
+// Package carobbench measures the decisions under shifting load: real nodes and
+// stand-in targets as processes on loopback, several variants of a profile side
+// by side under the same seeded load and faults.
+package carobbench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/carobknot/carobknot/internal/carobtimer"
+)
+
+// Config is how a bench is made.
+type Config struct {
+	// Program is the path of the carobknot program.
+	Program string
+	// Folder takes the settings and profiles of the processes.
+	Folder string
+	// Deployments, Cases and Variants name what is measured; empty is all.
+	Deployments, Cases, Variants []string
+	// Rounds is how often each cell is measured; it is positive.
+	Rounds int
+	// Duration is how long calls are counted in each cell.
+	Duration time.Duration
+	// Mean is the mean time that a call takes on its target.
+	Mean time.Duration
+	// Seed is what load and faults follow from.
+	Seed  uint64
+	Out   io.Writer
+	Timer *carobtimer.Timer
+}
+
+// Bench measures cells: each case with each variant, in each round.
+type Bench struct {
+	config  Config
+	results []result
+}
+
+// NewBench returns a bench that has measured nothing yet.
+func NewBench(c Config) *Bench {
+	return &Bench{config: c}
+}
+
+// Run measures all cells and writes their table.
+func (b *Bench) Run(cx context.Context) error {
+	for _, dp := range deployments {
+		if !wanted(b.config.Deployments, dp.name) {
+			continue
+		}
+		if err := b.deploy(cx, dp); err != nil {
+			return err
+		}
+		table(b.config.Out, dp.name, b.results)
+	}
+	return nil
+}
+
+// Report returns all results, for a file.
+func (b *Bench) Report() any {
+	return struct {
+		Seed     uint64        `json:"seed"`
+		Duration time.Duration `json:"duration"`
+		Mean     time.Duration `json:"mean"`
+		Results  []result      `json:"results"`
+	}{b.config.Seed, b.config.Duration, b.config.Mean, b.results}
+}
+
+// deploy measures all cells of one deployment. The variants of a case take
+// turns, so that a busy spell of the machine does not fall on one alone.
+func (b *Bench) deploy(cx context.Context, dp deployment) error {
+	cl, err := b.start(cx, dp)
+	if err != nil {
+		return err
+	}
+	defer cl.stop()
+	for round := range b.config.Rounds {
+		for _, cs := range cases {
+			if !wanted(b.config.Cases, cs.name) {
+				continue
+			}
+			for _, vr := range variants {
+				if !wanted(b.config.Variants, vr.name) {
+					continue
+				}
+				if cx.Err() != nil {
+					return context.Cause(cx)
+				}
+				rs, err := b.measure(cx, cl, cs, vr, round)
+				if err != nil {
+					return err
+				}
+				b.results = append(b.results, rs)
+				_, _ = fmt.Fprintf(b.config.Out, "%s\n", rs.line())
+			}
+		}
+	}
+	return nil
+}
+
+func wanted(names []string, name string) bool {
+	if len(names) == 0 {
+		return true
+	}
+	for _, nm := range names {
+		if nm == name {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/carobcommand/command.go
+++ b/internal/carobcommand/command.go
@@ -54,6 +54,7 @@
 		logCommand(),
 		targetCommand(),
 		loadCommand(),
+		benchCommand(),
 	}
 }
 
--- a/internal/carobloader/loader.go
+++ b/internal/carobloader/loader.go
@@ -92,7 +92,7 @@
 		l.open.Go(func() { l.send(cx, cl) })
 	}
 	l.open.Wait()
-	l.summary.Close(l.config.Timer.Now().Sub(counted))
+	l.summary.Close(next.Sub(counted))
 	return l.summary
 }
 
--- a/internal/carobsummary/summary.go
+++ b/internal/carobsummary/summary.go
@@ -40,7 +40,7 @@
 	Failed int `json:"failed"`
 	// Kinds counts the kinds of errors told by nodes.
 	Kinds map[carobkind.Kind]int `json:"kinds"`
-	// Took is from the first intended arrival to the last end.
+	// Took is from the first to the last intended arrival that was counted.
 	Took carobspan.Span `json:"took"`
 	// Latency is that of good calls from their intended arrival.
 	Latency quantiles `json:"latency"`
@@ -112,7 +112,7 @@
 	_ = s.felt.RecordValue(max(took, s.deadline).Nanoseconds())
 }
 
-// Close works the quantiles out.
+// Close works the quantiles out. The calls arrived during took.
 func (s *Summary) Close(took time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
