Keep all baselines behind the policy interface

Beside random and the rule of Prequal stand round robin, least own in flight, two choices on reported load, and the shortest expected delay, which counts latencies only where they differ by a factor. A reply now names its target, so that attempts that end after their call still lower the count of open ones; before, a cancelled attempt would have counted as sent until the next report.

--- a/internal/carobbench/variants.go
+++ b/internal/carobbench/variants.go
@@ -26,6 +26,7 @@
 	plain("leastown"),
 	plain("twochoices"),
 	plain("prequal"),
+	plain("expected"),
 	with("default", nil),
 }
 
--- a/internal/carobentrance/entrance.go
+++ b/internal/carobentrance/entrance.go
@@ -214,9 +214,12 @@
 	go func() {
 		an, report, err := x.entrance.config.Relay.Do(cx, sd, rq)
 		x.keep(at, an)
-		rp := carobreply.Reply{Job: sd.Job, Kind: carobkind.Of(err), Report: report}
-		if an != nil {
+		rp := carobreply.Reply{Job: sd.Job, Target: sd.Target, Kind: carobkind.Of(err), Report: report}
+		switch {
+		case an != nil:
 			rp.Status = an.Response.StatusCode()
+		case cx.Err() != nil:
+			rp.Kind = carobkind.Cancelled
 		}
 		x.entrance.config.Mailbox.Post(func(in *carobinbox.Inbox) { in.Replies = append(in.Replies, rp) })
 	}()
--- a/pkg/carobload/load.go
+++ b/pkg/carobload/load.go
@@ -14,14 +14,20 @@
 	Report carobreport.Report
 	// At is when the report came; Never before the first.
 	At carobinstant.Instant
-	// Sent counts the own attempts made since the report.
+	// Sent counts the own attempts made since the report that have no reply.
 	Sent int
-	// Open counts the own attempts that have no reply yet.
+	// Open counts the own attempts that have no reply yet, at least 0.
 	Open int
+	// Turn is higher for targets that were chosen later.
+	Turn uint64
 	// Latency is the estimated time from sending to the reply, network included.
 	Latency time.Duration
 	// Successes and Failures decay with time; together they give the error rate.
 	Successes, Failures float64
+	// Counted is as of when Successes and Failures have decayed.
+	Counted carobinstant.Instant
 	// Ejected is until when the target gets no calls; Never if it is in.
 	Ejected carobinstant.Instant
+	// Trial says that the target is out but for one call at a time.
+	Trial bool
 }
--- a/pkg/carobrouting/candidate.go
+++ b/pkg/carobrouting/candidate.go
@@ -1,6 +1,8 @@
 package carobrouting
 
 import (
+	"time"
+
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
 	"github.com/carobknot/carobknot/pkg/carobload"
@@ -15,13 +17,19 @@
 	// peer is empty if the target is this node's own.
 	peer        carobaddress.Address
 	incarnation carobincarnation.Incarnation
-	slots       int
+	// slots is at least 1.
+	slots int
+	// near says that the target is in this node's data centre.
+	near bool
+	// flight estimates the calls at the target, queued ones included.
+	flight float64
+	// latency estimates the time that the target takes over a call; 0 if unknown.
+	latency time.Duration
 	// load is the row in the table of loads.
 	load *carobload.Load
 }
 
-// inFlight estimates the calls at the target: those of the newest report, and
-// the own ones sent since.
-func (c candidate) inFlight() int {
-	return c.load.Report.Running + c.load.Report.Queued + c.load.Sent
+// crowd returns the calls at the target for each of its slots.
+func (c *candidate) crowd() float64 {
+	return c.flight / float64(c.slots)
 }
--- a/pkg/carobrouting/policies.go
+++ b/pkg/carobrouting/policies.go
@@ -14,8 +14,12 @@
 
 // policies is the look-up table of all rules. To add one, add a file and a row.
 var policies = map[carobword.Word]policy{
-	"prequal": prequal{},
-	"random":  random{},
+	"expected":   expected{},
+	"leastown":   leastOwn{},
+	"prequal":    prequal{},
+	"random":     random{},
+	"roundrobin": roundRobin{},
+	"twochoices": twoChoices{},
 }
 
 func policyOf(name carobword.Word) policy {
@@ -30,3 +34,22 @@
 	_, ok := policies[name]
 	return ok
 }
+
+// least returns the index of the candidate with the lowest figure. Of equal ones
+// each has the same chance.
+func least(r *rand.Rand, candidates []candidate, figure func(cd *candidate) float64) int {
+	best, lowest, equal := 0, 0.0, 0
+	for i := range candidates {
+		value := figure(&candidates[i])
+		switch {
+		case equal == 0 || value < lowest:
+			best, lowest, equal = i, value, 1
+		case value == lowest:
+			equal++
+			if r.IntN(equal) == 0 {
+				best = i
+			}
+		}
+	}
+	return best
+}
--- a/pkg/carobrouting/policy_prequal.go
+++ b/pkg/carobrouting/policy_prequal.go
@@ -1,30 +1,30 @@
 package carobrouting
 
-import "math/rand/v2"
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+)
 
-// prequal picks by the rule published as Prequal (NSDI 2024): candidates with
-// more calls in flight than most are hot; of the others, the one with the
-// lowest latency is picked; if all are hot, the one with the fewest in flight.
+// prequal picks by the rule published as Prequal (NSDI 2024): candidates more
+// crowded than a quantile of all are hot; of the others, the one with the lowest
+// latency is picked.
 type prequal struct{}
 
+// hotQuantile is the crowd above which a candidate is hot.
+const hotQuantile = 0.75
+
 func (prequal) pick(r *rand.Rand, candidates []candidate) int {
-	best := r.IntN(len(candidates))
+	crowds := make([]float64, len(candidates))
 	for i := range candidates {
-		if better(candidates[i], candidates[best]) {
-			best = i
-		}
+		crowds[i] = candidates[i].crowd()
 	}
-	return best
-}
-
-// better reports whether a is to be preferred to b.
-func better(a, b candidate) bool {
-	hotA, hotB := a.inFlight() >= a.slots, b.inFlight() >= b.slots
-	if hotA != hotB {
-		return hotB
-	}
-	if hotA {
-		return a.inFlight()*b.slots < b.inFlight()*a.slots
-	}
-	return a.load.Report.Latency < b.load.Report.Latency
+	slices.Sort(crowds)
+	limit := crowds[int(hotQuantile*float64(len(crowds)-1))]
+	return least(r, candidates, func(cd *candidate) float64 {
+		if cd.crowd() > limit {
+			return math.MaxFloat64
+		}
+		return float64(cd.latency)
+	})
 }
--- a/pkg/carobrouting/system.go
+++ b/pkg/carobrouting/system.go
@@ -9,11 +9,10 @@
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
 	"github.com/carobknot/carobknot/pkg/carobkind"
-	"github.com/carobknot/carobknot/pkg/carobload"
 	"github.com/carobknot/carobknot/pkg/carobreadiness"
-	"github.com/carobknot/carobknot/pkg/carobreply"
 	"github.com/carobknot/carobknot/pkg/carobsend"
 	"github.com/carobknot/carobknot/pkg/carobstage"
+	"github.com/carobknot/carobknot/pkg/carobtarget"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
@@ -25,6 +24,8 @@
 type System struct {
 	// candidates is kept between calls to save its memory.
 	candidates []candidate
+	// turn counts the attempts that were placed.
+	turn uint64
 }
 
 // NewSystem returns the system.
@@ -44,25 +45,6 @@
 	}
 }
 
-// learn takes in the report that rides on a reply.
-func learn(w *carobworld.World, now carobinstant.Instant, rp carobreply.Reply) {
-	if rp.Report == nil {
-		return
-	}
-	ld := load(w, rp.Report.Target)
-	if ld == nil {
-		return
-	}
-	ld.Report, ld.At, ld.Sent = *rp.Report, now, 0
-}
-
-func load(w *carobworld.World, id carobtargetid.ID) *carobload.Load {
-	if ld := w.Loads.Get(id); ld != nil {
-		return ld
-	}
-	return w.Loads.Put(id, carobload.Load{})
-}
-
 func (s *System) place(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call) {
 	s.collect(w, cl)
 	if len(s.candidates) == 0 {
@@ -98,18 +80,32 @@
 	if tg == nil || tg.State != carobreadiness.Ready {
 		return
 	}
-	cd := candidate{target: id, node: tg.Node, slots: tg.Slots, incarnation: w.Self.Incarnation}
+	cd := candidate{target: id, node: tg.Node, slots: max(tg.Slots, 1), incarnation: w.Self.Incarnation, near: true}
 	if !w.Owns(tg) {
 		pr := w.Peers.Get(tg.Node)
 		if pr == nil || pr.Member.Leaving {
 			return
 		}
 		cd.peer, cd.incarnation = pr.Member.Peer, pr.Member.Incarnation
+		cd.near = pr.Member.Centre == w.Self.Centre
+	}
+	if cd.load = load(w, id); cd.load == nil {
+		return
 	}
-	cd.load = load(w, id)
-	if cd.load != nil {
-		s.candidates = append(s.candidates, cd)
+	weigh(w, tg, &cd)
+	s.candidates = append(s.candidates, cd)
+}
+
+// weigh estimates a target's load: of an own target it is known; of another it
+// is that of the newest report, and the own attempts made since.
+func weigh(w *carobworld.World, tg *carobtarget.Target, cd *candidate) {
+	if gt := w.Gates.Get(tg.ID); gt != nil && w.Owns(tg) {
+		cd.flight, cd.latency = float64(gt.Running+gt.Queued), gt.Latency
+		return
 	}
+	rp := &cd.load.Report
+	cd.flight = float64(rp.Running + rp.Queued + cd.load.Sent)
+	cd.latency = rp.Latency.Duration()
 }
 
 func tried(cl *carobcall.Call, id carobtargetid.ID) bool {
@@ -126,7 +122,10 @@
 	cl.Attempts = append(cl.Attempts, carobattempt.Attempt{
 		Target: cd.target, Node: cd.node, Incarnation: cd.incarnation, Sent: now,
 	})
+	s.turn++
 	cd.load.Sent++
+	cd.load.Open++
+	cd.load.Turn = s.turn
 	w.Outbox.Sends = append(w.Outbox.Sends, carobsend.Send{
 		Job:    carobjobid.ID{Call: cl.Arrival.Call, Attempt: len(cl.Attempts)},
 		Target: cd.target, Peer: cd.peer, Incarnation: cd.incarnation, Patience: cl.Deadline.Sub(now),
