Let reports age: calls in flight by latency, a bad name within seconds

Cause: nodes that trust the same stale report crowd the least busy target, and a target that was slow once gets no call that could clear its name. Ruled out: the number of candidates (4, all are looked at).

Change: a report of calls in flight fades at the pace of the target's latency into the mean of all, set right by the own open attempts; a high latency fades to the lowest within 1.5 s; after a pause the target's node lets one call count for nearly all of its latency.

--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -3,6 +3,7 @@
 package carobadmission
 
 import (
+	"math"
 	"time"
 
 	"github.com/carobknot/carobknot/pkg/carobfinish"
@@ -117,19 +118,26 @@
 		gt.Queued--
 	} else {
 		gt.Running--
-		learn(gt, now.Sub(jb.Started))
+		learn(gt, now, now.Sub(jb.Started))
 	}
 	w.Jobs.Delete(fn.Job)
 }
 
-// learn moves the estimated latency towards a new one.
-func learn(gt *carobgate.Gate, took time.Duration) {
-	const weight = 8
-	if gt.Latency == 0 {
-		gt.Latency = took
-		return
+// latencyMemory is the time after which an old latency counts for less by a
+// factor of e, however few calls came since.
+const latencyMemory = 500 * time.Millisecond
+
+// learn moves the estimated latency towards a new one. After a time without
+// calls one counts for nearly all: else a target that was slow once would need
+// many calls, which it does not get, to lose its bad name.
+func learn(gt *carobgate.Gate, now carobinstant.Instant, took time.Duration) {
+	const weight = 1.0 / 8
+	share := max(weight, 1-math.Exp(-float64(now.Sub(gt.Learned))/float64(latencyMemory)))
+	if gt.Learned == carobinstant.Never {
+		share = 1
 	}
-	gt.Latency += (took - gt.Latency) / weight
+	gt.Latency += time.Duration(share * float64(took-gt.Latency))
+	gt.Learned = now
 }
 
 // expire refuses queued jobs whose deadline has come.
--- a/pkg/carobgate/gate.go
+++ b/pkg/carobgate/gate.go
@@ -19,6 +19,8 @@
 	Queued int
 	// Latency is the estimated time that the target takes over a call.
 	Latency time.Duration
+	// Learned is as of when Latency is; Never before the first call.
+	Learned carobinstant.Instant
 	// Since is when the target came, for the ramp of a cold start.
 	Since carobinstant.Instant
 }
--- a/pkg/carobrouting/candidate.go
+++ b/pkg/carobrouting/candidate.go
@@ -21,15 +21,20 @@
 	slots int
 	// near says that the target is in this node's data centre.
 	near bool
-	// flight estimates the calls at the target, queued ones included.
+	// reported is the calls at the target by the newest report, queued ones
+	// included, and the own attempts made since.
+	reported float64
+	// flight estimates the calls at the target now.
 	flight float64
 	// latency estimates the time that the target takes over a call; 0 if unknown.
 	latency time.Duration
+	// age is that of the report; 0 for an own target.
+	age time.Duration
 	// load is the row in the table of loads.
 	load *carobload.Load
 }
 
-// crowd returns the calls at the target for each of its slots.
+// crowd returns the reported calls at the target for each of its slots.
 func (c *candidate) crowd() float64 {
-	return c.flight / float64(c.slots)
+	return c.reported / float64(c.slots)
 }
--- a/pkg/carobrouting/policies_test.go
+++ b/pkg/carobrouting/policies_test.go
@@ -16,7 +16,7 @@
 	cds := make([]candidate, len(flights))
 	for i := range cds {
 		cds[i] = candidate{
-			slots: 12, flight: flights[i], latency: latencies[i],
+			slots: 12, flight: flights[i], reported: flights[i], latency: latencies[i],
 			load: &carobload.Load{Open: int(flights[i]), Turn: uint64(i)},
 		}
 	}
--- a/pkg/carobrouting/policy_expected.go
+++ b/pkg/carobrouting/policy_expected.go
@@ -1,10 +1,6 @@
 package carobrouting
 
-import (
-	"math"
-	"math/rand/v2"
-	"time"
-)
+import "math/rand/v2"
 
 // expected picks the target that is expected to answer first: its latency, and
 // the wait for a slot if all are taken. Latencies of healthy targets differ by
@@ -16,12 +12,7 @@
 const band = 2
 
 func (expected) pick(r *rand.Rand, candidates []candidate) int {
-	lowest := time.Duration(math.MaxInt64)
-	for i := range candidates {
-		if cd := &candidates[i]; cd.latency > 0 {
-			lowest = min(lowest, cd.latency)
-		}
-	}
+	lowest := lowestLatency(candidates)
 	return least(r, candidates, func(cd *candidate) float64 {
 		slowness := 1.0
 		if cd.latency > band*lowest {
--- a/pkg/carobrouting/system.go
+++ b/pkg/carobrouting/system.go
@@ -46,18 +46,19 @@
 }
 
 func (s *System) place(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call) {
-	s.collect(w, cl)
+	s.collect(w, now, cl)
 	if len(s.candidates) == 0 {
 		w.WakeAt(now.Add(pause))
 		return
 	}
+	age(s.candidates)
 	chosen := policyOf(cl.Profile.Policy).pick(w.Random, s.candidates)
 	s.send(w, now, cl, s.candidates[chosen])
 }
 
 // collect lists the targets that may get the next attempt. Targets that have
 // refused the call already come in only when no other is left.
-func (s *System) collect(w *carobworld.World, cl *carobcall.Call) {
+func (s *System) collect(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call) {
 	s.candidates = s.candidates[:0]
 	gp := w.Groups.Get(cl.Arrival.Service)
 	if gp == nil {
@@ -66,7 +67,7 @@
 	for _, again := range []bool{false, true} {
 		for _, id := range gp.Targets {
 			if tried(cl, id) == again {
-				s.consider(w, id)
+				s.consider(w, now, id)
 			}
 		}
 		if len(s.candidates) > 0 {
@@ -75,7 +76,7 @@
 	}
 }
 
-func (s *System) consider(w *carobworld.World, id carobtargetid.ID) {
+func (s *System) consider(w *carobworld.World, now carobinstant.Instant, id carobtargetid.ID) {
 	tg := w.Targets.Get(id)
 	if tg == nil || tg.State != carobreadiness.Ready {
 		return
@@ -92,19 +93,20 @@
 	if cd.load = load(w, id); cd.load == nil {
 		return
 	}
-	weigh(w, tg, &cd)
+	weigh(w, now, tg, &cd)
 	s.candidates = append(s.candidates, cd)
 }
 
 // weigh estimates a target's load: of an own target it is known; of another it
 // is that of the newest report, and the own attempts made since.
-func weigh(w *carobworld.World, tg *carobtarget.Target, cd *candidate) {
+func weigh(w *carobworld.World, now carobinstant.Instant, tg *carobtarget.Target, cd *candidate) {
 	if gt := w.Gates.Get(tg.ID); gt != nil && w.Owns(tg) {
-		cd.flight, cd.latency = float64(gt.Running+gt.Queued), gt.Latency
+		cd.reported, cd.latency = float64(gt.Running+gt.Queued), gt.Latency
 		return
 	}
 	rp := &cd.load.Report
-	cd.flight = float64(rp.Running + rp.Queued + cd.load.Sent)
+	cd.reported = float64(rp.Running + rp.Queued + cd.load.Sent)
+	cd.age = now.Sub(cd.load.At)
 	cd.latency = rp.Latency.Duration()
 }
 
