--- a/internal/carobentrance/exchange.go
+++ b/internal/carobentrance/exchange.go
@@ -80,7 +80,7 @@
 	x.request.Header.CopyTo(&rq.Header)
 	carobheader.CleanRequest(&rq.Header)
 	if err := x.upload.Attach(rq); err != nil {
-		x.reply(carobreply.Reply{Job: sd.Job, Kind: carobkind.Of(err)})
+		x.reply(carobreply.Reply{Job: sd.Job, Target: sd.Target, Kind: carobkind.Of(err)})
 		return
 	}
 	cx, cancel := context.WithCancel(context.Background())
@@ -89,9 +89,12 @@
 	go func() {
 		an, report, err := x.entrance.config.Relay.Do(cx, sd, rq)
 		x.keep(at, an)
-		rp := carobreply.Reply{Job: sd.Job, Kind: carobkind.Of(err), Report: report}
-		if an != nil {
+		rp := carobreply.Reply{Job: sd.Job, Target: sd.Target, Kind: carobkind.Of(err), Report: report}
+		switch {
+		case an != nil:
 			rp.Status = an.Response.StatusCode()
+		case cx.Err() != nil:
+			rp.Kind = carobkind.Cancelled
 		}
 		x.reply(rp)
 	}()
