--- a/internal/carobentrance/entrance.go
+++ b/internal/carobentrance/entrance.go
@@ -125,14 +125,14 @@
 	came := e.config.Timer.Now()
 	ar, err := parseArrival(call, &rc.Request.Header)
 	if err != nil {
-		e.refuse(rc, call, err)
+		e.reject(rc, call, err)
 		return
 	}
 	keep := e.reserve(rc, ar.Service)
 	defer e.kept.Add(-int64(keep))
 	upload, err := e.open(rc, keep)
 	if err != nil {
-		e.refuse(rc, call, err)
+		e.reject(rc, call, err)
 		return
 	}
 	if ar.Patience > 0 {
@@ -208,7 +208,7 @@
 		err = carobkind.New(carobkind.TooLarge, "the body is longer than the limit of %s", e.config.Limits.Body)
 	}
 	if err != nil {
-		e.refuse(rc, call, err)
+		e.reject(rc, call, err)
 		return rc.Response.StatusCode()
 	}
 	return fasthttp.StatusContinue
--- a/internal/carobentrance/refuse.go
+++ b/internal/carobentrance/refuse.go
@@ -27,11 +27,23 @@
 	}
 	rc.Response.SetBodyString(string(kind) + ": " + err.Error() + "\n")
 	if unread(rc) {
-		rc.SetConnectionClose()
-		linger(rc.Conn())
+		part(rc)
 	}
 }
 
+// reject refuses a call that could not be read to its end. Nothing more is read
+// from its connection, since what follows might be a part of it.
+func (e *Entrance) reject(rc *fasthttp.RequestCtx, call carobcallid.ID, err error) {
+	e.refuse(rc, call, err)
+	part(rc)
+}
+
+// part closes a call's connection once its answer was sent.
+func part(rc *fasthttp.RequestCtx) {
+	rc.SetConnectionClose()
+	linger(rc.Conn())
+}
+
 // unread reports whether bytes of the call's body may still be coming.
 func unread(rc *fasthttp.RequestCtx) bool {
 	return rc.RequestBodyStream() != nil || rc.Request.MayContinue()
@@ -49,8 +61,7 @@
 	default:
 		err = carobkind.New(carobkind.Invalid, "the request is malformed")
 	}
-	e.refuse(rc, e.newCall(), err)
-	linger(rc.Conn())
+	e.reject(rc, e.newCall(), err)
 }
 
 // silence drops the HTTP library's own log lines.
