--- a/internal/carobcommand/command.go
+++ b/internal/carobcommand/command.go
@@ -49,10 +49,13 @@
 	return []Command{
 		nodeCommand(),
 		publishCommand(),
+		profilesCommand(),
 		checkCommand(),
 		statusCommand(),
+		demoCommand(),
 		logCommand(),
 		targetCommand(),
+		loadCommand(),
 	}
 }
 
--- a/internal/carobpool/exchange.go
+++ b/internal/carobpool/exchange.go
@@ -36,6 +36,9 @@
 // run sends the request and returns the head of the final answer.
 func (x *exchange) run() (*fasthttp.Response, error) {
 	x.request.Header.SetNoDefaultContentType(true)
+	if body := x.request.Body(); !x.request.IsBodyStream() && len(body) > 0 {
+		x.request.Header.SetContentLength(len(body))
+	}
 	if !x.request.IsBodyStream() && len(x.request.Body()) <= bufferSize {
 		return x.runShort()
 	}
