--- a/internal/carobcommand/command.go
+++ b/internal/carobcommand/command.go
@@ -49,9 +49,14 @@
 	return []Command{
 		nodeCommand(),
 		publishCommand(),
+		profilesCommand(),
 		checkCommand(),
+		statusCommand(),
+		demoCommand(),
 		logCommand(),
 		targetCommand(),
+		loadCommand(),
+		benchCommand(),
 	}
 }
 
--- a/pkg/carobentry/fence.go
+++ b/pkg/carobentry/fence.go
@@ -10,10 +10,10 @@
 	"github.com/carobknot/carobknot/pkg/carobfencing"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
+	"github.com/carobknot/carobknot/pkg/carobjudgment"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobmessage"
 	"github.com/carobknot/carobknot/pkg/carobstage"
-	"github.com/carobknot/carobknot/pkg/carobverdict"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
@@ -75,12 +75,12 @@
 }
 
 // hear takes in a verdict from a target's node.
-func hear(w *carobworld.World, now carobinstant.Instant, vd *carobverdict.Verdict) {
-	cl := w.Calls.Get(vd.Job.Call)
-	if cl == nil || vd.Job.Attempt < 1 || vd.Job.Attempt > len(cl.Attempts) {
+func hear(w *carobworld.World, now carobinstant.Instant, jd *carobjudgment.Judgment) {
+	cl := w.Calls.Get(jd.Job.Call)
+	if cl == nil || jd.Job.Attempt < 1 || jd.Job.Attempt > len(cl.Attempts) {
 		return
 	}
-	judged(w, cl, vd.Job.Attempt, vd.Fate)
+	judged(w, cl, jd.Job.Attempt, jd.Fate)
 	switch cl.Stage {
 	case carobstage.Fencing:
 		settle(w, now, cl)
--- a/pkg/carobentry/rig_test.go
+++ b/pkg/carobentry/rig_test.go
@@ -15,6 +15,7 @@
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
+	"github.com/carobknot/carobknot/pkg/carobjudgment"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroblimits"
 	"github.com/carobknot/carobknot/pkg/carobmember"
@@ -30,7 +31,6 @@
 	"github.com/carobknot/carobknot/pkg/carobservice"
 	"github.com/carobknot/carobknot/pkg/carobtarget"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
-	"github.com/carobknot/carobknot/pkg/carobverdict"
 	"github.com/carobknot/carobknot/pkg/carobword"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
@@ -111,7 +111,7 @@
 
 func (r *rig) verdict(attempt int, fate carobfate.Fate) {
 	r.step(carobinbox.Inbox{Messages: []carobmessage.Message{
-		{Verdict: &carobverdict.Verdict{Job: r.job(attempt), Fate: fate}},
+		{Judgment: &carobjudgment.Judgment{Job: r.job(attempt), Fate: fate}},
 	}})
 }
 
--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -34,8 +34,8 @@
 		reply(w, now, rp)
 	}
 	for _, ms := range w.Inbox.Messages {
-		if ms.Verdict != nil {
-			hear(w, now, ms.Verdict)
+		if ms.Judgment != nil {
+			hear(w, now, ms.Judgment)
 		}
 	}
 	for _, dl := range w.Inbox.Deliveries {
--- a/pkg/carobfencing/system.go
+++ b/pkg/carobfencing/system.go
@@ -16,10 +16,10 @@
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobjob"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
+	"github.com/carobknot/carobknot/pkg/carobjudgment"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobmessage"
 	"github.com/carobknot/carobknot/pkg/carobrefusal"
-	"github.com/carobknot/carobknot/pkg/carobverdict"
 	"github.com/carobknot/carobknot/pkg/carobwatermark"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
@@ -36,7 +36,7 @@
 func (s *System) Run(w *carobworld.World, _ carobinstant.Instant) {
 	for _, ms := range w.Inbox.Messages {
 		if fc := ms.Fence; fc != nil {
-			w.Tell(carobmessage.Message{To: ms.Back, Verdict: &carobverdict.Verdict{Job: fc.Job, Fate: Judge(w, *fc)}})
+			w.Tell(carobmessage.Message{To: ms.Back, Judgment: &carobjudgment.Judgment{Job: fc.Job, Fate: Judge(w, *fc)}})
 		}
 	}
 }
--- a/pkg/carobfencing/system_test.go
+++ b/pkg/carobfencing/system_test.go
@@ -89,7 +89,7 @@
 func (r *rig) fence(id carobjobid.ID) carobfate.Fate {
 	fc := &carobfence.Fence{Job: id, Incarnation: life}
 	r.step(carobinbox.Inbox{Messages: []carobmessage.Message{{Back: "entry", Fence: fc}}})
-	return r.world.Outbox.Messages[0].Verdict.Fate
+	return r.world.Outbox.Messages[0].Judgment.Fate
 }
 
 func (r *rig) started() int { return len(r.world.Outbox.Starts) }
@@ -147,7 +147,7 @@
 		Messages: []carobmessage.Message{{Fence: &carobfence.Fence{Job: job(1), Incarnation: life}}},
 		Offers:   []caroboffer.Offer{offer(job(1))},
 	})
-	require.Equal(t, carobfate.Never, r.world.Outbox.Messages[0].Verdict.Fate)
+	require.Equal(t, carobfate.Never, r.world.Outbox.Messages[0].Judgment.Fate)
 	require.Zero(t, r.started())
 }
 
--- a/pkg/carobmessage/message.go
+++ b/pkg/carobmessage/message.go
@@ -4,11 +4,15 @@
 
 import (
 	"github.com/carobknot/carobknot/pkg/carobaddress"
+	"github.com/carobknot/carobknot/pkg/carobdigest"
 	"github.com/carobknot/carobknot/pkg/carobfence"
+	"github.com/carobknot/carobknot/pkg/carobfetch"
 	"github.com/carobknot/carobknot/pkg/carobgossip"
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
+	"github.com/carobknot/carobknot/pkg/carobjudgment"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
-	"github.com/carobknot/carobknot/pkg/carobverdict"
+	"github.com/carobknot/carobknot/pkg/carobprobe"
+	"github.com/carobknot/carobknot/pkg/carobsupply"
 )
 
 // Message is one control message. Of the pointers exactly one is set, which
@@ -25,13 +29,20 @@
 
 	// Gossip tells who is there.
 	Gossip *carobgossip.Gossip `json:"gossip,omitempty"`
+	// Probe asks whether a node is there, or answers.
+	Probe *carobprobe.Probe `json:"probe,omitempty"`
+	// Digest says what the sender knows of a part of the nodes, in short.
+	Digest *carobdigest.Digest `json:"digest,omitempty"`
+	// Fetch asks for profile records, and Supply gives them.
+	Fetch  *carobfetch.Fetch   `json:"fetch,omitempty"`
+	Supply *carobsupply.Supply `json:"supply,omitempty"`
 
 	// Calls and claims.
 
 	// Fence asks what became of a job.
 	Fence *carobfence.Fence `json:"fence,omitempty"`
-	// Verdict answers a fence.
-	Verdict *carobverdict.Verdict `json:"verdict,omitempty"`
+	// Judgment answers a fence.
+	Judgment *carobjudgment.Judgment `json:"judgment,omitempty"`
 
 	// Measuring.
 }
--- /dev/null
+++ b/pkg/carobworld/calls.go
@@ -0,0 +1,26 @@
+package carobworld
+
+import (
+	"github.com/carobknot/carobknot/pkg/carobbudget"
+	"github.com/carobknot/carobknot/pkg/carobcall"
+	"github.com/carobknot/carobknot/pkg/carobcallid"
+	"github.com/carobknot/carobknot/pkg/carobfinish"
+	"github.com/carobknot/carobknot/pkg/carobjob"
+	"github.com/carobknot/carobknot/pkg/carobjobid"
+	"github.com/carobknot/carobknot/pkg/caroblimits"
+	"github.com/carobknot/carobknot/pkg/carobnodeid"
+	"github.com/carobknot/carobknot/pkg/carobring"
+	"github.com/carobknot/carobknot/pkg/carobservice"
+	"github.com/carobknot/carobknot/pkg/carobtable"
+	"github.com/carobknot/carobknot/pkg/carobwatermark"
+)
+
+// makeCalls makes the tables of calls, admission and claims.
+func (w *World) makeCalls(lm caroblimits.Limits) {
+	w.Calls = carobtable.NewTable[carobcallid.ID, carobcall.Call](carobtable.Config{Limit: lm.Calls})
+	w.Jobs = carobtable.NewTable[carobjobid.ID, carobjob.Job](carobtable.Config{Limit: lm.Jobs})
+	w.Budgets = carobtable.NewTable[carobservice.Service, carobbudget.Budget](carobtable.Config{Limit: lm.Targets})
+	w.Ended = carobring.NewRing[carobjobid.ID, carobfinish.Finish](carobring.Config{Limit: lm.Jobs})
+	w.Tombstones = carobring.NewRing[carobjobid.ID, struct{}](carobring.Config{Limit: lm.Jobs})
+	w.Watermarks = carobring.NewRing[carobnodeid.ID, carobwatermark.Watermark](carobring.Config{Limit: lm.Peers})
+}
