--- a/internal/carobpool/exchange.go
+++ b/internal/carobpool/exchange.go
@@ -36,11 +36,11 @@
 // run sends the request and returns the head of the final answer.
 func (x *exchange) run() (*fasthttp.Response, error) {
 	x.request.Header.SetNoDefaultContentType(true)
-	if body := x.request.Body(); !x.request.IsBodyStream() && len(body) > 0 {
-		x.request.Header.SetContentLength(len(body))
-	}
-	if !x.request.IsBodyStream() && len(x.request.Body()) <= bufferSize {
-		return x.runShort()
+	if !x.request.IsBodyStream() {
+		x.setLength()
+		if len(x.request.Body()) <= bufferSize {
+			return x.runShort()
+		}
 	}
 	if x.config.Ask {
 		x.request.Header.Set(fasthttp.HeaderExpect, expectation)
@@ -58,6 +58,13 @@
 	return x.readFinal()
 }
 
+// setLength names the length of a body that is all here.
+func (x *exchange) setLength() {
+	if length := len(x.request.Body()); length > 0 {
+		x.request.Header.SetContentLength(length)
+	}
+}
+
 func (x *exchange) runShort() (*fasthttp.Response, error) {
 	if err := x.write(x.request.Body()); err != nil {
 		return nil, err
