Claim idempotency keys in the order of the log

Cause: a profile with once "key" promised that calls with one key run at most once, and nothing kept it: 40 calls with one key were 40 runs.

Change: keys are spread over 8 shards with a stream of the log each. A shard's home, by rendezvous over the live nodes, appends claims in batches and grants a claim for one reason: its batch was read back as valid and first for the key. The epoch is the offset of the newest takeover record, so that it can only grow, also when the log has dropped older takeovers. Its end is told to the home until confirmed: an answer of up to 4 KiB is kept, a call that did not run gives the key free, any other end leaves it unknown. When the log is out, keyed calls end as unclaimed, and calls without a key go on.

Bounds: 50,000 keys and 4 MiB of kept answers a shard; a key that finds no room bars new keys until the log has dropped its claim (unclaimed, not run); kept answers go oldest first (repeated); 10,000 claims may wait at a home (no answer, the entry asks again).

--- a/internal/carobentrance/exchange.go
+++ b/internal/carobentrance/exchange.go
@@ -60,6 +60,11 @@
 // conclude tells the caller how its call ended. Attempts that the control
 // goroutine does not want any more were cancelled by earlier orders.
 func (x *exchange) conclude(rc *fasthttp.RequestCtx, cn carobconclusion.Conclusion) {
+	if cn.Kept != nil {
+		x.upload.Release()
+		deliverKept(rc, x.call, cn.Kept)
+		return
+	}
 	if cn.Kind == carobkind.None {
 		x.deliver(rc, cn.Attempt)
 		return
@@ -142,13 +147,21 @@
 	rc.Response.Header.Set(carobheader.Call, x.call.String())
 	job := carobjobid.ID{Call: x.call, Attempt: number}
 	cf := x.entrance.config
+	var kept *copier
+	if len(x.request.Header.Peek(carobheader.Key)) > 0 {
+		kept = keepCopy(an)
+	}
 	unwatch := cf.Watch.Add(rc.Conn(), at.cancel)
 	carobbody.Attach(rc, an, cf.Timer, cf.Limits.Stall.Duration(), func(kind carobkind.Kind) {
 		unwatch()
 		at.cancel()
 		x.upload.Release()
 		cf.Mailbox.Post(func(in *carobinbox.Inbox) {
-			in.Deliveries = append(in.Deliveries, carobdelivery.Delivery{Job: job, Kind: kind})
+			dl := carobdelivery.Delivery{Job: job, Kind: kind}
+			if kind == carobkind.None {
+				dl.Kept = kept.kept()
+			}
+			in.Deliveries = append(in.Deliveries, dl)
 		})
 	})
 }
--- a/internal/carobnode/node.go
+++ b/internal/carobnode/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/carobknot/carobknot/internal/carobadmin"
 	"github.com/carobknot/carobknot/internal/carobadmitter"
+	"github.com/carobknot/carobknot/internal/carobclaimlog"
 	"github.com/carobknot/carobknot/internal/carobcontrol"
 	"github.com/carobknot/carobknot/internal/carobcourier"
 	"github.com/carobknot/carobknot/internal/carobentrance"
@@ -103,6 +104,11 @@
 	control.Attach(entrance)
 	control.Attach(courier)
 	control.Attach(do.MustInvoke[*carobmeter.Meter](n.injector))
+	control.Attach(carobclaimlog.NewClaimLog(inner, carobclaimlog.Config{
+		Log:     do.MustInvoke[*carobplatform.Client](n.injector),
+		Mailbox: do.MustInvoke[*carobmailbox.Mailbox](n.injector), Timer: timer,
+		Logger: logrus.NewEntry(n.config.Logger),
+	}))
 	control.Attach(n)
 
 	go timer.Run(inner)
--- a/pkg/carobcall/call.go
+++ b/pkg/carobcall/call.go
@@ -5,7 +5,9 @@
 	"github.com/carobknot/carobknot/pkg/carobarrival"
 	"github.com/carobknot/carobknot/pkg/carobattempt"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/carobkey"
 	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/carobonce"
 	"github.com/carobknot/carobknot/pkg/carobprofile"
 	"github.com/carobknot/carobknot/pkg/carobstage"
 )
@@ -19,6 +21,11 @@
 	Came carobinstant.Instant
 	// Deadline is when the caller's patience ends.
 	Deadline carobinstant.Instant
+	// Asked is when its home was last asked for the call's key; Never if the call
+	// needs none, or it was not asked yet.
+	Asked carobinstant.Instant
+	// Contested says that another call holds the key.
+	Contested bool
 	// Grace is when a call whose deadline has come is settled though verdicts
 	// are missing; Never before the deadline.
 	Grace carobinstant.Instant
@@ -51,3 +58,12 @@
 	}
 	return true
 }
+
+// Key returns the idempotency key that the call must claim before it runs. It is
+// empty if the call needs none.
+func (c *Call) Key() carobkey.Key {
+	if c.Profile.Once != carobonce.Key || c.Arrival.Key == "" {
+		return carobkey.Key{}
+	}
+	return carobkey.Key{Service: c.Arrival.Service, Text: c.Arrival.Key}
+}
--- a/pkg/carobconclusion/conclusion.go
+++ b/pkg/carobconclusion/conclusion.go
@@ -3,6 +3,7 @@
 
 import (
 	"github.com/carobknot/carobknot/pkg/carobcallid"
+	"github.com/carobknot/carobknot/pkg/carobkept"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 )
 
@@ -13,4 +14,7 @@
 	Kind carobkind.Kind
 	// Attempt is the one whose answer the caller gets; 0 if Kind is not None.
 	Attempt int
+	// Kept is an answer kept from an earlier call, which the caller gets if it is
+	// not nil. Kind is None and Attempt is 0 then.
+	Kept *carobkept.Kept
 }
--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -11,6 +11,7 @@
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobadmission"
 	"github.com/carobknot/carobknot/pkg/carobcatchup"
+	"github.com/carobknot/carobknot/pkg/carobclaiming"
 	"github.com/carobknot/carobknot/pkg/carobcompaction"
 	"github.com/carobknot/carobknot/pkg/carobentry"
 	"github.com/carobknot/carobknot/pkg/carobfencing"
@@ -49,6 +50,13 @@
 const (
 	tickPeriod    = 200 * time.Millisecond
 	tickAllowance = time.Second
+	// claimPatience is longer than an append to the log may take.
+	claimPatience = 2500 * time.Millisecond
+	claimGap      = 25 * time.Millisecond
+	claimLull     = 200 * time.Millisecond
+	claimPause    = 200 * time.Millisecond
+	claimKeys     = 50_000
+	claimKept     = 4 << 20
 	targetSilence = 3 * time.Second
 	gossipPeriod  = 200 * time.Millisecond
 	gossipFanout  = 3
@@ -68,6 +76,9 @@
 			carobgrouping.NewSystem(),
 			carobfencing.NewSystem(),
 			carobadmission.NewSystem(),
+			carobclaiming.NewSystem(carobclaiming.Config{
+				Gap: claimGap, Lull: claimLull, Patience: claimPatience, Pause: claimPause, Keys: claimKeys, Kept: claimKept,
+			}),
 			carobentry.NewSystem(),
 			carobrouting.NewSystem(),
 			carobshutdown.NewSystem(),
--- a/pkg/carobdelivery/delivery.go
+++ b/pkg/carobdelivery/delivery.go
@@ -3,6 +3,7 @@
 
 import (
 	"github.com/carobknot/carobknot/pkg/carobjobid"
+	"github.com/carobknot/carobknot/pkg/carobkept"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 )
 
@@ -11,4 +12,6 @@
 	Job carobjobid.ID
 	// Kind is None if the whole answer was passed on.
 	Kind carobkind.Kind
+	// Kept is the whole answer, if it is small; nil otherwise.
+	Kept *carobkept.Kept
 }
--- a/pkg/carobentry/fence.go
+++ b/pkg/carobentry/fence.go
@@ -117,23 +117,23 @@
 	late := cl.Deadline.Reached(now)
 	switch {
 	case cl.NotRun() && late:
-		conclude(w, cl, carobkind.Late)
+		conclude(w, now, cl, carobkind.Late)
 	case cl.NotRun():
-		again(w, cl)
+		again(w, now, cl)
 	case ran(cl) || cl.Grace.Reached(now):
-		conclude(w, cl, verdict(cl))
+		conclude(w, now, cl, verdict(cl))
 	default:
 	}
 }
 
 // again sends a call once more that was fenced before it ran, if the budget has
 // room and its body is still there.
-func again(w *carobworld.World, cl *carobcall.Call) {
+func again(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call) {
 	if len(cl.Attempts) < cl.Profile.Tries && !cl.Arrival.Streamed && w.BudgetOf(cl.Arrival.Service).Spend() {
 		cl.Stage = carobstage.Waiting
 		return
 	}
-	conclude(w, cl, cl.Last)
+	conclude(w, now, cl, cl.Last)
 }
 
 // ran reports whether some attempt is known to have started, or can never be
--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -10,6 +10,7 @@
 	"github.com/carobknot/carobknot/pkg/carobdelivery"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
+	"github.com/carobknot/carobknot/pkg/carobkey"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobonce"
 	"github.com/carobknot/carobknot/pkg/carobreply"
@@ -37,18 +38,27 @@
 		if ms.Judgment != nil {
 			hear(w, now, ms.Judgment)
 		}
+		if ms.ClaimReply != nil {
+			claimed(w, now, ms.ClaimReply)
+		}
+		if ms.Settled != nil {
+			w.Unsettled.Delete(*ms.Settled)
+		}
 	}
 	for _, dl := range w.Inbox.Deliveries {
-		deliver(w, dl)
+		deliver(w, now, dl)
 	}
 	for _, id := range w.Inbox.Hangups {
 		if cl := w.Calls.Get(id); cl != nil {
-			conclude(w, cl, carobkind.Cancelled)
+			conclude(w, now, cl, carobkind.Cancelled)
 		}
 	}
 	for _, cl := range w.Calls.All() {
 		watch(w, now, cl)
 	}
+	for _, us := range w.Unsettled.All() {
+		remind(w, now, us)
+	}
 }
 
 func arrive(w *carobworld.World, now carobinstant.Instant, ar carobarrival.Arrival) {
@@ -63,9 +73,12 @@
 	if patience <= 0 {
 		patience = pf.Deadline.Duration()
 	}
-	w.Calls.Put(ar.Call, carobcall.Call{
+	cl := w.Calls.Put(ar.Call, carobcall.Call{
 		Arrival: ar, Profile: *pf, Came: now, Deadline: now.Add(patience), Last: carobkind.NoTarget,
 	})
+	if cl.Key() != (carobkey.Key{}) {
+		cl.Stage = carobstage.Claiming
+	}
 }
 
 // objection returns why a call cannot be taken in at all, or None.
@@ -135,8 +148,11 @@
 	})
 }
 
-func deliver(w *carobworld.World, dl carobdelivery.Delivery) {
-	w.Calls.Delete(dl.Job.Call)
+func deliver(w *carobworld.World, now carobinstant.Instant, dl carobdelivery.Delivery) {
+	if cl := w.Calls.Get(dl.Job.Call); cl != nil {
+		unsettle(w, now, cl, carobkind.None, dl.Kept)
+		w.Calls.Delete(dl.Job.Call)
+	}
 }
 
 // watch sees to it that a call goes on when no message comes.
@@ -144,6 +160,10 @@
 	if cl.Stage == carobstage.Delivering {
 		return
 	}
+	if cl.Stage == carobstage.Claiming {
+		claim(w, now, cl)
+		return
+	}
 	if !cl.Deadline.Reached(now) {
 		w.WakeAt(cl.Deadline)
 	} else if cl.Grace == carobinstant.Never {
@@ -157,7 +177,12 @@
 }
 
 // conclude tells the caller an error and forgets the call.
-func conclude(w *carobworld.World, cl *carobcall.Call, kind carobkind.Kind) {
+func conclude(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call, kind carobkind.Kind) {
+	if cl.NotRun() {
+		unsettle(w, now, cl, carobkind.Withdrawn, nil)
+	} else {
+		unsettle(w, now, cl, kind, nil)
+	}
 	cancelOthers(w, cl, 0)
 	refuse(w, cl.Arrival.Call, kind)
 	w.Calls.Delete(cl.Arrival.Call)
--- a/pkg/carobinbox/inbox.go
+++ b/pkg/carobinbox/inbox.go
@@ -5,6 +5,7 @@
 	"github.com/carobknot/carobknot/pkg/carobannouncement"
 	"github.com/carobknot/carobknot/pkg/carobarrival"
 	"github.com/carobknot/carobknot/pkg/carobcallid"
+	"github.com/carobknot/carobknot/pkg/carobcommitted"
 	"github.com/carobknot/carobknot/pkg/carobdelivery"
 	"github.com/carobknot/carobknot/pkg/carobfinish"
 	"github.com/carobknot/carobknot/pkg/carobmark"
@@ -34,6 +35,8 @@
 
 	Offers   []caroboffer.Offer
 	Finishes []carobfinish.Finish
+	// Committed has how appends of claims went.
+	Committed []carobcommitted.Committed
 
 	// Entry and routing.
 
--- a/pkg/carobmessage/message.go
+++ b/pkg/carobmessage/message.go
@@ -4,6 +4,9 @@
 
 import (
 	"github.com/carobknot/carobknot/pkg/carobaddress"
+	"github.com/carobknot/carobknot/pkg/carobcallid"
+	"github.com/carobknot/carobknot/pkg/carobclaim"
+	"github.com/carobknot/carobknot/pkg/carobclaimreply"
 	"github.com/carobknot/carobknot/pkg/carobdigest"
 	"github.com/carobknot/carobknot/pkg/carobfence"
 	"github.com/carobknot/carobknot/pkg/carobfetch"
@@ -12,6 +15,7 @@
 	"github.com/carobknot/carobknot/pkg/carobjudgment"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/carobprobe"
+	"github.com/carobknot/carobknot/pkg/carobsettlement"
 	"github.com/carobknot/carobknot/pkg/carobsupply"
 )
 
@@ -43,6 +47,12 @@
 	Fence *carobfence.Fence `json:"fence,omitempty"`
 	// Judgment answers a fence.
 	Judgment *carobjudgment.Judgment `json:"judgment,omitempty"`
+	// Claim asks the home of a key for it; ClaimReply answers.
+	Claim      *carobclaim.Claim      `json:"claim,omitempty"`
+	ClaimReply *carobclaimreply.Reply `json:"claimreply,omitempty"`
+	// Settlement tells the home how a call ended; Settled confirms it.
+	Settlement *carobsettlement.Settlement `json:"settlement,omitempty"`
+	Settled    *carobcallid.ID             `json:"settled,omitempty"`
 
 	// Measuring.
 }
--- a/pkg/caroboutbox/outbox.go
+++ b/pkg/caroboutbox/outbox.go
@@ -4,7 +4,9 @@
 import (
 	"github.com/carobknot/carobknot/pkg/carobappend"
 	"github.com/carobknot/carobknot/pkg/carobaudit"
+	"github.com/carobknot/carobknot/pkg/carobcommit"
 	"github.com/carobknot/carobknot/pkg/carobconclusion"
+	"github.com/carobknot/carobknot/pkg/carobfollow"
 	"github.com/carobknot/carobknot/pkg/carobhop"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
 	"github.com/carobknot/carobknot/pkg/carobmessage"
@@ -33,6 +35,10 @@
 
 	Starts   []carobstart.Start
 	Refusals []carobrefusal.Refusal
+	// Commits are appended to the log, and how that went is told.
+	Commits []carobcommit.Commit
+	// Follows are the streams to follow from now on, or not any more.
+	Follows []carobfollow.Follow
 	// Reports are what answers and refusals carry from now on.
 	Reports []carobreport.Report
 
--- a/pkg/carobstage/stage.go
+++ b/pkg/carobstage/stage.go
@@ -6,8 +6,10 @@
 
 // The stages, in order.
 const (
+	// Claiming: the call needs its idempotency key.
+	Claiming Stage = iota - 1
 	// Waiting: the call needs a target.
-	Waiting Stage = iota
+	Waiting
 	// Placed: an attempt is under way.
 	Placed
 	// Fencing: it is being found out whether the attempts ran.
--- a/pkg/carobworld/calls.go
+++ b/pkg/carobworld/calls.go
@@ -5,13 +5,16 @@
 	"github.com/carobknot/carobknot/pkg/carobcall"
 	"github.com/carobknot/carobknot/pkg/carobcallid"
 	"github.com/carobknot/carobknot/pkg/carobfinish"
+	"github.com/carobknot/carobknot/pkg/carobhome"
 	"github.com/carobknot/carobknot/pkg/carobjob"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
 	"github.com/carobknot/carobknot/pkg/caroblimits"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/carobring"
 	"github.com/carobknot/carobknot/pkg/carobservice"
+	"github.com/carobknot/carobknot/pkg/carobshard"
 	"github.com/carobknot/carobknot/pkg/carobtable"
+	"github.com/carobknot/carobknot/pkg/carobunsettled"
 	"github.com/carobknot/carobknot/pkg/carobwatermark"
 )
 
@@ -22,5 +25,7 @@
 	w.Budgets = carobtable.NewTable[carobservice.Service, carobbudget.Budget](carobtable.Config{Limit: lm.Targets})
 	w.Ended = carobring.NewRing[carobjobid.ID, carobfinish.Finish](carobring.Config{Limit: lm.Jobs})
 	w.Tombstones = carobring.NewRing[carobjobid.ID, struct{}](carobring.Config{Limit: lm.Jobs})
+	w.Homes = carobtable.NewTable[carobshard.Shard, carobhome.Home](carobtable.Config{Limit: carobshard.Count})
+	w.Unsettled = carobtable.NewTable[carobcallid.ID, carobunsettled.Unsettled](carobtable.Config{Limit: lm.Calls})
 	w.Watermarks = carobring.NewRing[carobnodeid.ID, carobwatermark.Watermark](carobring.Config{Limit: lm.Peers})
 }
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -10,6 +10,7 @@
 	"github.com/carobknot/carobknot/pkg/carobfinish"
 	"github.com/carobknot/carobknot/pkg/carobgate"
 	"github.com/carobknot/carobknot/pkg/carobgroup"
+	"github.com/carobknot/carobknot/pkg/carobhome"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
@@ -29,10 +30,12 @@
 	"github.com/carobknot/carobknot/pkg/carobrevision"
 	"github.com/carobknot/carobknot/pkg/carobring"
 	"github.com/carobknot/carobknot/pkg/carobservice"
+	"github.com/carobknot/carobknot/pkg/carobshard"
 	"github.com/carobknot/carobknot/pkg/carobsnapshot"
 	"github.com/carobknot/carobknot/pkg/carobtable"
 	"github.com/carobknot/carobknot/pkg/carobtarget"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
+	"github.com/carobknot/carobknot/pkg/carobunsettled"
 	"github.com/carobknot/carobknot/pkg/carobwatermark"
 	"github.com/carobknot/carobknot/pkg/carobword"
 )
@@ -94,6 +97,12 @@
 	Forgotten, Barred carobincarnation.Incarnation
 	// Budgets has the budget of each service's resends and hedges.
 	Budgets *carobtable.Table[carobservice.Service, carobbudget.Budget]
+	// Homes has the shards of idempotency keys that this node is home of.
+	Homes *carobtable.Table[carobshard.Shard, carobhome.Home]
+	// Commits counts the batches of claims of this node.
+	Commits uint64
+	// Unsettled has the ended calls whose ends their homes do not have yet.
+	Unsettled *carobtable.Table[carobcallid.ID, carobunsettled.Unsettled]
 	// Paused says that more time passed before this tick than ticks allow.
 	Paused bool
 
