Refuse queued jobs as soon as their target leaves

Cause: a node refused new offers for a leaving target but went on to start the jobs that were queued before it; those of a withdrawn target stayed queued until their deadline. Change: each tick refuses queued jobs whose target leaves or is gone, as not run.

--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -132,12 +132,16 @@
 	gt.Latency += (took - gt.Latency) / weight
 }
 
-// expire refuses queued jobs whose deadline has come.
+// expire refuses queued jobs whose deadline has come, or whose target leaves.
 func (s *System) expire(w *carobworld.World, now carobinstant.Instant) {
 	for id, jb := range w.Jobs.All() {
 		if jb.Started != carobinstant.Never {
 			continue
 		}
+		if tg := w.Targets.Get(jb.Offer.Target); tg == nil || tg.State == carobreadiness.Leaving {
+			s.unqueue(w, id, jb, carobkind.Leaving)
+			continue
+		}
 		if !jb.Deadline.Reached(now) {
 			w.WakeAt(jb.Deadline)
 			continue
