Fuzz several cores together against an oracle

Cause: nothing proved the promises together and under several faults at once. Change: a simulation in virtual time drives 2 to 4 cores through calls, network, node, log, operator and target faults that rapid picks; an oracle that shares no code with the product checks runs, answers, leaving, profiles and liveness; 14 mutations of the product must each be caught; make fuzz runs with new seeds.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 TOOLS := $(CURDIR)/.tools
 LINT  := $(TOOLS)/golangci-lint
 
-.PHONY: build test lint fmt check demo clean
+.PHONY: build test lint fmt check demo fuzz clean
 
 build:
 	go build -o bin/carobknot ./cmd/carobknot
@@ -28,5 +28,15 @@
 demo: build
 	bin/carobknot demo
 
+# Stateful fuzzing with new seeds for FUZZ, and then each decoder for DECODE. A
+# failure prints the command that reproduces it.
+FUZZ   ?= 10m
+DECODE ?= 10s
+
+fuzz:
+	go test -count=1 -timeout 0 ./test/fuzz -v -run '^TestLong$$' -long $(FUZZ)
+	for target in $$(go test ./test/fuzz -list '^Fuzz' | grep '^Fuzz'); do \
+		go test ./test/fuzz -run '^$$' -fuzz "^$$target\$$" -fuzztime $(DECODE) || exit 1; done
+
 clean:
 	rm -rf bin reports
--- /dev/null
+++ b/test/fuzz/mutations_test.go
@@ -0,0 +1,155 @@
+package fuzz
+
+import (
+	"encoding/json"
+	"slices"
+
+	"github.com/carobknot/carobknot/pkg/carobchange"
+	"github.com/carobknot/carobknot/pkg/carobconclusion"
+	"github.com/carobknot/carobknot/pkg/carobfinish"
+	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/caroboffset"
+	"github.com/carobknot/carobknot/pkg/caroboutbox"
+	"github.com/carobknot/carobknot/pkg/carobreadiness"
+	"github.com/carobknot/carobknot/pkg/carobrevision"
+	"github.com/carobknot/carobknot/pkg/carobstream"
+)
+
+// mutation is a fault built into a node, by changing what its core hears, holds
+// or decides. The zero mutation is the product as it is.
+type mutation struct {
+	name string
+	// resubmit says that the fault shows when keys are used again.
+	resubmit bool
+	// only names the actions under which the fault shows; nil stands for all.
+	only []string
+	// hear changes the messages or the tables before a tick.
+	hear func(n *node, in *carobinbox.Inbox)
+	// decide changes the effects or the tables after a tick.
+	decide func(n *node, in *carobinbox.Inbox, out *caroboutbox.Outbox)
+}
+
+func (m mutation) before(n *node, in *carobinbox.Inbox) {
+	if m.hear != nil {
+		m.hear(n, in)
+	}
+}
+
+func (m mutation) after(n *node, in *carobinbox.Inbox, out *caroboutbox.Outbox) {
+	if m.decide != nil {
+		m.decide(n, in, out)
+	}
+}
+
+// mutations are the faults that the oracle must find.
+var mutations = []mutation{
+	{name: "take a cut for unreachable", hear: func(_ *node, in *carobinbox.Inbox) {
+		for i := range in.Replies {
+			if in.Replies[i].Kind == carobkind.Cut {
+				in.Replies[i].Kind = carobkind.Unreachable
+			}
+		}
+	}},
+	{name: "tell not-run on a cut", decide: func(_ *node, _ *carobinbox.Inbox, out *caroboutbox.Outbox) {
+		for i := range out.Conclusions {
+			if out.Conclusions[i].Kind == carobkind.Cut {
+				out.Conclusions[i].Kind = carobkind.Withdrawn
+			}
+		}
+	}},
+	{name: "tell not-run at the deadline", decide: func(_ *node, _ *carobinbox.Inbox, out *caroboutbox.Outbox) {
+		for i := range out.Conclusions {
+			if out.Conclusions[i].Kind == carobkind.Expired {
+				out.Conclusions[i].Kind = carobkind.Late
+			}
+		}
+	}},
+	{name: "drop a finish", hear: func(n *node, in *carobinbox.Inbox) {
+		in.Finishes = slices.DeleteFunc(in.Finishes, func(carobfinish.Finish) bool { return n.s.chance(0.2) })
+	}},
+	{name: "start twice", decide: func(n *node, _ *carobinbox.Inbox, out *caroboutbox.Outbox) {
+		if n.s.chance(0.2) {
+			out.Starts = append(out.Starts, out.Starts...)
+		}
+	}},
+	{name: "swap two answers", decide: func(n *node, _ *carobinbox.Inbox, out *caroboutbox.Outbox) {
+		for i := range out.Conclusions {
+			for _, x := range ordered(n.calls) {
+				if x.attempts[1] != nil && x.attempts[1].body != "" && x.arrival.Call != out.Conclusions[i].Call && out.Conclusions[i].Attempt == 1 {
+					n.calls[out.Conclusions[i].Call].attempts[1] = x.attempts[1]
+				}
+			}
+		}
+	}},
+	{name: "conclude twice", decide: func(_ *node, _ *carobinbox.Inbox, out *caroboutbox.Outbox) {
+		for _, cn := range out.Conclusions {
+			out.Conclusions = append(out.Conclusions, carobconclusion.Conclusion{Call: cn.Call, Kind: carobkind.Expired})
+		}
+	}},
+	{name: "forget a caller", decide: func(n *node, _ *carobinbox.Inbox, out *caroboutbox.Outbox) {
+		if n.s.chance(0.05) {
+			out.Conclusions = nil
+		}
+	}},
+	{name: "start while leaving", hear: func(_ *node, in *carobinbox.Inbox) {
+		for i := range in.Announcements {
+			in.Announcements[i].State = carobreadiness.Ready
+		}
+	}},
+	{name: "send to the leaving", only: []string{"wait", "wait a little", "call", "leave"}, hear: func(_ *node, in *carobinbox.Inbox) {
+		for i := range in.Messages {
+			if gs := in.Messages[i].Gossip; gs != nil {
+				for j := range gs.Members {
+					for k := range gs.Members[j].Targets {
+						gs.Members[j].Targets[k].State = carobreadiness.Ready
+					}
+				}
+			}
+		}
+	}},
+	{name: "stop at once", decide: func(n *node, _ *carobinbox.Inbox, out *caroboutbox.Outbox) {
+		out.Stopped = out.Stopped || n.core.World().Stopping
+	}},
+	{name: "adopt a lower offset", decide: func(n *node, _ *carobinbox.Inbox, _ *caroboutbox.Outbox) {
+		for name, rv := range n.core.World().Profiles.All() {
+			if n.first == nil {
+				n.first = map[string]carobrevision.Revision{}
+			}
+			if _, ok := n.first[string(name)]; !ok {
+				n.first[string(name)] = *rv
+			}
+			if n.s.chance(0.01) {
+				*rv = n.first[string(name)]
+			}
+		}
+	}},
+	{name: "take the loser's change too", hear: func(n *node, in *carobinbox.Inbox) {
+		for i := range in.Records {
+			if in.Records[i].Stream == carobstream.Profiles {
+				in.Records[i].Data = rebase(n, in.Records[i].Data)
+			}
+		}
+	}},
+	{name: "read profiles once only", hear: func(n *node, in *carobinbox.Inbox) {
+		if n.core.World().ProfilesRead != caroboffset.None {
+			in.Records = nil
+		}
+	}},
+}
+
+// rebase makes the change in a record one of the revision in force.
+func rebase(n *node, data []byte) []byte {
+	var ch carobchange.Change
+	if json.Unmarshal(data, &ch) != nil {
+		return data
+	}
+	if rv := n.core.World().Profiles.Get(ch.Profile.Name); rv != nil {
+		ch.Profile.Base = rv.Offset
+	}
+	rebased, err := json.Marshal(ch)
+	if err != nil {
+		return data
+	}
+	return rebased
+}
