--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 TOOLS := $(CURDIR)/.tools
 LINT  := $(TOOLS)/golangci-lint
 
-.PHONY: build test lint fmt check demo fuzz clean
+.PHONY: build test lint fmt check demo bench fuzz clean
 
 build:
 	go build -o bin/carobknot ./cmd/carobknot
@@ -38,5 +38,9 @@
 	for target in $$(go test ./test/fuzz -list '^Fuzz' | grep '^Fuzz'); do \
 		go test ./test/fuzz -run '^$$' -fuzz "^$$target\$$" -fuzztime $(DECODE) || exit 1; done
 
+# At most 10 minutes; BENCH narrows it, as in BENCH="-cases noisy -rounds 5".
+bench: build
+	bin/carobknot bench -report reports/bench.json $(BENCH)
+
 clean:
 	rm -rf bin reports
--- a/internal/carobcommand/command.go
+++ b/internal/carobcommand/command.go
@@ -56,6 +56,7 @@
 		logCommand(),
 		targetCommand(),
 		loadCommand(),
+		benchCommand(),
 	}
 }
 
