--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -166,12 +166,16 @@
 	gt.Learned = now
 }
 
-// expire refuses queued jobs whose deadline has come.
+// expire refuses queued jobs whose deadline has come, or whose target leaves.
 func expire(w *carobworld.World, now carobinstant.Instant) {
 	for _, jb := range w.Jobs.All() {
 		if jb.Started != carobinstant.Never {
 			continue
 		}
+		if tg := w.Targets.Get(jb.Offer.Target); tg == nil || tg.State == carobreadiness.Leaving {
+			carobfencing.Withdraw(w, jb, carobkind.Leaving)
+			continue
+		}
 		if !jb.Deadline.Reached(now) {
 			w.WakeAt(jb.Deadline)
 			continue
