--- a/internal/carobcommand/command.go
+++ b/internal/carobcommand/command.go
@@ -49,8 +49,10 @@
 	return []Command{
 		nodeCommand(),
 		publishCommand(),
+		profilesCommand(),
 		checkCommand(),
 		statusCommand(),
+		demoCommand(),
 		logCommand(),
 		targetCommand(),
 		loadCommand(),
--- a/internal/carobloader/loader.go
+++ b/internal/carobloader/loader.go
@@ -63,6 +63,8 @@
 	dial = time.Second
 	idle = 20 * time.Second
 	kept = 4096
+	// stall is how long a connection may take no byte of a body.
+	stall = 10 * time.Second
 )
 
 // NewLoader returns a load that has not begun.
@@ -71,7 +73,7 @@
 	return &Loader{
 		config:  c,
 		random:  rand.New(rand.NewPCG(c.Seed, stream)), //nolint:gosec // loads must repeat under a seed
-		pool:    carobpool.NewPool(carobpool.Config{Timer: c.Timer, Dial: dial, Idle: idle, Kept: kept}),
+		pool:    carobpool.NewPool(carobpool.Config{Timer: c.Timer, Dial: dial, Idle: idle, Kept: kept, Stall: stall}),
 		summary: carobsummary.NewSummary(carobsummary.Config{Name: c.Name, Deadline: c.Deadline}),
 	}
 }
