Let a target's latency be that of the calls that started last

Cause: under jumps of load of 5 to 50 ms the shortest expected delay was worse than least own in flight. The slow calls of a jump end up to a second after it and made the target look slow when it no longer was; the others ran full (busy refusals up to 7% of calls). Ruled out: hedging (off in these variants), the share of slots (70%, least own stays below it).

--- a/internal/carobbench/cell.go
+++ b/internal/carobbench/cell.go
@@ -220,5 +220,8 @@
 	fmt.Fprintf(&sb, " good %.1f%% of %d, hedges %.1f%%, sick %.2f%%, back %.1f%%, %.0f B/s, cpu %.3f",
 		100*float64(r.Callers.Good)/max(float64(r.Callers.Calls), 1), r.Callers.Calls, 100*r.Hedges,
 		100*r.Sick, 100*r.Back, r.Bytes, r.CPU)
+	if len(r.Callers.Kinds) > 0 || r.Callers.Failed > 0 {
+		fmt.Fprintf(&sb, ", failed %d, errors %v", r.Callers.Failed, r.Callers.Kinds)
+	}
 	return sb.String()
 }
--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -118,26 +118,40 @@
 		gt.Queued--
 	} else {
 		gt.Running--
-		learn(gt, now, now.Sub(jb.Started))
+		learn(gt, jb.Started, now)
 	}
 	w.Jobs.Delete(fn.Job)
 }
 
-// latencyMemory is the time after which an old latency counts for less by a
-// factor of e, however few calls came since.
-const latencyMemory = 500 * time.Millisecond
+const (
+	// latencyMemory is the time after which an old latency counts for less by a
+	// factor of e, however few calls came since.
+	latencyMemory = 500 * time.Millisecond
+	// latencyNews is how much longer ago than the newest one a call may have
+	// started to count, again by a factor of e.
+	latencyNews = 50 * time.Millisecond
+)
 
-// learn moves the estimated latency towards a new one. After a time without
-// calls one counts for nearly all: else a target that was slow once would need
-// many calls, which it does not get, to lose its bad name.
-func learn(gt *carobgate.Gate, now carobinstant.Instant, took time.Duration) {
+// learn moves the estimated latency towards that of a call. What a call tells is
+// how fast the target was when it started: the slow calls of a short jump of
+// load end long after it, and must not outweigh those that started later and
+// were fast. After a time without calls one counts for nearly all.
+func learn(gt *carobgate.Gate, started, now carobinstant.Instant) {
 	const weight = 1.0 / 8
-	share := max(weight, 1-math.Exp(-float64(now.Sub(gt.Learned))/float64(latencyMemory)))
-	if gt.Learned == carobinstant.Never {
+	took, later := float64(now.Sub(started)), started.Sub(gt.Learned)
+	share := weight
+	switch {
+	case gt.Learned == carobinstant.Never:
 		share = 1
+	case later < 0:
+		share = weight * math.Exp(float64(later)/float64(latencyNews))
+	default:
+		share = max(weight, 1-math.Exp(-float64(later)/float64(latencyMemory)))
+	}
+	gt.Latency += time.Duration(share * (took - float64(gt.Latency)))
+	if later > 0 {
+		gt.Learned = started
 	}
-	gt.Latency += time.Duration(share * float64(took-gt.Latency))
-	gt.Learned = now
 }
 
 // expire refuses queued jobs whose deadline has come.
--- a/pkg/carobgate/gate.go
+++ b/pkg/carobgate/gate.go
@@ -19,7 +19,8 @@
 	Queued int
 	// Latency is the estimated time that the target takes over a call.
 	Latency time.Duration
-	// Learned is as of when Latency is; Never before the first call.
+	// Learned is when the newest call that Latency is made of started; Never before
+	// the first call.
 	Learned carobinstant.Instant
 	// Since is when the target came, for the ramp of a cold start.
 	Since carobinstant.Instant
