--- a/pkg/carobrouting/system.go
+++ b/pkg/carobrouting/system.go
@@ -78,7 +78,7 @@
 
 func (s *System) consider(w *carobworld.World, now carobinstant.Instant, id carobtargetid.ID) {
 	tg := w.Targets.Get(id)
-	if tg == nil || tg.State != carobreadiness.Ready {
+	if tg == nil || tg.State != carobreadiness.Ready || w.Stopping && w.Owns(tg) {
 		return
 	}
 	cd := candidate{target: id, node: tg.Node, slots: max(tg.Slots, 1), incarnation: w.Self.Incarnation, near: true}
