--- a/internal/carobpool/exchange.go
+++ b/internal/carobpool/exchange.go
@@ -1,7 +1,9 @@
 package carobpool
 
 import (
+	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"net/http/httputil"
 	"sync/atomic"
@@ -36,11 +38,14 @@
 // run sends the request and returns the head of the final answer.
 func (x *exchange) run() (*fasthttp.Response, error) {
 	x.request.Header.SetNoDefaultContentType(true)
-	if body := x.request.Body(); !x.request.IsBodyStream() && len(body) > 0 {
-		x.request.Header.SetContentLength(len(body))
-	}
-	if !x.request.IsBodyStream() && len(x.request.Body()) <= bufferSize {
-		return x.runShort()
+	if !x.request.IsBodyStream() {
+		body := x.request.Body()
+		if len(body) > 0 {
+			x.request.Header.SetContentLength(len(body))
+		}
+		if len(body) <= bufferSize {
+			return x.runShort(body)
+		}
 	}
 	if x.config.Ask {
 		x.request.Header.Set(fasthttp.HeaderExpect, expectation)
@@ -58,8 +63,8 @@
 	return x.readFinal()
 }
 
-func (x *exchange) runShort() (*fasthttp.Response, error) {
-	if err := x.write(x.request.Body()); err != nil {
+func (x *exchange) runShort(body []byte) (*fasthttp.Response, error) {
+	if err := x.write(body); err != nil {
 		return nil, err
 	}
 	x.sent.Store(true)
@@ -171,6 +176,9 @@
 // readHead reads the head of the next answer. A final answer whose end could not
 // be told from a broken connection is an error.
 func (x *exchange) readHead() (*fasthttp.Response, error) {
+	if err := x.checkFraming(); err != nil {
+		return nil, err
+	}
 	rs := &fasthttp.Response{StreamBody: true}
 	if err := rs.Header.Read(x.conn.reader); err != nil {
 		return nil, err
@@ -184,6 +192,44 @@
 	return rs, rs.ReadBody(x.conn.reader, 0)
 }
 
+var (
+	headEnd    = []byte("\r\n\r\n")
+	lengthName = []byte("\ncontent-length:")
+	codingName = []byte("\ntransfer-encoding:")
+)
+
+// checkFraming refuses an answer that says in two ways where it ends. The
+// library takes the one and forgets the other.
+func (x *exchange) checkFraming() error {
+	head, err := x.peekHead()
+	if err != nil {
+		return err
+	}
+	head = bytes.ToLower(head)
+	if bytes.Contains(head, lengthName) && bytes.Contains(head, codingName) {
+		return carobkind.New(carobkind.Cut, "the answer has both a length and a transfer encoding")
+	}
+	return nil
+}
+
+// peekHead waits for the head of an answer. A head that does not fit into the
+// buffer is left to the library to refuse.
+func (x *exchange) peekHead() ([]byte, error) {
+	reader := x.conn.reader
+	for wanted := 1; ; wanted = reader.Buffered() + 1 {
+		if _, err := reader.Peek(wanted); err != nil {
+			if errors.Is(err, bufio.ErrBufferFull) {
+				return nil, nil
+			}
+			return nil, err
+		}
+		here, err := reader.Peek(reader.Buffered())
+		if end := bytes.Index(here, headEnd); end >= 0 || err != nil {
+			return here[:max(end, 0)], err
+		}
+	}
+}
+
 // bodiless reports whether an answer has no body, whatever its header says.
 func bodiless(rq *fasthttp.Request, rs *fasthttp.Response) bool {
 	status := rs.StatusCode()
--- a/test/stand_test.go
+++ b/test/stand_test.go
@@ -21,15 +21,15 @@
 
 // announce tells a node again and again, until the test ends, that a target of a
 // service listens at an address.
-func announce(t *testing.T, node *process, service, address string) {
+func announce(t *testing.T, node *process, target, address string, slots int) {
 	t.Helper()
 	const heartbeat = 500 * time.Millisecond
 	data, err := json.Marshal(map[string]any{
-		"address": address, "profile": "lookups", "slots": 8, "conns": 100, "state": "ready",
+		"address": address, "profile": "lookups", "slots": slots, "conns": 100, "state": "ready",
 	})
 	require.NoError(t, err)
 	tell := func() {
-		rq, err := http.NewRequest(http.MethodPut, "http://"+node.addresses["admin"]+"/targets/"+service+"/stand", bytes.NewReader(data))
+		rq, err := http.NewRequest(http.MethodPut, "http://"+node.addresses["admin"]+"/targets/"+target, bytes.NewReader(data))
 		if err != nil {
 			return
 		}
@@ -87,12 +87,13 @@
 // themselves to the far node, and callers ask the near one.
 type mesh struct {
 	near, far *process
+	log       string
 }
 
 func startMesh(t *testing.T) mesh {
 	t.Helper()
 	log := start(t, "log", "-listen", "127.0.0.1:0").addresses["log"]
-	m := mesh{near: startNode(t, "near", log), far: startNode(t, "far", log)}
+	m := mesh{near: startNode(t, "near", log), far: startNode(t, "far", log), log: log}
 	output, code := run("publish", "-log", log, "../examples/profiles/lookups.json")
 	require.Equal(t, 0, code, output)
 	return m
@@ -102,7 +103,13 @@
 // it, which it shows by another answer than that there is no target.
 func (m mesh) serve(t *testing.T, service, address string) {
 	t.Helper()
-	announce(t, m.far, service, address)
+	announce(t, m.far, service+"/stand", address, 8)
+	m.known(t, service)
+}
+
+// known waits until the near node knows a service.
+func (m mesh) known(t *testing.T, service string) {
+	t.Helper()
 	require.Eventually(t, func() bool {
 		rq, err := http.NewRequest(http.MethodGet, "http://"+m.near.addresses["call"]+"/ready", http.NoBody)
 		if err != nil {
--- a/test/stream_test.go
+++ b/test/stream_test.go
@@ -10,7 +10,10 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -210,3 +213,69 @@
 		panic("not reached")
 	}
 }
+
+// A refusal uses nothing of a long body up: it reaches another target whole.
+func TestRefusedUpload(t *testing.T) {
+	m := startMesh(t)
+	file := filepath.Join(t.TempDir(), "uploads.json")
+	profile := `{"name": "lookups", "base": 0, "policy": "random", "queue": 0, "tries": 10, "once": "call", "keep": "1KiB", "deadline": "20s"}`
+	require.NoError(t, os.WriteFile(file, []byte(profile), 0o600))
+	output, code := run("publish", "-log", m.log, file)
+	require.Equal(t, 0, code, output)
+
+	began, end := make(chan struct{}, 100), make(chan struct{})
+	defer close(end)
+	handler := func(w http.ResponseWriter, rq *http.Request) {
+		if rq.URL.Path == "/slow" {
+			began <- struct{}{}
+			<-end
+		}
+		n, err := io.Copy(io.Discard, rq.Body)
+		_, _ = fmt.Fprintf(w, "%d %v", n, err)
+	}
+	for _, name := range []string{"one", "two"} {
+		announce(t, m.far, "evidence/"+name, listenHTTP(t, handler), 1)
+	}
+	m.known(t, "evidence")
+	hold, _ := m.dial(t)
+	_, err := io.WriteString(hold, "GET /slow HTTP/1.1\r\nHost: evidence\r\n\r\n")
+	require.NoError(t, err)
+	await(t, began, "the target was not called")
+	for range 10 {
+		rq, err := http.NewRequest(http.MethodPost, "http://"+m.near.addresses["call"]+"/deck", flow(8*mib))
+		require.NoError(t, err)
+		rq.Host, rq.ContentLength = "evidence", 8*mib
+		rs, err := http.DefaultClient.Do(rq)
+		require.NoError(t, err)
+		data, err := io.ReadAll(rs.Body)
+		require.NoError(t, err)
+		require.NoError(t, rs.Body.Close())
+		require.Equal(t, fmt.Sprintf("%d <nil>", 8*mib), string(data))
+	}
+}
+
+// A long body that was sent and got no answer can not be sent again, and the
+// caller is told so.
+func TestSpentUpload(t *testing.T) {
+	m := startMesh(t)
+	var calls atomic.Int64
+	m.serve(t, "evidence", listen(t, func(_ net.Conn, reader *bufio.Reader) {
+		if rq, err := http.ReadRequest(reader); err == nil && rq.Method == http.MethodPost {
+			calls.Add(1)
+			_, _ = io.Copy(io.Discard, rq.Body)
+		}
+	}))
+	rq, err := http.NewRequest(http.MethodPost, "http://"+m.near.addresses["call"]+"/deck", flow(mib))
+	require.NoError(t, err)
+	rq.Host, rq.ContentLength = "evidence", mib
+	rs, err := http.DefaultClient.Do(rq)
+	require.NoError(t, err)
+	data, err := io.ReadAll(rs.Body)
+	require.NoError(t, err)
+	require.NoError(t, rs.Body.Close())
+	require.Equal(t, http.StatusBadGateway, rs.StatusCode)
+	require.Equal(t, "cut", rs.Header.Get("Carobknot-Kind"))
+	require.Equal(t, "unknown", rs.Header.Get("Carobknot-Outcome"))
+	require.Contains(t, string(data), "can not be sent again")
+	require.Equal(t, int64(1), calls.Load())
+}
