Hand the trace context on and record every hop of every call

Cause: the trace header passed unchanged, and no hop was recorded. Change: pkg/carobtracing runs after the other systems of the tick, keeps a row a call at the entry and a row a job at the target's node, hands each next hop a span of its own, and puts a record into Outbox.Hops when a hop is over. Its span ids have a random source of their own, so that tracing changes no decision. Conclusion: the context passes through two processes (TestTraceContext), and each end of a call gives one record (pkg/carobtracing).

--- a/internal/carobadmitter/admitter.go
+++ b/internal/carobadmitter/admitter.go
@@ -120,6 +120,9 @@
 	carobheader.CleanRequest(&rq.Header)
 	rq.Header.Set(carobheader.Deadline, strconv.FormatInt(max(1, int64(st.Patience/time.Millisecond)), 10))
 	rq.Header.Set(carobheader.Call, st.Job.Call.String())
+	if st.Trace != "" {
+		rq.Header.Set(carobheader.Trace, st.Trace)
+	}
 	an, err := a.config.Targets.Do(cx, st.Address, rq)
 	if err != nil {
 		a.finish(st.Job, carobkind.Of(err), 0)
--- a/internal/carobrelay/relay.go
+++ b/internal/carobrelay/relay.go
@@ -49,6 +49,9 @@
 // Do carries an attempt and returns the head of the answer, or an error of the
 // kind that the target's node told. The report may come with either.
 func (r *Relay) Do(cx context.Context, sd carobsend.Send, rq *fasthttp.Request) (*carobanswer.Answer, *carobreport.Report, error) {
+	if sd.Trace != "" {
+		rq.Header.Set(carobheader.Trace, sd.Trace)
+	}
 	if sd.Peer == "" {
 		return r.own(cx, sd, rq)
 	}
--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -22,6 +22,7 @@
 	"github.com/carobknot/carobknot/pkg/carobregistry"
 	"github.com/carobknot/carobknot/pkg/carobrouting"
 	"github.com/carobknot/carobknot/pkg/carobshutdown"
+	"github.com/carobknot/carobknot/pkg/carobtracing"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
@@ -64,6 +65,7 @@
 			carobadmission.NewSystem(),
 			carobentry.NewSystem(),
 			carobrouting.NewSystem(),
+			carobtracing.NewSystem(carobtracing.Config{Seed: c.World.Seed}),
 			carobshutdown.NewSystem(),
 		},
 	}
--- a/pkg/carobhop/hop.go
+++ b/pkg/carobhop/hop.go
@@ -22,6 +22,8 @@
 	Target  carobtargetid.ID `json:"target,omitzero"`
 	// Trace is the trace context, as W3C writes it.
 	Trace string `json:"trace,omitempty"`
+	// Parent is the span that the hop came from; empty if the trace began here.
+	Parent string `json:"parent,omitempty"`
 	// Start is when the node took the call or job in, on its own clock.
 	Start time.Time `json:"start"`
 	// Took is the time until it was over.
--- a/pkg/carobsend/send.go
+++ b/pkg/carobsend/send.go
@@ -19,4 +19,6 @@
 	Incarnation carobincarnation.Incarnation
 	// Patience is the time left to the call.
 	Patience time.Duration
+	// Trace is the trace context for the target's node, as W3C writes it.
+	Trace string
 }
--- a/pkg/carobstart/start.go
+++ b/pkg/carobstart/start.go
@@ -15,4 +15,6 @@
 	Address carobaddress.Address
 	// Patience is the time left to the call.
 	Patience time.Duration
+	// Trace is the trace context for the target, as W3C writes it.
+	Trace string
 }
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -29,6 +29,7 @@
 	"github.com/carobknot/carobknot/pkg/carobtable"
 	"github.com/carobknot/carobknot/pkg/carobtarget"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
+	"github.com/carobknot/carobknot/pkg/carobtrace"
 	"github.com/carobknot/carobknot/pkg/carobword"
 )
 
@@ -95,6 +96,13 @@
 	Snapshot        caroboffset.Offset
 	SnapshotThrough caroboffset.Offset
 
+	// Tracing.
+
+	// CallTraces has the hops of the calls that this node is the entry of.
+	CallTraces *carobtable.Table[carobcallid.ID, carobtrace.Trace]
+	// JobTraces has the hops of the jobs at the node's own targets.
+	JobTraces *carobtable.Table[carobjobid.ID, carobtrace.Trace]
+
 	// The tick at hand.
 
 	Inbox  carobinbox.Inbox
@@ -129,6 +137,8 @@
 		Peers:       carobtable.NewTable[carobnodeid.ID, carobpeer.Peer](carobtable.Config{Limit: c.Limits.Peers}),
 		Calls:       carobtable.NewTable[carobcallid.ID, carobcall.Call](carobtable.Config{Limit: c.Limits.Calls}),
 		Jobs:        carobtable.NewTable[carobjobid.ID, carobjob.Job](carobtable.Config{Limit: c.Limits.Jobs}),
+		CallTraces:  carobtable.NewTable[carobcallid.ID, carobtrace.Trace](carobtable.Config{Limit: 2 * c.Limits.Calls}),
+		JobTraces:   carobtable.NewTable[carobjobid.ID, carobtrace.Trace](carobtable.Config{Limit: 2 * c.Limits.Jobs}),
 		Profiles:    carobtable.NewTable[carobword.Word, carobrevision.Revision](carobtable.Config{Limit: carobrevision.Most}),
 	}
 }
--- a/test/request_test.go
+++ b/test/request_test.go
@@ -289,3 +289,24 @@
 		})
 	}
 }
+
+// The trace context passes from hop to hop, with a span of each hop's own, and
+// begins at the entry when the caller has none.
+func TestTraceContext(t *testing.T) {
+	m := startMesh(t)
+	m.serve(t, "lookups", listenHTTP(t, func(w http.ResponseWriter, rq *http.Request) {
+		_, _ = io.WriteString(w, rq.Header.Get("Traceparent")+" "+rq.Header.Get("Tracestate"))
+	}))
+	const parent = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"
+	for name, c := range map[string]struct{ header, want string }{
+		"handed on": {"Traceparent: " + parent + "\r\nTracestate: a=1\r\n", `^00-4bf92f3577b34da6a3ce929d0e0e4736-[0-9a-f]{16}-01 a=1$`},
+		"made":      {"", `^00-[0-9a-f]{32}-[0-9a-f]{16}-01 $`},
+		"malformed": {"Traceparent: 00-x\r\n", `^00-[0-9a-f]{32}-[0-9a-f]{16}-01 $`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			an := m.exchangeRaw(t, "GET /a HTTP/1.1\r\nHost: lookups\r\n"+c.header+"\r\n")
+			require.Regexp(t, c.want, an.body)
+			require.NotContains(t, an.body, "00f067aa0ba902b7")
+		})
+	}
+}
