--- a/internal/carobpool/exchange.go
+++ b/internal/carobpool/exchange.go
@@ -39,12 +39,9 @@
 func (x *exchange) run() (*fasthttp.Response, error) {
 	x.request.Header.SetNoDefaultContentType(true)
 	if !x.request.IsBodyStream() {
-		body := x.request.Body()
-		if len(body) > 0 {
-			x.request.Header.SetContentLength(len(body))
-		}
-		if len(body) <= bufferSize {
-			return x.runShort(body)
+		x.setLength()
+		if len(x.request.Body()) <= bufferSize {
+			return x.runShort()
 		}
 	}
 	if x.config.Ask {
@@ -63,8 +60,15 @@
 	return x.readFinal()
 }
 
-func (x *exchange) runShort(body []byte) (*fasthttp.Response, error) {
-	if err := x.write(body); err != nil {
+// setLength names the length of a body that is all here.
+func (x *exchange) setLength() {
+	if length := len(x.request.Body()); length > 0 {
+		x.request.Header.SetContentLength(length)
+	}
+}
+
+func (x *exchange) runShort() (*fasthttp.Response, error) {
+	if err := x.write(x.request.Body()); err != nil {
 		return nil, err
 	}
 	x.sent.Store(true)
--- a/pkg/carobmessage/message.go
+++ b/pkg/carobmessage/message.go
@@ -5,9 +5,11 @@
 import (
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobdigest"
+	"github.com/carobknot/carobknot/pkg/carobfence"
 	"github.com/carobknot/carobknot/pkg/carobfetch"
 	"github.com/carobknot/carobknot/pkg/carobgossip"
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
+	"github.com/carobknot/carobknot/pkg/carobjudgment"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/carobprobe"
 	"github.com/carobknot/carobknot/pkg/carobsupply"
@@ -37,5 +39,10 @@
 
 	// Calls and claims.
 
+	// Fence asks what became of a job.
+	Fence *carobfence.Fence `json:"fence,omitempty"`
+	// Judgment answers a fence.
+	Judgment *carobjudgment.Judgment `json:"judgment,omitempty"`
+
 	// Measuring.
 }
