--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -24,6 +24,7 @@
 	"github.com/carobknot/carobknot/pkg/carobregistry"
 	"github.com/carobknot/carobknot/pkg/carobrouting"
 	"github.com/carobknot/carobknot/pkg/carobshutdown"
+	"github.com/carobknot/carobknot/pkg/carobtracing"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
@@ -70,6 +71,7 @@
 			carobadmission.NewSystem(),
 			carobentry.NewSystem(),
 			carobrouting.NewSystem(),
+			carobtracing.NewSystem(carobtracing.Config{Seed: c.World.Seed}),
 			carobshutdown.NewSystem(),
 		},
 	}
