--- a/test/fuzz/mutations_test.go
+++ b/test/fuzz/mutations_test.go
@@ -6,14 +6,18 @@
 
 	"github.com/carobknot/carobknot/pkg/carobchange"
 	"github.com/carobknot/carobknot/pkg/carobconclusion"
+	"github.com/carobknot/carobknot/pkg/carobfate"
 	"github.com/carobknot/carobknot/pkg/carobfinish"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobjudgment"
 	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/caroblimits"
 	"github.com/carobknot/carobknot/pkg/caroboffset"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobreadiness"
 	"github.com/carobknot/carobknot/pkg/carobrevision"
 	"github.com/carobknot/carobknot/pkg/carobstream"
+	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
 // mutation is a fault built into a node, by changing what its core hears, holds
@@ -42,6 +46,17 @@
 	}
 }
 
+// judged changes the verdicts that a node sends.
+func judged(change func(n *node, jd *carobjudgment.Judgment)) func(*node, *carobinbox.Inbox, *caroboutbox.Outbox) {
+	return func(n *node, _ *carobinbox.Inbox, out *caroboutbox.Outbox) {
+		for _, ms := range out.Messages {
+			if ms.Judgment != nil {
+				change(n, ms.Judgment)
+			}
+		}
+	}
+}
+
 // mutations are the faults that the oracle must find.
 var mutations = []mutation{
 	{name: "take a cut for unreachable", hear: func(_ *node, in *carobinbox.Inbox) {
@@ -65,6 +80,25 @@
 			}
 		}
 	}},
+	{name: "fence without looking", decide: judged(func(_ *node, jd *carobjudgment.Judgment) { jd.Fate = carobfate.Never })},
+	{name: "take unknown for never", decide: judged(func(_ *node, jd *carobjudgment.Judgment) {
+		if jd.Fate == carobfate.Unknown {
+			jd.Fate = carobfate.Never
+		}
+	})},
+	{name: "ignore a fence's incarnation", hear: func(n *node, in *carobinbox.Inbox) {
+		for i := range in.Messages {
+			if in.Messages[i].Fence != nil {
+				in.Messages[i].Fence.Incarnation = n.self.Incarnation
+			}
+		}
+	}},
+	{name: "forget the tombstones", only: []string{"wait a little", "call", "call often", "disturb messages", "straggle"}, decide: func(n *node, _ *carobinbox.Inbox, _ *caroboutbox.Outbox) {
+		n.core.World().Tombstones = carobworld.NewWorld(carobworld.Config{Limits: caroblimits.NewLimits()}).Tombstones
+	}},
+	{name: "forget what has ended", decide: func(n *node, _ *carobinbox.Inbox, _ *caroboutbox.Outbox) {
+		n.core.World().Ended = carobworld.NewWorld(carobworld.Config{Limits: caroblimits.NewLimits()}).Ended
+	}},
 	{name: "drop a finish", hear: func(n *node, in *carobinbox.Inbox) {
 		in.Finishes = slices.DeleteFunc(in.Finishes, func(carobfinish.Finish) bool { return n.s.chance(0.2) })
 	}},
