Tell news of members once, and probe a few in turn

Cause: every round sent all members to three nodes each 200 ms. That is 15 copies of the whole table a second; at 300 members of about 250 bytes each, over a megabyte a second a node, against 29 KB for all control.

Change: a word about a node has a version (incarnation, beat, standing). News is flooded to three nodes at once, twice, and rides on probes four times more; a bucket caps it. Each node probes eight others in turn (three successors on a ring, three near, two far), through others when there is no answer; then the node is suspected, and unreachable unless it refutes. Unreachable nodes are kept for six hours and tried again. Probes carry checksums of 16 parts of the table; digests and the words that either side lacks make up for lost news, and fill the table of a node that starts. The nodes stream of the log only says where to say hello. Ruled out: taking the log's records for living nodes (dead ones would come back whenever a node starts); probing all (a connection to each of 660 nodes costs too much memory).

--- a/pkg/carobaudit/audit.go
+++ b/pkg/carobaudit/audit.go
@@ -12,4 +12,7 @@
 	What string `json:"what"`
 	From string `json:"from"`
 	To   string `json:"to"`
+	// Local says that the entry goes to the log lines only, since the platform's
+	// log has the change already.
+	Local bool `json:"-"`
 }
--- a/pkg/carobcompaction/system.go
+++ b/pkg/carobcompaction/system.go
@@ -63,7 +63,9 @@
 	wait, needed := s.needed(w, now)
 	if !needed {
 		s.due = carobinstant.Never
-		w.WakeAt(s.again)
+		if !s.again.Reached(now) {
+			w.WakeAt(s.again)
+		}
 		return
 	}
 	if s.due == carobinstant.Never {
--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -12,15 +12,19 @@
 	"github.com/carobknot/carobknot/pkg/carobadmission"
 	"github.com/carobknot/carobknot/pkg/carobcatchup"
 	"github.com/carobknot/carobknot/pkg/carobcompaction"
+	"github.com/carobknot/carobknot/pkg/carobdetection"
+	"github.com/carobknot/carobknot/pkg/carobdissemination"
 	"github.com/carobknot/carobknot/pkg/carobentry"
 	"github.com/carobknot/carobknot/pkg/carobfencing"
 	"github.com/carobknot/carobknot/pkg/carobfold"
 	"github.com/carobknot/carobknot/pkg/carobgrouping"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/carobjoining"
 	"github.com/carobknot/carobknot/pkg/carobmembership"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobpause"
+	"github.com/carobknot/carobknot/pkg/carobreconciliation"
 	"github.com/carobknot/carobknot/pkg/carobregistry"
 	"github.com/carobknot/carobknot/pkg/carobrouting"
 	"github.com/carobknot/carobknot/pkg/carobshutdown"
@@ -49,9 +53,8 @@
 const (
 	tickPeriod    = 200 * time.Millisecond
 	tickAllowance = time.Second
+	// targetSilence is how long a target may go without an announcement.
 	targetSilence = 3 * time.Second
-	gossipPeriod  = 200 * time.Millisecond
-	gossipFanout  = 3
 )
 
 // NewCore returns a core with empty tables.
@@ -61,7 +64,10 @@
 		systems: []system{
 			carobpause.NewSystem(carobpause.Config{Period: tickPeriod, Allowance: tickAllowance}),
 			carobregistry.NewSystem(carobregistry.Config{Silence: targetSilence}),
-			carobmembership.NewSystem(carobmembership.Config{Period: gossipPeriod, Fanout: gossipFanout, Seeds: c.Seeds}),
+			carobjoining.NewSystem(carobjoining.Config{Seeds: c.Seeds}),
+			carobmembership.NewSystem(),
+			carobdetection.NewSystem(),
+			carobreconciliation.NewSystem(),
 			carobfold.NewSystem(),
 			carobcatchup.NewSystem(),
 			carobcompaction.NewSystem(),
@@ -71,6 +77,7 @@
 			carobentry.NewSystem(),
 			carobrouting.NewSystem(),
 			carobshutdown.NewSystem(),
+			carobdissemination.NewSystem(),
 		},
 	}
 }
--- a/pkg/carobfold/audit.go
+++ b/pkg/carobfold/audit.go
@@ -17,7 +17,7 @@
 	}
 	w.Outbox.Audits = append(w.Outbox.Audits, carobaudit.Audit{
 		Who: rv.Change.Who, Part: "profile", What: string(rv.Change.Profile.Name),
-		From: from, To: revision(rv.Offset),
+		From: from, To: revision(rv.Offset), Local: true,
 	})
 }
 
--- a/pkg/carobgossip/gossip.go
+++ b/pkg/carobgossip/gossip.go
@@ -10,6 +10,9 @@
 type Gossip struct {
 	// Members have different nodes.
 	Members []carobmember.Member `json:"members"`
+	// Asked says that the receiver lacked these words and others do not: they are
+	// no news.
+	Asked bool `json:"asked,omitempty"`
 }
 
 // Most is the most members in one message.
--- a/pkg/carobmember/member.go
+++ b/pkg/carobmember/member.go
@@ -33,8 +33,8 @@
 	Targets []carobtarget.Target `json:"targets,omitempty"`
 }
 
-// mostTargets is the most targets on one VM.
-const mostTargets = 64
+// MostTargets is the most targets on one VM.
+const MostTargets = 64
 
 // Version tells the word apart from others about the node.
 func (m Member) Version() carobversion.Version {
@@ -66,8 +66,8 @@
 	if err := m.Peer.Check(); err != nil {
 		return err
 	}
-	if len(m.Targets) > mostTargets {
-		return carobkind.New(carobkind.Invalid, "member: more than %d targets", mostTargets)
+	if len(m.Targets) > MostTargets {
+		return carobkind.New(carobkind.Invalid, "member: more than %d targets", MostTargets)
 	}
 	for i := range m.Targets {
 		if err := checkTarget(&m.Targets[i]); err != nil {
--- a/pkg/carobmembership/system.go
+++ b/pkg/carobmembership/system.go
@@ -1,136 +1,147 @@
-// Package carobmembership keeps the tables of other nodes and of their targets.
+// Package carobmembership keeps the tables of other nodes and of their targets
+// from the words about them.
+//
+// Of two words about a node the newer one stands: the higher incarnation, then
+// the higher beat, which the node itself raises, then the worse standing, which
+// others give it. So a node that was replaced is taken over at once, and a node
+// that is wrongly suspected refutes that by a new beat.
 package carobmembership
 
 import (
-	"encoding/json"
+	"slices"
 	"time"
 
-	"github.com/carobknot/carobknot/pkg/carobaddress"
-	"github.com/carobknot/carobknot/pkg/carobgossip"
+	"github.com/carobknot/carobknot/pkg/carobincarnation"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobmember"
-	"github.com/carobknot/carobknot/pkg/carobmessage"
 	"github.com/carobknot/carobknot/pkg/carobpeer"
-	"github.com/carobknot/carobknot/pkg/carobstream"
+	"github.com/carobknot/carobknot/pkg/carobreadiness"
+	"github.com/carobknot/carobknot/pkg/carobstanding"
+	"github.com/carobknot/carobknot/pkg/carobtarget"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
-// Config is how the system is made.
-type Config struct {
-	// Period is the time between two rounds of gossip.
-	Period time.Duration
-	// Fanout is how many nodes a round reaches.
-	Fanout int
-	// Seeds are addresses of nodes to begin with.
-	Seeds []carobaddress.Address
-}
+const (
+	// keepUnreachable is how long a node that does not answer is kept, and tried
+	// again. Regions lose each other for an hour now and then.
+	keepUnreachable = 6 * time.Hour
+	// keepGone is how long a node that said goodbye is kept, so that an old word
+	// about it does not bring it back.
+	keepGone = 10 * time.Minute
+	// sweep is the time between two looks for rows to drop.
+	sweep = time.Minute
+)
 
-// System merges what other nodes tell, and tells them what this node knows.
+// System merges the words about other nodes.
 type System struct {
-	config Config
-	// due is when the next round starts.
+	// twin is the newest other incarnation of this node's name that was noted.
+	twin carobincarnation.Incarnation
+	// due is when rows are next dropped.
 	due carobinstant.Instant
-	// told is the beat of this node that others were last told.
-	told uint64
 }
 
 // NewSystem returns the system.
-func NewSystem(c Config) *System {
-	return &System{config: c}
+func NewSystem() *System {
+	return &System{}
 }
 
-// Run takes in gossip and starts a round when one is due or this node changed.
+// Run merges what came and drops rows that are lost for long.
 func (s *System) Run(w *carobworld.World, now carobinstant.Instant) {
-	s.join(w, now)
 	for _, ms := range w.Inbox.Messages {
-		if ms.Gossip != nil {
-			hear(w, now, ms.Gossip)
+		if ms.Gossip == nil {
+			continue
+		}
+		for _, mb := range ms.Gossip.Members {
+			s.merge(w, now, mb, ms.Gossip.Asked)
 		}
 	}
-	if s.due == carobinstant.Never || s.due.Reached(now) || s.told != w.Self.Beat {
-		s.round(w)
-		s.due = now.Add(s.config.Period)
+	if s.due == carobinstant.Never || s.due.Reached(now) {
+		drop(w, now)
+		s.due = now.Add(sweep)
 	}
 	w.WakeAt(s.due)
 }
 
-// join takes in the nodes that announced themselves in the log.
-func (s *System) join(w *carobworld.World, now carobinstant.Instant) {
-	for _, rc := range w.Inbox.Records {
-		if rc.Stream != carobstream.Nodes {
-			continue
-		}
-		var mb carobmember.Member
-		if json.Unmarshal(rc.Data, &mb) == nil {
-			merge(w, now, mb)
-		}
+func (s *System) merge(w *carobworld.World, now carobinstant.Instant, mb carobmember.Member, asked bool) {
+	if mb.Node == w.Self.Node {
+		s.hearOfSelf(w, mb)
+		return
+	}
+	old := w.Peers.Get(mb.Node)
+	if old == nil && mb.Standing.Lost() || old != nil && !mb.Newer(old.Member) {
+		return
+	}
+	same := old != nil && sameTargets(old.Member, mb)
+	if w.Peers.Put(mb.Node, follow(old, mb, now)) == nil {
+		return
+	}
+	if !asked {
+		w.News.Put(mb.Node, struct{}{})
+	}
+	if !same {
+		replaceTargets(w, mb)
 	}
 }
 
-func hear(w *carobworld.World, now carobinstant.Instant, gs *carobgossip.Gossip) {
-	for _, mb := range gs.Members {
-		merge(w, now, mb)
+// follow returns the row that a newer word makes of an old row, or of none.
+func follow(old *carobpeer.Peer, mb carobmember.Member, now carobinstant.Instant) carobpeer.Peer {
+	next := carobpeer.Peer{Member: mb, Heard: now, Since: now}
+	if old != nil && old.Member.Standing == mb.Standing && old.Member.Incarnation == mb.Incarnation {
+		next.Heard, next.Since = old.Heard, old.Since
 	}
+	return next
 }
 
-func merge(w *carobworld.World, now carobinstant.Instant, mb carobmember.Member) {
-	if mb.Node == w.Self.Node {
-		return
-	}
-	if pr := w.Peers.Get(mb.Node); pr != nil && !mb.Newer(pr.Member) {
+// hearOfSelf refutes a bad standing, and notes a twin.
+func (s *System) hearOfSelf(w *carobworld.World, mb carobmember.Member) {
+	if mb.Incarnation == w.Self.Incarnation {
+		if mb.Standing != carobstanding.Alive && mb.Beat >= w.Self.Beat && !w.Farewell {
+			w.Self.Beat = mb.Beat + 1
+		}
 		return
 	}
-	if w.Peers.Put(mb.Node, carobpeer.Peer{Member: mb, Heard: now}) == nil {
-		return
+	if mb.Incarnation > w.Self.Incarnation && mb.Incarnation > s.twin {
+		s.twin = mb.Incarnation
+		w.Note("member", string(mb.Node), "name is used twice", string(w.Self.Peer), string(mb.Peer))
 	}
-	replaceTargets(w, mb)
 }
 
-// replaceTargets makes the table of targets match a node's word.
+// sameTargets reports whether two words of a node mean the same for calls.
+func sameTargets(a, b carobmember.Member) bool {
+	return a.Standing.Lost() == b.Standing.Lost() && a.Leaving == b.Leaving && slices.Equal(a.Targets, b.Targets)
+}
+
+// replaceTargets makes the table of targets match a node's word. Those of a lost
+// node are taken out, and stay in the node's row.
 func replaceTargets(w *carobworld.World, mb carobmember.Member) {
-	for id, tg := range w.Targets.All() {
-		if tg.Node == mb.Node {
-			w.Targets.Delete(id)
-		}
+	w.DropTargets(mb.Node)
+	if mb.Standing.Lost() {
+		return
 	}
 	for _, tg := range mb.Targets {
-		tg.Node = mb.Node
-		if own := w.Targets.Get(tg.ID); own != nil && w.Owns(own) {
-			continue
-		}
-		w.Targets.Put(tg.ID, tg)
+		place(w, mb, tg)
 	}
-	w.TargetsChanged = true
 }
 
-// round tells this node's view to some other nodes.
-func (s *System) round(w *carobworld.World) {
-	w.Self.Beat++
-	s.told = w.Self.Beat
-	members := []carobmember.Member{describe(w)}
-	var addresses []carobaddress.Address
-	for _, pr := range w.Peers.All() {
-		members = append(members, pr.Member)
-		addresses = append(addresses, pr.Member.Peer)
+// place puts a target in the table, unless it is this node's own or stands on a
+// node that was heard of later.
+func place(w *carobworld.World, mb carobmember.Member, tg carobtarget.Target) {
+	tg.Node = mb.Node
+	if mb.Leaving {
+		tg.State = carobreadiness.Leaving
 	}
-	addresses = append(addresses, s.config.Seeds...)
-	w.Random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	for _, ad := range addresses[:min(s.config.Fanout, len(addresses))] {
-		if ad != w.Self.Peer {
-			w.Tell(carobmessage.Message{To: ad, Gossip: &carobgossip.Gossip{Members: members}})
-		}
+	if there := w.Targets.Get(tg.ID); there != nil && w.Owns(there) {
+		return
 	}
+	w.Targets.Put(tg.ID, tg)
 }
 
-// describe returns this node as others hear of it.
-func describe(w *carobworld.World) carobmember.Member {
-	mb := w.Self
-	mb.Leaving = w.Stopping
-	mb.Targets = nil
-	for _, tg := range w.Targets.All() {
-		if w.Owns(tg) {
-			mb.Targets = append(mb.Targets, *tg)
+func drop(w *carobworld.World, now carobinstant.Instant) {
+	for id, pr := range w.Peers.All() {
+		age := now.Sub(pr.Since)
+		if pr.Member.Standing == carobstanding.Unreachable && age > keepUnreachable ||
+			pr.Member.Standing == carobstanding.Gone && age > keepGone {
+			w.Peers.Delete(id)
 		}
 	}
-	return mb
 }
--- a/pkg/carobpeer/peer.go
+++ b/pkg/carobpeer/peer.go
@@ -8,8 +8,13 @@
 
 // Peer is what a node knows of another node.
 type Peer struct {
-	// Member is the newest word of the other node about itself.
+	// Member is the newest word about the other node.
 	Member carobmember.Member
-	// Heard is when that word came.
+	// Heard is when the other node itself was last heard; before that, when the
+	// first word about it came.
 	Heard carobinstant.Instant
+	// Since is when the standing came to be what it is.
+	Since carobinstant.Instant
+	// Told is how often this node has passed the word on.
+	Told int
 }
--- a/pkg/carobregistry/system.go
+++ b/pkg/carobregistry/system.go
@@ -9,6 +9,7 @@
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobreadiness"
 	"github.com/carobknot/carobknot/pkg/carobtarget"
+	"github.com/carobknot/carobknot/pkg/carobtargetid"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
@@ -19,6 +20,9 @@
 	Silence time.Duration
 }
 
+// forget is how long a silent target is kept.
+const forget = 5 * time.Minute
+
 // System takes in the announcements of the targets on this node's VM.
 type System struct {
 	silence time.Duration
@@ -38,8 +42,8 @@
 		}
 		announce(w, now, an)
 	}
-	for _, tg := range w.Targets.All() {
-		if w.Owns(tg) {
+	for id := range w.Gates.All() {
+		if tg := w.Targets.Get(id); tg != nil && w.Owns(tg) {
 			s.listen(w, now, tg)
 		}
 	}
@@ -50,11 +54,11 @@
 		ID: an.Target, Node: w.Self.Node, Address: an.Address, Profile: an.Profile,
 		Slots: an.Slots, Conns: an.Conns, State: an.State, Heard: now,
 	}
-	old := w.Targets.Get(an.Target)
-	if old != nil {
+	before, changed := "none", true
+	if old := w.Targets.Get(an.Target); old != nil {
 		next.Heard = old.Heard
+		before, changed = string(old.State), *old != next
 	}
-	changed := old == nil || *old != next
 	next.Heard = now
 	if w.Targets.Put(an.Target, next) == nil {
 		return
@@ -64,9 +68,11 @@
 		gt = w.Gates.Put(an.Target, carobgate.Gate{Since: now})
 	}
 	gt.Limit = an.Slots
-	if changed {
-		tell(w)
+	if !changed {
+		return
 	}
+	note(w, an.Target, before, string(an.State))
+	tell(w)
 }
 
 // withdraw forgets a target. Its gate stays while jobs run behind it.
@@ -75,6 +81,7 @@
 	if tg == nil || !w.Owns(tg) {
 		return
 	}
+	note(w, an.Target, string(tg.State), "withdrawn")
 	w.Targets.Delete(an.Target)
 	tell(w)
 }
@@ -86,9 +93,18 @@
 		return
 	}
 	if tg.State != carobreadiness.Leaving {
+		note(w, tg.ID, string(tg.State), "silent")
 		tg.State = carobreadiness.Leaving
 		tell(w)
 	}
+	if tg.Heard.Add(forget).Reached(now) {
+		withdraw(w, carobannouncement.Announcement{Target: tg.ID})
+	}
+}
+
+// note adds a change of an own target to the audit trail.
+func note(w *carobworld.World, target carobtargetid.ID, from, to string) {
+	w.Note("target", string(w.Self.Node), target.String(), from, to)
 }
 
 // tell makes the change part of what others hear of this node.
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -4,6 +4,8 @@
 import (
 	"math/rand/v2"
 
+	"github.com/carobknot/carobknot/pkg/carobaddress"
+	"github.com/carobknot/carobknot/pkg/carobaudit"
 	"github.com/carobknot/carobknot/pkg/carobbudget"
 	"github.com/carobknot/carobknot/pkg/carobcall"
 	"github.com/carobknot/carobknot/pkg/carobcallid"
@@ -12,6 +14,7 @@
 	"github.com/carobknot/carobknot/pkg/carobgroup"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
+	"github.com/carobknot/carobknot/pkg/carobinquiry"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobjob"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
@@ -69,6 +72,14 @@
 	Groups *carobtable.Table[carobservice.Service, carobgroup.Group]
 	// Peers has all other nodes known.
 	Peers *carobtable.Table[carobnodeid.ID, carobpeer.Peer]
+	// News has the peers whose newest word is still to be passed on.
+	News *carobtable.Table[carobnodeid.ID, struct{}]
+	// Hints has where nodes were by the log, of nodes that are not known.
+	Hints *carobtable.Table[carobnodeid.ID, carobaddress.Address]
+	// Inquiries has the probes that are not answered, by their numbers.
+	Inquiries *carobtable.Table[uint64, carobinquiry.Inquiry]
+	// Farewell says that this node has said goodbye to the others.
+	Farewell bool
 
 	// Routing and measuring.
 
@@ -128,6 +139,9 @@
 	heldChanges = 1024
 )
 
+// inquiries is the most probes that wait for an answer.
+const inquiries = 64
+
 // NewWorld returns a world with empty tables.
 func NewWorld(c Config) *World {
 	const stream = 1
@@ -144,6 +158,9 @@
 		Groups:      carobtable.NewTable[carobservice.Service, carobgroup.Group](carobtable.Config{Limit: c.Limits.Targets}),
 		Loads:       carobtable.NewTable[carobtargetid.ID, carobload.Load](carobtable.Config{Limit: c.Limits.Targets}),
 		Gates:       carobtable.NewTable[carobtargetid.ID, carobgate.Gate](carobtable.Config{Limit: c.Limits.Targets}),
+		News:        carobtable.NewTable[carobnodeid.ID, struct{}](carobtable.Config{Limit: c.Limits.Peers}),
+		Hints:       carobtable.NewTable[carobnodeid.ID, carobaddress.Address](carobtable.Config{Limit: c.Limits.Peers}),
+		Inquiries:   carobtable.NewTable[uint64, carobinquiry.Inquiry](carobtable.Config{Limit: inquiries}),
 		Peers:       carobtable.NewTable[carobnodeid.ID, carobpeer.Peer](carobtable.Config{Limit: c.Limits.Peers}),
 		Profiles:    carobtable.NewTable[carobword.Word, carobrevision.Revision](carobtable.Config{Limit: carobrevision.Most}),
 	}
@@ -213,3 +230,9 @@
 	ms.From, ms.Incarnation, ms.Back = w.Self.Node, w.Self.Incarnation, w.Self.Peer
 	w.Outbox.Messages = append(w.Outbox.Messages, ms)
 }
+
+// Note adds an entry to the audit trail: a part of the system saw that something
+// changed, and by whom.
+func (w *World) Note(part, who, what, from, to string) {
+	w.Outbox.Audits = append(w.Outbox.Audits, carobaudit.Audit{Part: part, Who: who, What: what, From: from, To: to})
+}
