Hedge slow idempotent calls from a budget

Cause: under jumps of load and with a straggler the tail is calls that already run where they should not. A call that may run more than once is tried a second time after the 95th percentile of the latency of recent attempts, at a target with a free slot, paid from a bucket that each call fills by 0.045; the slower one is cancelled.

First try: a call that the budget denied was forgotten. So a denied call is looked at again after half a delay, and pays when it finds a target.

--- a/internal/carobbench/variants.go
+++ b/internal/carobbench/variants.go
@@ -27,6 +27,9 @@
 	plain("twochoices"),
 	plain("prequal"),
 	plain("expected"),
+	with("hedge90", map[string]any{"policy": "expected", "hedge": "90%", "eject": "0%"}),
+	with("hedge95", map[string]any{"policy": "expected", "hedge": "95%", "eject": "0%"}),
+	with("hedge97", map[string]any{"policy": "expected", "hedge": "97%", "eject": "0%"}),
 	with("default", nil),
 }
 
--- a/internal/carobstatus/status.go
+++ b/internal/carobstatus/status.go
@@ -34,6 +34,13 @@
 	Targets  []target  `json:"targets"`
 	Peers    []peer    `json:"peers"`
 	Profiles []profile `json:"profiles"`
+	// Measured is what measuring and hedging have cost since the start.
+	Measured measured `json:"measured"`
+}
+
+// measured is what the node spent of its budgets.
+type measured struct {
+	Hedges float64 `json:"hedges"`
 }
 
 // target is a target as this node sees it. Of its own targets it knows the
@@ -88,6 +95,9 @@
 	for name, rv := range w.Profiles.All() {
 		st.Profiles = append(st.Profiles, profile{Name: name, Offset: rv.Offset, Who: rv.Change.Who})
 	}
+	for _, pc := range w.Paces.All() {
+		st.Measured.Hedges += pc.Hedges.Spent
+	}
 	slices.SortFunc(st.Targets, func(a, b target) int { return cmp.Compare(a.ID.String(), b.ID.String()) })
 	slices.SortFunc(st.Peers, func(a, b peer) int { return cmp.Compare(a.Node, b.Node) })
 	slices.SortFunc(st.Profiles, func(a, b profile) int { return cmp.Compare(a.Name, b.Name) })
--- a/pkg/carobcall/call.go
+++ b/pkg/carobcall/call.go
@@ -21,6 +21,8 @@
 	Deadline carobinstant.Instant
 	// Stage only ever goes up, but for Placed back to Waiting.
 	Stage carobstage.Stage
+	// Extra says that a second attempt is wanted beside the one under way.
+	Extra bool
 	// Attempts has attempt n at index n-1.
 	Attempts []carobattempt.Attempt
 	// Last is the kind of the newest failed attempt.
--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -15,6 +15,7 @@
 	"github.com/carobknot/carobknot/pkg/carobentry"
 	"github.com/carobknot/carobknot/pkg/carobfold"
 	"github.com/carobknot/carobknot/pkg/carobgrouping"
+	"github.com/carobknot/carobknot/pkg/carobhedging"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobmembership"
@@ -64,6 +65,7 @@
 			carobadmission.NewSystem(),
 			carobentry.NewSystem(),
 			carobrouting.NewSystem(),
+			carobhedging.NewSystem(),
 			carobshutdown.NewSystem(),
 		},
 	}
--- /dev/null
+++ b/pkg/carobdistribution/distribution_test.go
@@ -0,0 +1,27 @@
+package carobdistribution
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestQuantiles(t *testing.T) {
+	var d Distribution
+	require.Zero(t, d.Quantile(0.5))
+	for i := 1; i <= 900; i++ {
+		d.Add(time.Duration(i) * time.Millisecond)
+	}
+	for _, share := range []float64{0.01, 0.5, 0.95, 0.99, 1} {
+		require.InEpsilon(t, share*900, float64(d.Quantile(share))/float64(time.Millisecond), 0.1)
+	}
+	for range 5000 {
+		d.Add(time.Millisecond)
+	}
+	require.InEpsilon(t, 1, float64(d.Quantile(0.95))/float64(time.Millisecond), 0.1)
+	require.LessOrEqual(t, d.Weight(), float64(forget))
+	d.Add(0)
+	d.Add(24 * time.Hour)
+	require.Positive(t, d.Quantile(1))
+}
--- a/pkg/carobprofile/profile.go
+++ b/pkg/carobprofile/profile.go
@@ -65,11 +65,11 @@
 	return Profile{
 		Name:     name,
 		Base:     caroboffset.None,
-		Policy:   "prequal",
+		Policy:   "expected",
 		Spread:   16,
 		Deadline: carobspan.Span(10 * time.Second),
 		Tries:    3,
-		Hedge:    0.99,
+		Hedge:    0.95,
 		Queue:    24,
 		Once:     carobonce.Call,
 		Measure:  carobspan.Span(100 * time.Millisecond),
--- a/pkg/carobrouting/learn.go
+++ b/pkg/carobrouting/learn.go
@@ -9,6 +9,7 @@
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobload"
 	"github.com/carobknot/carobknot/pkg/carobreply"
+	"github.com/carobknot/carobknot/pkg/carobstage"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
@@ -29,17 +30,24 @@
 	} else {
 		ld.Sent = max(0, ld.Sent-1)
 	}
-	count(ld, now, rp)
+	count(ld, now, rp, lost(w, rp))
+}
+
+// lost reports whether an attempt was given up since another one was faster.
+func lost(w *carobworld.World, rp carobreply.Reply) bool {
+	cl := w.Calls.Get(rp.Job.Call)
+	return rp.Kind == carobkind.Cancelled && cl != nil && cl.Stage == carobstage.Delivering
 }
 
 // count adds a success or failure. A refusal is neither: it says nothing of the
-// target's health; nor does an attempt that was given up.
-func count(ld *carobload.Load, now carobinstant.Instant, rp carobreply.Reply) {
+// target's health. An attempt that was given up is a failure if another target
+// has answered meanwhile; that is all that is ever heard of a frozen one.
+func count(ld *carobload.Load, now carobinstant.Instant, rp carobreply.Reply, slower bool) {
 	decay(ld, now)
 	switch {
 	case rp.Kind == carobkind.None && rp.Status < http.StatusInternalServerError:
 		ld.Successes++
-	case rp.Kind == carobkind.None, rp.Kind == carobkind.Cut, rp.Kind == carobkind.Unreachable:
+	case slower, rp.Kind == carobkind.None, rp.Kind == carobkind.Cut, rp.Kind == carobkind.Unreachable:
 		ld.Failures++
 	}
 }
--- a/pkg/carobrouting/policies.go
+++ b/pkg/carobrouting/policies.go
@@ -26,7 +26,7 @@
 	if pl, ok := policies[name]; ok {
 		return pl
 	}
-	return prequal{}
+	return expected{}
 }
 
 // Known reports whether a rule of that name exists.
--- a/pkg/carobrouting/system.go
+++ b/pkg/carobrouting/system.go
@@ -9,6 +9,7 @@
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
 	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/carobload"
 	"github.com/carobknot/carobknot/pkg/carobreadiness"
 	"github.com/carobknot/carobknot/pkg/carobsend"
 	"github.com/carobknot/carobknot/pkg/carobstage"
@@ -39,8 +40,11 @@
 		learn(w, now, rp)
 	}
 	for _, cl := range w.Calls.All() {
-		if cl.Stage == carobstage.Waiting {
+		switch {
+		case cl.Stage == carobstage.Waiting:
 			s.place(w, now, cl)
+		case cl.Extra:
+			s.hedge(w, now, cl)
 		}
 	}
 }
@@ -56,6 +60,25 @@
 	s.send(w, now, cl, s.candidates[chosen])
 }
 
+// hedge places a second attempt beside the one under way, if a target that was
+// not tried yet has a slot for it and the budget allows.
+func (s *System) hedge(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call) {
+	cl.Extra = false
+	if cl.Stage != carobstage.Placed {
+		return
+	}
+	s.collect(w, now, cl)
+	if len(s.candidates) == 0 {
+		return
+	}
+	age(s.candidates)
+	cd := s.candidates[policyOf(cl.Profile.Policy).pick(w.Random, s.candidates)]
+	pc := w.Paces.Get(cl.Arrival.Service)
+	if cd.flight < float64(cd.slots) && !tried(cl, cd.target) && pc != nil && pc.Hedges.Spend(1) {
+		s.send(w, now, cl, cd)
+	}
+}
+
 // collect lists the targets that may get the next attempt. Targets that have
 // refused the call already come in only when no other is left.
 func (s *System) collect(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call) {
@@ -90,13 +113,18 @@
 		cd.peer, cd.incarnation = pr.Member.Peer, pr.Member.Incarnation
 		cd.near = pr.Member.Centre == w.Self.Centre
 	}
-	if cd.load = load(w, id); cd.load == nil {
+	if cd.load = load(w, id); cd.load == nil || out(cd.load) {
 		return
 	}
 	weigh(w, now, tg, &cd)
 	s.candidates = append(s.candidates, cd)
 }
 
+// out reports whether a target is ejected, or on trial with a call under way.
+func out(ld *carobload.Load) bool {
+	return ld.Ejected != carobinstant.Never || ld.Trial && ld.Open > 0
+}
+
 // weigh estimates a target's load: of an own target it is known; of another it
 // is that of the newest report, and the own attempts made since.
 func weigh(w *carobworld.World, now carobinstant.Instant, tg *carobtarget.Target, cd *candidate) {
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -20,6 +20,7 @@
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/caroboffset"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
+	"github.com/carobknot/carobknot/pkg/carobpace"
 	"github.com/carobknot/carobknot/pkg/carobpeer"
 	"github.com/carobknot/carobknot/pkg/carobprofile"
 	"github.com/carobknot/carobknot/pkg/carobrecord"
@@ -69,6 +70,8 @@
 
 	// Loads has the entry side's view of targets.
 	Loads *carobtable.Table[carobtargetid.ID, carobload.Load]
+	// Paces has how fast services answer.
+	Paces *carobtable.Table[carobservice.Service, carobpace.Pace]
 
 	// Calls, admission and claims.
 
@@ -124,6 +127,7 @@
 		Random:      rand.New(rand.NewPCG(c.Seed, stream)), //nolint:gosec // choices must repeat under a seed
 		Targets:     carobtable.NewTable[carobtargetid.ID, carobtarget.Target](carobtable.Config{Limit: c.Limits.Targets}),
 		Groups:      carobtable.NewTable[carobservice.Service, carobgroup.Group](carobtable.Config{Limit: c.Limits.Targets}),
+		Paces:       carobtable.NewTable[carobservice.Service, carobpace.Pace](carobtable.Config{Limit: c.Limits.Targets}),
 		Loads:       carobtable.NewTable[carobtargetid.ID, carobload.Load](carobtable.Config{Limit: c.Limits.Targets}),
 		Gates:       carobtable.NewTable[carobtargetid.ID, carobgate.Gate](carobtable.Config{Limit: c.Limits.Targets}),
 		Peers:       carobtable.NewTable[carobnodeid.ID, carobpeer.Peer](carobtable.Config{Limit: c.Limits.Peers}),
