Eject targets that fail much more often than their peers

Each node compares a target's decayed error rate with that of its peers, takes out at most half of a service's targets, and lets one back after 1.5 to 2.5 s by one call on trial. An attempt that lost against its hedge counts as a failure.

Four failures in a row now count as a rate of 1.

--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -12,6 +12,7 @@
 	"github.com/carobknot/carobknot/pkg/carobadmission"
 	"github.com/carobknot/carobknot/pkg/carobcatchup"
 	"github.com/carobknot/carobknot/pkg/carobcompaction"
+	"github.com/carobknot/carobknot/pkg/carobejection"
 	"github.com/carobknot/carobknot/pkg/carobentry"
 	"github.com/carobknot/carobknot/pkg/carobfold"
 	"github.com/carobknot/carobknot/pkg/carobgrouping"
@@ -65,6 +66,7 @@
 			carobadmission.NewSystem(),
 			carobentry.NewSystem(),
 			carobrouting.NewSystem(),
+			carobejection.NewSystem(),
 			carobhedging.NewSystem(),
 			carobshutdown.NewSystem(),
 		},
--- a/pkg/carobload/load.go
+++ b/pkg/carobload/load.go
@@ -24,6 +24,8 @@
 	Latency time.Duration
 	// Successes and Failures decay with time; together they give the error rate.
 	Successes, Failures float64
+	// Streak is the failures since the last success.
+	Streak int
 	// Counted is as of when Successes and Failures have decayed.
 	Counted carobinstant.Instant
 	// Ejected is until when the target gets no calls; Never if it is in.
--- a/pkg/carobrouting/learn.go
+++ b/pkg/carobrouting/learn.go
@@ -47,8 +47,10 @@
 	switch {
 	case rp.Kind == carobkind.None && rp.Status < http.StatusInternalServerError:
 		ld.Successes++
+		ld.Streak = 0
 	case slower, rp.Kind == carobkind.None, rp.Kind == carobkind.Cut, rp.Kind == carobkind.Unreachable:
 		ld.Failures++
+		ld.Streak++
 	}
 }
 
