--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -14,10 +14,12 @@
 	"github.com/carobknot/carobknot/pkg/carobcompaction"
 	"github.com/carobknot/carobknot/pkg/carobdetection"
 	"github.com/carobknot/carobknot/pkg/carobdissemination"
+	"github.com/carobknot/carobknot/pkg/carobejection"
 	"github.com/carobknot/carobknot/pkg/carobentry"
 	"github.com/carobknot/carobknot/pkg/carobfencing"
 	"github.com/carobknot/carobknot/pkg/carobfold"
 	"github.com/carobknot/carobknot/pkg/carobgrouping"
+	"github.com/carobknot/carobknot/pkg/carobhedging"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobjoining"
@@ -77,6 +79,8 @@
 			carobadmission.NewSystem(),
 			carobentry.NewSystem(),
 			carobrouting.NewSystem(),
+			carobejection.NewSystem(),
+			carobhedging.NewSystem(),
 			carobtracing.NewSystem(carobtracing.Config{Seed: c.World.Seed}),
 			carobshutdown.NewSystem(),
 			carobdissemination.NewSystem(),
--- a/pkg/carobreconciliation/system.go
+++ b/pkg/carobreconciliation/system.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/carobknot/carobknot/pkg/carobaddress"
-	"github.com/carobknot/carobknot/pkg/carobbucket"
 	"github.com/carobknot/carobknot/pkg/carobdigest"
 	"github.com/carobknot/carobknot/pkg/carobgossip"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
@@ -20,6 +19,7 @@
 	"github.com/carobknot/carobknot/pkg/carobprobe"
 	"github.com/carobknot/carobknot/pkg/carobrate"
 	"github.com/carobknot/carobknot/pkg/carobsize"
+	"github.com/carobknot/carobknot/pkg/carobthrottle"
 	"github.com/carobknot/carobknot/pkg/carobversion"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
@@ -36,14 +36,14 @@
 
 // System compares tables.
 type System struct {
-	bucket *carobbucket.Bucket
+	throttle *carobthrottle.Throttle
 	// next is when tables may be compared though news is on its way.
 	next carobinstant.Instant
 }
 
 // NewSystem returns the system.
 func NewSystem() *System {
-	return &System{bucket: carobbucket.NewBucket(carobbucket.Config{
+	return &System{throttle: carobthrottle.NewThrottle(carobthrottle.Config{
 		Rate: carobrate.Rate(12 * carobsize.KiB), Burst: 128 * carobsize.KiB,
 	})}
 }
@@ -73,7 +73,7 @@
 	w.Random.Shuffle(len(different), func(i, j int) { different[i], different[j] = different[j], different[i] })
 	for _, part := range different[:min(parts, len(different))] {
 		rows := versions(w, part)
-		if !s.bucket.Spend(now, each*len(rows)) {
+		if !s.throttle.Spend(now, each*len(rows)) {
 			return
 		}
 		w.Tell(carobmessage.Message{To: ms.Back, Digest: &carobdigest.Digest{Part: part, Rows: rows}})
@@ -148,7 +148,7 @@
 	var members []carobmember.Member
 	weight := 0
 	flush := func() bool {
-		if len(members) == 0 || !s.bucket.Spend(now, weight) {
+		if len(members) == 0 || !s.throttle.Spend(now, weight) {
 			return false
 		}
 		w.Tell(carobmessage.Message{To: to, Gossip: &carobgossip.Gossip{Members: members, Asked: true}})
