--- a/internal/carobpool/exchange.go
+++ b/internal/carobpool/exchange.go
@@ -1,7 +1,9 @@
 package carobpool
 
 import (
+	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"net/http/httputil"
 	"sync/atomic"
@@ -178,6 +180,9 @@
 // readHead reads the head of the next answer. A final answer whose end could not
 // be told from a broken connection is an error.
 func (x *exchange) readHead() (*fasthttp.Response, error) {
+	if err := x.checkFraming(); err != nil {
+		return nil, err
+	}
 	rs := &fasthttp.Response{StreamBody: true}
 	if err := rs.Header.Read(x.conn.reader); err != nil {
 		return nil, err
@@ -191,6 +196,44 @@
 	return rs, rs.ReadBody(x.conn.reader, 0)
 }
 
+var (
+	headEnd    = []byte("\r\n\r\n")
+	lengthName = []byte("\ncontent-length:")
+	codingName = []byte("\ntransfer-encoding:")
+)
+
+// checkFraming refuses an answer that says in two ways where it ends. The
+// library takes the one and forgets the other.
+func (x *exchange) checkFraming() error {
+	head, err := x.peekHead()
+	if err != nil {
+		return err
+	}
+	head = bytes.ToLower(head)
+	if bytes.Contains(head, lengthName) && bytes.Contains(head, codingName) {
+		return carobkind.New(carobkind.Cut, "the answer has both a length and a transfer encoding")
+	}
+	return nil
+}
+
+// peekHead waits for the head of an answer. A head that does not fit into the
+// buffer is left to the library to refuse.
+func (x *exchange) peekHead() ([]byte, error) {
+	reader := x.conn.reader
+	for wanted := 1; ; wanted = reader.Buffered() + 1 {
+		if _, err := reader.Peek(wanted); err != nil {
+			if errors.Is(err, bufio.ErrBufferFull) {
+				return nil, nil
+			}
+			return nil, err
+		}
+		here, err := reader.Peek(reader.Buffered())
+		if end := bytes.Index(here, headEnd); end >= 0 || err != nil {
+			return here[:max(end, 0)], err
+		}
+	}
+}
+
 // bodiless reports whether an answer has no body, whatever its header says.
 func bodiless(rq *fasthttp.Request, rs *fasthttp.Response) bool {
 	status := rs.StatusCode()
--- a/pkg/carobclaiming/system_test.go
+++ b/pkg/carobclaiming/system_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/carobknot/carobknot/pkg/carobcallid"
 	"github.com/carobknot/carobknot/pkg/carobclaim"
+	"github.com/carobknot/carobknot/pkg/carobcommit"
 	"github.com/carobknot/carobknot/pkg/carobkey"
 	"github.com/carobknot/carobknot/pkg/carobmessage"
 	"github.com/carobknot/carobknot/pkg/carobshard"
@@ -231,6 +232,7 @@
 	home := r.home("k")
 	other := r.other(home)
 	stream := carobshard.Of(keyOf("k")).Stream()
+	r.land(carobcommit.Commit{Stream: stream, Data: []byte("{}")})
 	records := r.log[stream]
 	r.node(other).inbox.Records = append(r.node(other).inbox.Records, records[len(records)-1])
 	r.lost(home, carobstanding.Unreachable)
