--- a/internal/carobentrance/exchange.go
+++ b/internal/carobentrance/exchange.go
@@ -66,7 +66,10 @@
 	}
 	x.upload.Release()
 	detail := "the call ended without an answer"
+	fault := x.upload.Fault()
 	switch {
+	case fault != nil:
+		detail = fault.Error() + "; a part of it was sent to a target"
 	case x.upload.Streamed() && !cn.Kind.NotRun():
 		detail = "the body was too long to be kept, so that it was sent once and can not be sent again"
 	case cn.Kind.NotRun():
--- a/internal/carobupload/upload.go
+++ b/internal/carobupload/upload.go
@@ -64,6 +64,9 @@
 	reading atomic.Bool
 	// released says that the stream must not be read any more.
 	released atomic.Bool
+	// fault is what the sender did wrong while its body was streamed. It is
+	// guarded by busy.
+	fault error
 }
 
 // past is a deadline that has passed.
@@ -164,11 +167,21 @@
 	n, err := from.Read(into)
 	u.seen += carobsize.Size(n)
 	if u.config.Limit > 0 && u.seen > u.config.Limit {
-		return 0, tooLarge(u.config.Limit)
+		n, err = 0, tooLarge(u.config.Limit)
+	}
+	if err != nil && err != io.EOF && u.fault == nil && !u.released.Load() { //nolint:errorlint // readers return io.EOF itself
+		u.fault = senderFault(err)
 	}
 	return n, err
 }
 
+// Fault returns what the sender did wrong with its body, or nil.
+func (u *Upload) Fault() error {
+	u.busy.Lock()
+	defer u.busy.Unlock()
+	return u.fault
+}
+
 // claim is a streamed body in the hands of one attempt.
 type claim struct {
 	upload *Upload
--- a/internal/carobupload/upload_test.go
+++ b/internal/carobupload/upload_test.go
@@ -92,6 +92,8 @@
 	require.NoError(t, err)
 	_, err = read(t, u)
 	require.Error(t, err, "chunks beyond the limit must not pass as a whole body")
+	require.Equal(t, carobkind.TooLarge, carobkind.Of(u.Fault()))
+	require.ErrorContains(t, u.Fault(), "100 B")
 }
 
 // Of two attempts that have a streamed body, one gets all of it and the other
--- a/test/request_test.go
+++ b/test/request_test.go
@@ -190,6 +190,23 @@
 	}
 }
 
+// A caller that asks before it sends is told to go on, and has its answer.
+func TestAskingCaller(t *testing.T) {
+	m := startMesh(t)
+	m.serve(t, "lookups", listenHTTP(t, func(w http.ResponseWriter, rq *http.Request) { _, _ = io.Copy(w, rq.Body) }))
+	cn, reader := m.dial(t)
+	for _, body := range []string{"haul 17", strings.Repeat("haul", 100_000)} {
+		_, err := fmt.Fprintf(cn, "POST /a HTTP/1.1\r\nHost: lookups\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", len(body))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusContinue, readAnswer(t, reader).status)
+		_, err = io.WriteString(cn, body)
+		require.NoError(t, err)
+		an := readAnswer(t, reader)
+		require.Equal(t, http.StatusOK, an.status)
+		require.Equal(t, body, an.body)
+	}
+}
+
 // Each limit answers with its kind, and calls beside it go on.
 func TestLimits(t *testing.T) {
 	log := start(t, "log", "-listen", "127.0.0.1:0").addresses["log"]
