Stop starting work in the tick that brings the order to stop

Cause: the order to stop took effect at the end of its tick, so offers of the same tick were still started; the ends of keyed calls could be lost with the node; and a resubmission whose key had run without a kept answer was told the outcome "not-run", which a skipper reads as a declaration that was not filed.

Change: the order takes effect when the tick begins. A node that has nothing in flight waits up to 3 s until the new homes of its keys have the ends of its calls; its shards are taken over by the others as soon as they hear that it leaves. Repeated has the outcome unknown. An entry node of incarnation 0 was taken for one whose watermark was forgotten; no real node has that incarnation.

Measured: TestNoStartInTheSameTick and TestRepeatedIsNotToldNotRun, both new and written for what is mended here; the former found the incarnation 0 case.

--- a/pkg/carobclaiming/system_test.go
+++ b/pkg/carobclaiming/system_test.go
@@ -11,6 +11,7 @@
 	"github.com/carobknot/carobknot/pkg/carobclaim"
 	"github.com/carobknot/carobknot/pkg/carobcommit"
 	"github.com/carobknot/carobknot/pkg/carobkey"
+	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobmessage"
 	"github.com/carobknot/carobknot/pkg/carobshard"
 	"github.com/carobknot/carobknot/pkg/carobstanding"
@@ -251,3 +252,17 @@
 	r.rest(soon)
 	require.Equal(t, before, r.appends)
 }
+
+// A caller whose key has run is not told "not run", though its answer is lost.
+func TestRepeatedIsNotToldNotRun(t *testing.T) {
+	r := newRig(t, "a", "b")
+	first := r.call("a", "k", 1)
+	r.rest(soon)
+	r.answer(first, "paid")
+	r.node("a").inbox.Deliveries[0].Kept = nil
+	r.rest(soon)
+	second := r.call("b", "k", 1)
+	r.rest(soon)
+	require.Equal(t, "repeated", r.told(second))
+	require.False(t, carobkind.Repeated.NotRun())
+}
--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -62,6 +62,7 @@
 	claimGap      = 25 * time.Millisecond
 	claimLull     = 200 * time.Millisecond
 	claimPause    = 200 * time.Millisecond
+	lastPatience  = 3 * time.Second
 	claimKeys     = 50_000
 	claimKept     = 4 << 20
 	// targetSilence is how long a target may go without an announcement.
@@ -93,7 +94,7 @@
 			carobejection.NewSystem(),
 			carobhedging.NewSystem(),
 			carobtracing.NewSystem(carobtracing.Config{Seed: c.World.Seed}),
-			carobshutdown.NewSystem(),
+			carobshutdown.NewSystem(carobshutdown.Config{Patience: lastPatience}),
 			carobdissemination.NewSystem(),
 		},
 	}
--- a/pkg/carobfencing/system.go
+++ b/pkg/carobfencing/system.go
@@ -84,7 +84,7 @@
 	}
 	wm, ok := w.Watermarks.Get(job.Call.Node)
 	if !ok {
-		return job.Call.Incarnation <= w.Barred
+		return w.Barred > 0 && job.Call.Incarnation <= w.Barred
 	}
 	return covers(wm, job.Call, wm.Fenced)
 }
@@ -112,7 +112,7 @@
 func forgot(w *carobworld.World, call carobcallid.ID) bool {
 	wm, ok := w.Watermarks.Get(call.Node)
 	if !ok {
-		return call.Incarnation <= w.Forgotten
+		return w.Forgotten > 0 && call.Incarnation <= w.Forgotten
 	}
 	return covers(wm, call, wm.Ended)
 }
--- a/pkg/carobkind/kind.go
+++ b/pkg/carobkind/kind.go
@@ -100,7 +100,7 @@
 	Expired:        {http.StatusGatewayTimeout, caroboutcome.Unknown, 0, logrus.WarnLevel},
 	Cut:            {http.StatusBadGateway, caroboutcome.Unknown, 0, logrus.WarnLevel},
 	Cancelled:      {statusClientClosed, caroboutcome.Unknown, 0, logrus.InfoLevel},
-	Repeated:       {http.StatusConflict, caroboutcome.NotRun, 0, logrus.InfoLevel},
+	Repeated:       {http.StatusConflict, caroboutcome.Unknown, 0, logrus.InfoLevel},
 	Unclaimed:      {http.StatusServiceUnavailable, caroboutcome.NotRun, later, logrus.WarnLevel},
 	KeyUnknown:     {http.StatusConflict, caroboutcome.Unknown, 0, logrus.WarnLevel},
 	Conflict:       {http.StatusConflict, caroboutcome.NotRun, 0, logrus.InfoLevel},
--- /dev/null
+++ b/pkg/carobshutdown/system_test.go
@@ -0,0 +1,94 @@
+package carobshutdown_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobknot/carobknot/pkg/carobcall"
+	"github.com/carobknot/carobknot/pkg/carobcallid"
+	"github.com/carobknot/carobknot/pkg/carobcore"
+	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/carobjob"
+	"github.com/carobknot/carobknot/pkg/carobjobid"
+	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/caroblimits"
+	"github.com/carobknot/carobknot/pkg/carobmember"
+	"github.com/carobknot/carobknot/pkg/caroboffer"
+	"github.com/carobknot/carobknot/pkg/carobreadiness"
+	"github.com/carobknot/carobknot/pkg/carobshutdown"
+	"github.com/carobknot/carobknot/pkg/carobtarget"
+	"github.com/carobknot/carobknot/pkg/carobtargetid"
+	"github.com/carobknot/carobknot/pkg/carobunsettled"
+	"github.com/carobknot/carobknot/pkg/carobworld"
+)
+
+const patience = time.Second
+
+// A node ends when its calls, its jobs and the ends of keyed calls are through,
+// and waits for the last of these only so long.
+func TestEnd(t *testing.T) {
+	call := carobcallid.ID{Node: "here", Sequence: 1}
+	cases := map[string]struct {
+		put, end func(w *carobworld.World)
+	}{
+		"call": {
+			func(w *carobworld.World) { w.Calls.Put(call, carobcall.Call{}) },
+			func(w *carobworld.World) { w.Calls.Delete(call) },
+		},
+		"job": {
+			func(w *carobworld.World) { w.Jobs.Put(carobjobid.ID{Call: call}, carobjob.Job{}) },
+			func(w *carobworld.World) { w.Jobs.Delete(carobjobid.ID{Call: call}) },
+		},
+		"end of a keyed call": {
+			func(w *carobworld.World) { w.Unsettled.Put(call, carobunsettled.Unsettled{}) },
+			func(w *carobworld.World) { w.Unsettled.Delete(call) },
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := carobworld.NewWorld(carobworld.Config{Limits: caroblimits.NewLimits()})
+			s := carobshutdown.NewSystem(carobshutdown.Config{Patience: patience})
+			now := carobinstant.Instant(1)
+			step := func(in carobinbox.Inbox) bool {
+				now++
+				w.Begin(in)
+				s.Run(w, now)
+				return w.Outbox.Stopped
+			}
+			require.False(t, step(carobinbox.Inbox{}))
+			c.put(w)
+			require.False(t, step(carobinbox.Inbox{Stop: true}))
+			require.False(t, step(carobinbox.Inbox{}))
+			if w.Unsettled.Len() > 0 {
+				now = w.Wake()
+				require.True(t, step(carobinbox.Inbox{}), "the home may be out of reach")
+				return
+			}
+			c.end(w)
+			require.True(t, step(carobinbox.Inbox{}))
+		})
+	}
+}
+
+// The tick that brings the order to stop starts nothing more.
+func TestNoStartInTheSameTick(t *testing.T) {
+	target := carobtargetid.ID{Service: "payouts", Name: "a"}
+	core := carobcore.NewCore(carobcore.Config{World: carobworld.Config{
+		Self: carobmember.Member{Node: "here", Incarnation: 7}, Limits: caroblimits.NewLimits(),
+	}})
+	now := carobinstant.Instant(time.Hour)
+	core.World().Targets.Put(target, carobtarget.Target{
+		ID: target, Node: "here", Slots: 4, State: carobreadiness.Ready, Heard: now,
+	})
+	of := caroboffer.Offer{
+		Job:    carobjobid.ID{Call: carobcallid.ID{Node: "entry", Sequence: 1}, Attempt: 1},
+		Target: target, Incarnation: 7, Patience: time.Second,
+	}
+	out := core.Step(now, carobinbox.Inbox{Stop: true, Offers: []caroboffer.Offer{of}})
+	require.Empty(t, out.Starts)
+	require.Len(t, out.Refusals, 1)
+	require.Equal(t, carobkind.Leaving, out.Refusals[0].Kind)
+}
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -206,6 +206,10 @@
 	w.Inbox = in
 	w.Outbox = caroboutbox.Outbox{}
 	w.wake = carobinstant.Never
+	if in.Stop && !w.Stopping {
+		w.Stopping = true
+		w.Self.Beat++
+	}
 }
 
 // ProfileOf returns the profile in force for a service, or nil if its targets
