Let the last nodes of a shutdown stay homes, and linger before they end

And a node ended in the tick in which its tables were empty, though an attempt could be on its way to it.

Change: a node that is leaving is a home if all nodes are. A node ends when no attempt has come for 500 ms.

--- a/pkg/carobclaiming/system.go
+++ b/pkg/carobclaiming/system.go
@@ -99,23 +99,22 @@
 }
 
 // Home returns the node that is the home of a key's shard, and its address, as
-// this node sees it. The address is empty if there is none.
+// this node sees it.
 func Home(w *carobworld.World, key carobkey.Key) (carobnodeid.ID, carobaddress.Address) {
 	return homeOf(w, carobshard.Of(key))
 }
 
+// homeOf ranks the nodes that are alive. One that is leaving is the home only if
+// all are, so that calls in flight get their keys until the last node has ended.
 func homeOf(w *carobworld.World, sh carobshard.Shard) (carobnodeid.ID, carobaddress.Address) {
-	var best carobnodeid.ID
-	var address carobaddress.Address
-	if !w.Stopping {
-		best, address = w.Self.Node, w.Self.Peer
-	}
+	best, address, leaving := w.Self.Node, w.Self.Peer, w.Stopping
 	for id, pr := range w.Peers.All() {
-		if pr.Member.Leaving || pr.Member.Standing != carobstanding.Alive {
+		mb := &pr.Member
+		if mb.Standing != carobstanding.Alive || mb.Leaving && !leaving {
 			continue
 		}
-		if address == "" || sh.Weight(id) > sh.Weight(best) {
-			best, address = id, pr.Member.Peer
+		if leaving && !mb.Leaving || sh.Weight(id) > sh.Weight(best) {
+			best, address, leaving = id, mb.Peer, mb.Leaving
 		}
 	}
 	return best, address
@@ -126,7 +125,7 @@
 func (s *System) move(w *carobworld.World) {
 	for sh := range carobshard.Shard(carobshard.Count) {
 		node, _ := homeOf(w, sh)
-		mine, hm := node == w.Self.Node && !w.Stopping, w.Homes.Get(sh)
+		mine, hm := node == w.Self.Node, w.Homes.Get(sh)
 		if mine == (hm != nil) {
 			continue
 		}
--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -62,6 +62,7 @@
 	claimGap      = 25 * time.Millisecond
 	claimLull     = 200 * time.Millisecond
 	claimPause    = 200 * time.Millisecond
+	lastLinger    = 500 * time.Millisecond
 	lastPatience  = 3 * time.Second
 	claimKeys     = 50_000
 	claimKept     = 4 << 20
@@ -94,7 +95,7 @@
 			carobejection.NewSystem(),
 			carobhedging.NewSystem(),
 			carobtracing.NewSystem(carobtracing.Config{Seed: c.World.Seed}),
-			carobshutdown.NewSystem(carobshutdown.Config{Patience: lastPatience}),
+			carobshutdown.NewSystem(carobshutdown.Config{Patience: lastPatience, Linger: lastLinger}),
 			carobdissemination.NewSystem(),
 		},
 	}
--- a/pkg/carobentry/claim.go
+++ b/pkg/carobentry/claim.go
@@ -39,10 +39,9 @@
 		return
 	}
 	w.WakeAt(now.Add(claimPause))
-	if _, home := carobclaiming.Home(w, cl.Key()); home != "" {
-		cl.Asked = now
-		w.Tell(carobmessage.Message{To: home, Claim: &carobclaim.Claim{Key: cl.Key(), Call: cl.Arrival.Call}})
-	}
+	cl.Asked = now
+	_, home := carobclaiming.Home(w, cl.Key())
+	w.Tell(carobmessage.Message{To: home, Claim: &carobclaim.Claim{Key: cl.Key(), Call: cl.Arrival.Call}})
 }
 
 // unclaimed returns the kind of a call that did not get its key in time.
@@ -109,7 +108,6 @@
 	us.Due = now.Add(us.Pause)
 	us.Pause = min(2*us.Pause, longestPause)
 	w.WakeAt(us.Due)
-	if _, home := carobclaiming.Home(w, us.Settlement.Claim.Key); home != "" {
-		w.Tell(carobmessage.Message{To: home, Settlement: &us.Settlement})
-	}
+	_, home := carobclaiming.Home(w, us.Settlement.Claim.Key)
+	w.Tell(carobmessage.Message{To: home, Settlement: &us.Settlement})
 }
--- a/pkg/carobshutdown/system.go
+++ b/pkg/carobshutdown/system.go
@@ -13,6 +13,9 @@
 	// Patience is how long a node that has nothing in flight any more waits until
 	// the new homes of its calls' keys have the ends of the calls.
 	Patience time.Duration
+	// Linger is how long no attempt must have come, so that none is on its way
+	// to a node that has ended.
+	Linger time.Duration
 }
 
 // System stops the node once it is asked to and nothing is in flight. That it is
@@ -30,14 +33,18 @@
 
 // Run ends a shutdown when the tables are empty.
 func (s *System) Run(w *carobworld.World, now carobinstant.Instant) {
-	if !w.Stopping || w.Calls.Len() > 0 || w.Jobs.Len() > 0 {
+	if !w.Stopping || w.Calls.Len() > 0 || w.Jobs.Len() > 0 || len(w.Inbox.Offers) > 0 {
 		s.idle = carobinstant.Never
 		return
 	}
 	if s.idle == carobinstant.Never {
 		s.idle = now
 	}
-	due := s.idle.Add(s.config.Patience)
-	w.WakeAt(due)
-	w.Outbox.Stopped = w.Unsettled.Len() == 0 || due.Reached(now)
+	due := s.idle.Add(s.config.Linger)
+	if w.Unsettled.Len() > 0 {
+		due = s.idle.Add(s.config.Patience)
+	}
+	if w.Outbox.Stopped = due.Reached(now); !w.Outbox.Stopped {
+		w.WakeAt(due)
+	}
 }
