--- a/internal/carobstatus/status.go
+++ b/internal/carobstatus/status.go
@@ -40,7 +40,7 @@
 
 // measured is what the node spent of its budgets.
 type measured struct {
-	Hedges float64 `json:"hedges"`
+	Hedges uint64 `json:"hedges"`
 }
 
 // target is a target as this node sees it. Of its own targets it knows the
@@ -95,8 +95,8 @@
 	for name, rv := range w.Profiles.All() {
 		st.Profiles = append(st.Profiles, profile{Name: name, Offset: rv.Offset, Who: rv.Change.Who})
 	}
-	for _, pc := range w.Paces.All() {
-		st.Measured.Hedges += pc.Hedges.Spent
+	for _, bg := range w.Budgets.All() {
+		st.Measured.Hedges += bg.Spent
 	}
 	slices.SortFunc(st.Targets, func(a, b target) int { return cmp.Compare(a.ID.String(), b.ID.String()) })
 	slices.SortFunc(st.Peers, func(a, b peer) int { return cmp.Compare(a.Node, b.Node) })
--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -14,6 +14,7 @@
 	"github.com/carobknot/carobknot/pkg/carobcompaction"
 	"github.com/carobknot/carobknot/pkg/carobejection"
 	"github.com/carobknot/carobknot/pkg/carobentry"
+	"github.com/carobknot/carobknot/pkg/carobfencing"
 	"github.com/carobknot/carobknot/pkg/carobfold"
 	"github.com/carobknot/carobknot/pkg/carobgrouping"
 	"github.com/carobknot/carobknot/pkg/carobhedging"
@@ -21,9 +22,11 @@
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobmembership"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
+	"github.com/carobknot/carobknot/pkg/carobpause"
 	"github.com/carobknot/carobknot/pkg/carobregistry"
 	"github.com/carobknot/carobknot/pkg/carobrouting"
 	"github.com/carobknot/carobknot/pkg/carobshutdown"
+	"github.com/carobknot/carobknot/pkg/carobtracing"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
@@ -47,6 +50,8 @@
 }
 
 const (
+	tickPeriod    = 200 * time.Millisecond
+	tickAllowance = time.Second
 	targetSilence = 3 * time.Second
 	gossipPeriod  = 200 * time.Millisecond
 	gossipFanout  = 3
@@ -57,17 +62,20 @@
 	return &Core{
 		world: carobworld.NewWorld(c.World),
 		systems: []system{
+			carobpause.NewSystem(carobpause.Config{Period: tickPeriod, Allowance: tickAllowance}),
 			carobregistry.NewSystem(carobregistry.Config{Silence: targetSilence}),
 			carobmembership.NewSystem(carobmembership.Config{Period: gossipPeriod, Fanout: gossipFanout, Seeds: c.Seeds}),
 			carobfold.NewSystem(),
 			carobcatchup.NewSystem(),
 			carobcompaction.NewSystem(),
 			carobgrouping.NewSystem(),
+			carobfencing.NewSystem(),
 			carobadmission.NewSystem(),
 			carobentry.NewSystem(),
 			carobrouting.NewSystem(),
 			carobejection.NewSystem(),
 			carobhedging.NewSystem(),
+			carobtracing.NewSystem(carobtracing.Config{Seed: c.World.Seed}),
 			carobshutdown.NewSystem(),
 		},
 	}
--- a/pkg/carobrouting/system.go
+++ b/pkg/carobrouting/system.go
@@ -73,8 +73,7 @@
 	}
 	age(s.candidates)
 	cd := s.candidates[policyOf(cl.Profile.Policy).pick(w.Random, s.candidates)]
-	pc := w.Paces.Get(cl.Arrival.Service)
-	if cd.flight < float64(cd.slots) && !tried(cl, cd.target) && pc != nil && pc.Hedges.Spend(1) {
+	if cd.flight < float64(cd.slots) && !tried(cl, cd.target) && w.BudgetOf(cl.Arrival.Service).Spend() {
 		s.send(w, now, cl, cd)
 	}
 }
@@ -101,7 +100,7 @@
 
 func (s *System) consider(w *carobworld.World, now carobinstant.Instant, id carobtargetid.ID) {
 	tg := w.Targets.Get(id)
-	if tg == nil || tg.State != carobreadiness.Ready {
+	if tg == nil || tg.State != carobreadiness.Ready || w.Stopping && w.Owns(tg) {
 		return
 	}
 	cd := candidate{target: id, node: tg.Node, slots: max(tg.Slots, 1), incarnation: w.Self.Incarnation, near: true}
