Probe targets whose reports are too old, within the budget of measuring

Cause: a target that gets no calls tells nothing new, so the one that a jump of load had hit stayed out for up to 1.5 s after it. A node now asks the node of the target with the oldest report, when that is older than the profile's measure and the target's service is in use. Probes and answers are paid from two token buckets, bytes and processor time; what is not allowed is not sent later.

--- a/internal/carobbench/variants.go
+++ b/internal/carobbench/variants.go
@@ -30,6 +30,7 @@
 	with("hedge90", map[string]any{"policy": "expected", "hedge": "90%", "eject": "0%"}),
 	with("hedge95", map[string]any{"policy": "expected", "hedge": "95%", "eject": "0%"}),
 	with("hedge97", map[string]any{"policy": "expected", "hedge": "97%", "eject": "0%"}),
+	with("noprobes", map[string]any{"measure": "0s"}),
 	with("default", nil),
 }
 
--- a/internal/carobstatus/status.go
+++ b/internal/carobstatus/status.go
@@ -10,6 +10,7 @@
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/caroboffset"
+	"github.com/carobknot/carobknot/pkg/carobprobing"
 	"github.com/carobknot/carobknot/pkg/carobreadiness"
 	"github.com/carobknot/carobknot/pkg/carobregion"
 	"github.com/carobknot/carobknot/pkg/carobspan"
@@ -41,6 +42,11 @@
 // measured is what the node spent of its budgets.
 type measured struct {
 	Hedges uint64 `json:"hedges"`
+	// Bytes is what was sent for measuring, Seconds the processor time; Denied
+	// counts what the budget did not allow.
+	Bytes   float64 `json:"bytes"`
+	Seconds float64 `json:"seconds"`
+	Denied  uint64  `json:"denied"`
 }
 
 // target is a target as this node sees it. Of its own targets it knows the
@@ -95,6 +101,12 @@
 	for name, rv := range w.Profiles.All() {
 		st.Profiles = append(st.Profiles, profile{Name: name, Offset: rv.Offset, Who: rv.Change.Who})
 	}
+	if bk := w.Buckets.Get(carobprobing.Bytes); bk != nil {
+		st.Measured.Bytes, st.Measured.Denied = bk.Spent, bk.Denied
+	}
+	if bk := w.Buckets.Get(carobprobing.Time); bk != nil {
+		st.Measured.Seconds = bk.Spent
+	}
 	for _, bg := range w.Budgets.All() {
 		st.Measured.Hedges += bg.Spent
 	}
--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -23,6 +23,7 @@
 	"github.com/carobknot/carobknot/pkg/carobmembership"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobpause"
+	"github.com/carobknot/carobknot/pkg/carobprobing"
 	"github.com/carobknot/carobknot/pkg/carobregistry"
 	"github.com/carobknot/carobknot/pkg/carobrouting"
 	"github.com/carobknot/carobknot/pkg/carobshutdown"
@@ -72,6 +73,7 @@
 			carobfencing.NewSystem(),
 			carobadmission.NewSystem(),
 			carobentry.NewSystem(),
+			carobprobing.NewSystem(),
 			carobrouting.NewSystem(),
 			carobejection.NewSystem(),
 			carobhedging.NewSystem(),
--- a/pkg/carobload/load.go
+++ b/pkg/carobload/load.go
@@ -14,6 +14,10 @@
 	Report carobreport.Report
 	// At is when the report came; Never before the first.
 	At carobinstant.Instant
+	// Looked is when the target was last among the candidates for a call.
+	Looked carobinstant.Instant
+	// Asked is when the last probe was sent; Never if none was.
+	Asked carobinstant.Instant
 	// Sent counts the own attempts made since the report that have no reply.
 	Sent int
 	// Open counts the own attempts that have no reply yet, at least 0.
--- a/pkg/carobmessage/message.go
+++ b/pkg/carobmessage/message.go
@@ -9,9 +9,11 @@
 	"github.com/carobknot/carobknot/pkg/carobfetch"
 	"github.com/carobknot/carobknot/pkg/carobgossip"
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
+	"github.com/carobknot/carobknot/pkg/carobinquiry"
 	"github.com/carobknot/carobknot/pkg/carobjudgment"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/carobprobe"
+	"github.com/carobknot/carobknot/pkg/carobreport"
 	"github.com/carobknot/carobknot/pkg/carobsupply"
 )
 
@@ -45,4 +47,9 @@
 	Judgment *carobjudgment.Judgment `json:"judgment,omitempty"`
 
 	// Measuring.
+
+	// Inquiry asks for the load of a target.
+	Inquiry *carobinquiry.Inquiry `json:"inquiry,omitempty"`
+	// Report answers an inquiry.
+	Report *carobreport.Report `json:"report,omitempty"`
 }
--- a/pkg/carobrouting/system.go
+++ b/pkg/carobrouting/system.go
@@ -115,6 +115,7 @@
 	if cd.load = load(w, id); cd.load == nil || out(cd.load) {
 		return
 	}
+	cd.load.Looked = now
 	weigh(w, now, tg, &cd)
 	s.candidates = append(s.candidates, cd)
 }
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -4,6 +4,7 @@
 import (
 	"math/rand/v2"
 
+	"github.com/carobknot/carobknot/pkg/carobbucket"
 	"github.com/carobknot/carobknot/pkg/carobbudget"
 	"github.com/carobknot/carobknot/pkg/carobcall"
 	"github.com/carobknot/carobknot/pkg/carobcallid"
@@ -76,6 +77,8 @@
 
 	// Loads has the entry side's view of targets.
 	Loads *carobtable.Table[carobtargetid.ID, carobload.Load]
+	// Buckets has the budget of measuring.
+	Buckets *carobtable.Table[carobword.Word, carobbucket.Bucket]
 	// Paces has how fast services answer.
 	Paces *carobtable.Table[carobservice.Service, carobpace.Pace]
 
@@ -141,7 +144,11 @@
 
 // NewWorld returns a world with empty tables.
 func NewWorld(c Config) *World {
-	const stream = 1
+	const (
+		stream = 1
+		// measures is how many things the budget of measuring caps.
+		measures = 2
+	)
 	w := &World{
 		Self:         c.Self,
 		ProfilesRead: caroboffset.None,
@@ -153,6 +160,7 @@
 		Random:      rand.New(rand.NewPCG(c.Seed, stream)), //nolint:gosec // choices must repeat under a seed
 		Targets:     carobtable.NewTable[carobtargetid.ID, carobtarget.Target](carobtable.Config{Limit: c.Limits.Targets}),
 		Groups:      carobtable.NewTable[carobservice.Service, carobgroup.Group](carobtable.Config{Limit: c.Limits.Targets}),
+		Buckets:     carobtable.NewTable[carobword.Word, carobbucket.Bucket](carobtable.Config{Limit: measures}),
 		Paces:       carobtable.NewTable[carobservice.Service, carobpace.Pace](carobtable.Config{Limit: c.Limits.Targets}),
 		Loads:       carobtable.NewTable[carobtargetid.ID, carobload.Load](carobtable.Config{Limit: c.Limits.Targets}),
 		Gates:       carobtable.NewTable[carobtargetid.ID, carobgate.Gate](carobtable.Config{Limit: c.Limits.Targets}),
