--- a/pkg/carobbucket/bucket.go
+++ b/pkg/carobbucket/bucket.go
@@ -5,7 +5,7 @@
 
 // Bucket holds tokens. An empty one is ready to be filled.
 type Bucket struct {
-	// Tokens is what may be spent now, at least 0.
+	// Tokens is what may be spent now. Only Overdraw takes it below 0.
 	Tokens float64
 	// Filled is as of when the bucket was last filled by time.
 	Filled carobinstant.Instant
@@ -41,3 +41,16 @@
 	b.Spent += tokens
 	return true
 }
+
+// Overdraw takes tokens out, even more than there are, unless the bucket is
+// empty, and reports whether it did. So an amount larger than the bucket is
+// spent too, and waited for afterwards.
+func (b *Bucket) Overdraw(tokens float64) bool {
+	if b.Tokens <= 0 {
+		b.Denied++
+		return false
+	}
+	b.Tokens -= tokens
+	b.Spent += tokens
+	return true
+}
--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -11,7 +11,10 @@
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobadmission"
 	"github.com/carobknot/carobknot/pkg/carobcatchup"
+	"github.com/carobknot/carobknot/pkg/carobclaiming"
 	"github.com/carobknot/carobknot/pkg/carobcompaction"
+	"github.com/carobknot/carobknot/pkg/carobdetection"
+	"github.com/carobknot/carobknot/pkg/carobdissemination"
 	"github.com/carobknot/carobknot/pkg/carobejection"
 	"github.com/carobknot/carobknot/pkg/carobentry"
 	"github.com/carobknot/carobknot/pkg/carobfencing"
@@ -20,10 +23,12 @@
 	"github.com/carobknot/carobknot/pkg/carobhedging"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/carobjoining"
 	"github.com/carobknot/carobknot/pkg/carobmembership"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobpause"
 	"github.com/carobknot/carobknot/pkg/carobprobing"
+	"github.com/carobknot/carobknot/pkg/carobreconciliation"
 	"github.com/carobknot/carobknot/pkg/carobregistry"
 	"github.com/carobknot/carobknot/pkg/carobrouting"
 	"github.com/carobknot/carobknot/pkg/carobshutdown"
@@ -53,9 +58,15 @@
 const (
 	tickPeriod    = 200 * time.Millisecond
 	tickAllowance = time.Second
+	// claimPatience is longer than an append to the log may take.
+	claimPatience = 2500 * time.Millisecond
+	claimGap      = 25 * time.Millisecond
+	claimLull     = 200 * time.Millisecond
+	claimPause    = 200 * time.Millisecond
+	claimKeys     = 50_000
+	claimKept     = 4 << 20
+	// targetSilence is how long a target may go without an announcement.
 	targetSilence = 3 * time.Second
-	gossipPeriod  = 200 * time.Millisecond
-	gossipFanout  = 3
 )
 
 // NewCore returns a core with empty tables.
@@ -65,13 +76,19 @@
 		systems: []system{
 			carobpause.NewSystem(carobpause.Config{Period: tickPeriod, Allowance: tickAllowance}),
 			carobregistry.NewSystem(carobregistry.Config{Silence: targetSilence}),
-			carobmembership.NewSystem(carobmembership.Config{Period: gossipPeriod, Fanout: gossipFanout, Seeds: c.Seeds}),
+			carobjoining.NewSystem(carobjoining.Config{Seeds: c.Seeds}),
+			carobmembership.NewSystem(),
+			carobdetection.NewSystem(),
+			carobreconciliation.NewSystem(),
 			carobfold.NewSystem(),
 			carobcatchup.NewSystem(),
 			carobcompaction.NewSystem(),
 			carobgrouping.NewSystem(),
 			carobfencing.NewSystem(),
 			carobadmission.NewSystem(),
+			carobclaiming.NewSystem(carobclaiming.Config{
+				Gap: claimGap, Lull: claimLull, Patience: claimPatience, Pause: claimPause, Keys: claimKeys, Kept: claimKept,
+			}),
 			carobentry.NewSystem(),
 			carobprobing.NewSystem(),
 			carobrouting.NewSystem(),
@@ -79,6 +96,7 @@
 			carobhedging.NewSystem(),
 			carobtracing.NewSystem(carobtracing.Config{Seed: c.World.Seed}),
 			carobshutdown.NewSystem(),
+			carobdissemination.NewSystem(),
 		},
 	}
 }
--- a/pkg/carobinquiry/inquiry.go
+++ b/pkg/carobinquiry/inquiry.go
@@ -1,12 +1,16 @@
-// Package carobinquiry holds the question for the load of a target.
+// Package carobinquiry holds the rows of the probes that wait for an answer.
 package carobinquiry
 
 import (
-	"github.com/carobknot/carobknot/pkg/carobtargetid"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/carobnodeid"
 )
 
-// Inquiry asks a target's node for a report.
+// Inquiry is a probe of a node that has not answered yet.
 type Inquiry struct {
-	// Target is checked when it is decoded.
-	Target carobtargetid.ID `json:"target"`
+	Node carobnodeid.ID
+	// Sent is when the probe was sent.
+	Sent carobinstant.Instant
+	// Relayed says that other nodes were asked to probe too.
+	Relayed bool
 }
--- a/pkg/carobprobing/system.go
+++ b/pkg/carobprobing/system.go
@@ -8,10 +8,10 @@
 
 	"github.com/carobknot/carobknot/pkg/carobbucket"
 	"github.com/carobknot/carobknot/pkg/carobgate"
-	"github.com/carobknot/carobknot/pkg/carobinquiry"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobload"
 	"github.com/carobknot/carobknot/pkg/carobmessage"
+	"github.com/carobknot/carobknot/pkg/carobpoll"
 	"github.com/carobknot/carobknot/pkg/carobreport"
 	"github.com/carobknot/carobknot/pkg/carobspan"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
@@ -61,7 +61,7 @@
 func (s *System) Run(w *carobworld.World, now carobinstant.Instant) {
 	for _, ms := range w.Inbox.Messages {
 		switch {
-		case ms.Inquiry != nil:
+		case ms.Poll != nil:
 			answer(w, now, ms)
 		case ms.Report != nil:
 			hear(w, now, ms.Report)
@@ -80,7 +80,7 @@
 
 // answer tells the load of an own target.
 func answer(w *carobworld.World, now carobinstant.Instant, ms carobmessage.Message) {
-	tg, gt := w.Targets.Get(ms.Inquiry.Target), w.Gates.Get(ms.Inquiry.Target)
+	tg, gt := w.Targets.Get(ms.Poll.Target), w.Gates.Get(ms.Poll.Target)
 	if tg == nil || gt == nil || !w.Owns(tg) || !pay(w, now, tg.ID) {
 		return
 	}
@@ -146,7 +146,7 @@
 		return
 	}
 	ld.Asked = now
-	w.Tell(carobmessage.Message{To: pr.Member.Peer, Inquiry: &carobinquiry.Inquiry{Target: id}})
+	w.Tell(carobmessage.Message{To: pr.Member.Peer, Poll: &carobpoll.Poll{Target: id}})
 }
 
 // pay takes the price of one message out of both buckets, or out of none.
--- a/pkg/carobprobing/system_test.go
+++ b/pkg/carobprobing/system_test.go
@@ -11,7 +11,6 @@
 	"github.com/carobknot/carobknot/pkg/carobgate"
 	"github.com/carobknot/carobknot/pkg/carobgroup"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
-	"github.com/carobknot/carobknot/pkg/carobinquiry"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/caroblimits"
 	"github.com/carobknot/carobknot/pkg/carobload"
@@ -19,6 +18,7 @@
 	"github.com/carobknot/carobknot/pkg/carobmember"
 	"github.com/carobknot/carobknot/pkg/carobmessage"
 	"github.com/carobknot/carobknot/pkg/carobpeer"
+	"github.com/carobknot/carobknot/pkg/carobpoll"
 	"github.com/carobknot/carobknot/pkg/carobprofile"
 	"github.com/carobknot/carobknot/pkg/carobrate"
 	"github.com/carobknot/carobknot/pkg/carobreport"
@@ -58,7 +58,7 @@
 	require.NotEqual(t, carobinstant.Never, w.Wake())
 	sent := tick(s, w, second.Add(200*time.Millisecond))
 	require.Len(t, sent, 1)
-	require.Equal(t, other, sent[0].Inquiry.Target)
+	require.Equal(t, other, sent[0].Poll.Target)
 	require.Empty(t, tick(s, w, second.Add(400*time.Millisecond)), "an answer is under way")
 	require.Empty(t, tick(s, w, second.Add(410*time.Millisecond),
 		carobmessage.Message{Report: &carobreport.Report{Target: other, Running: 7}}))
@@ -72,10 +72,10 @@
 	own := carobtargetid.ID{Service: "lookups", Name: "a"}
 	w.Targets.Put(own, carobtarget.Target{ID: own, Node: "one"})
 	w.Gates.Put(own, carobgate.Gate{Limit: 12, Running: 3, Queued: 1, Latency: time.Second, Learned: now.Add(-time.Minute)})
-	sent := tick(s, w, now, carobmessage.Message{Back: "127.0.0.1:2", Inquiry: &carobinquiry.Inquiry{Target: own}})
+	sent := tick(s, w, now, carobmessage.Message{Back: "127.0.0.1:2", Poll: &carobpoll.Poll{Target: own}})
 	require.Len(t, sent, 1)
 	require.Equal(t, &carobreport.Report{Target: own, Running: 3, Queued: 1, Slots: 12, Latency: sent[0].Report.Latency}, sent[0].Report)
-	require.Empty(t, tick(s, w, now, carobmessage.Message{Inquiry: &carobinquiry.Inquiry{Target: other}}), "not an own target")
+	require.Empty(t, tick(s, w, now, carobmessage.Message{Poll: &carobpoll.Poll{Target: other}}), "not an own target")
 }
 
 // Whatever comes, the budget holds over all, and out of budget means no message.
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -4,6 +4,8 @@
 import (
 	"math/rand/v2"
 
+	"github.com/carobknot/carobknot/pkg/carobaddress"
+	"github.com/carobknot/carobknot/pkg/carobaudit"
 	"github.com/carobknot/carobknot/pkg/carobbucket"
 	"github.com/carobknot/carobknot/pkg/carobbudget"
 	"github.com/carobknot/carobknot/pkg/carobcall"
@@ -11,8 +13,10 @@
 	"github.com/carobknot/carobknot/pkg/carobfinish"
 	"github.com/carobknot/carobknot/pkg/carobgate"
 	"github.com/carobknot/carobknot/pkg/carobgroup"
+	"github.com/carobknot/carobknot/pkg/carobhome"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
+	"github.com/carobknot/carobknot/pkg/carobinquiry"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobjob"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
@@ -31,11 +35,13 @@
 	"github.com/carobknot/carobknot/pkg/carobrevision"
 	"github.com/carobknot/carobknot/pkg/carobring"
 	"github.com/carobknot/carobknot/pkg/carobservice"
+	"github.com/carobknot/carobknot/pkg/carobshard"
 	"github.com/carobknot/carobknot/pkg/carobsnapshot"
 	"github.com/carobknot/carobknot/pkg/carobtable"
 	"github.com/carobknot/carobknot/pkg/carobtarget"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 	"github.com/carobknot/carobknot/pkg/carobtrace"
+	"github.com/carobknot/carobknot/pkg/carobunsettled"
 	"github.com/carobknot/carobknot/pkg/carobwatermark"
 	"github.com/carobknot/carobknot/pkg/carobword"
 )
@@ -72,6 +78,14 @@
 	Groups *carobtable.Table[carobservice.Service, carobgroup.Group]
 	// Peers has all other nodes known.
 	Peers *carobtable.Table[carobnodeid.ID, carobpeer.Peer]
+	// News has the peers whose newest word is still to be passed on.
+	News *carobtable.Table[carobnodeid.ID, struct{}]
+	// Hints has where nodes were by the log, of nodes that are not known.
+	Hints *carobtable.Table[carobnodeid.ID, carobaddress.Address]
+	// Inquiries has the probes that are not answered, by their numbers.
+	Inquiries *carobtable.Table[uint64, carobinquiry.Inquiry]
+	// Farewell says that this node has said goodbye to the others.
+	Farewell bool
 
 	// Routing and measuring.
 
@@ -101,6 +115,12 @@
 	Forgotten, Barred carobincarnation.Incarnation
 	// Budgets has the budget of each service's resends and hedges.
 	Budgets *carobtable.Table[carobservice.Service, carobbudget.Budget]
+	// Homes has the shards of idempotency keys that this node is home of.
+	Homes *carobtable.Table[carobshard.Shard, carobhome.Home]
+	// Commits counts the batches of claims of this node.
+	Commits uint64
+	// Unsettled has the ended calls whose ends their homes do not have yet.
+	Unsettled *carobtable.Table[carobcallid.ID, carobunsettled.Unsettled]
 	// Paused says that more time passed before this tick than ticks allow.
 	Paused bool
 
@@ -142,6 +162,9 @@
 	heldChanges = 1024
 )
 
+// inquiries is the most probes that wait for an answer.
+const inquiries = 64
+
 // NewWorld returns a world with empty tables.
 func NewWorld(c Config) *World {
 	const (
@@ -164,6 +187,9 @@
 		Paces:       carobtable.NewTable[carobservice.Service, carobpace.Pace](carobtable.Config{Limit: c.Limits.Targets}),
 		Loads:       carobtable.NewTable[carobtargetid.ID, carobload.Load](carobtable.Config{Limit: c.Limits.Targets}),
 		Gates:       carobtable.NewTable[carobtargetid.ID, carobgate.Gate](carobtable.Config{Limit: c.Limits.Targets}),
+		News:        carobtable.NewTable[carobnodeid.ID, struct{}](carobtable.Config{Limit: c.Limits.Peers}),
+		Hints:       carobtable.NewTable[carobnodeid.ID, carobaddress.Address](carobtable.Config{Limit: c.Limits.Peers}),
+		Inquiries:   carobtable.NewTable[uint64, carobinquiry.Inquiry](carobtable.Config{Limit: inquiries}),
 		Peers:       carobtable.NewTable[carobnodeid.ID, carobpeer.Peer](carobtable.Config{Limit: c.Limits.Peers}),
 		CallTraces:  carobtable.NewTable[carobcallid.ID, carobtrace.Trace](carobtable.Config{Limit: 2 * c.Limits.Calls}),
 		JobTraces:   carobtable.NewTable[carobjobid.ID, carobtrace.Trace](carobtable.Config{Limit: 2 * c.Limits.Jobs}),
@@ -235,3 +261,9 @@
 	ms.From, ms.Incarnation, ms.Back = w.Self.Node, w.Self.Incarnation, w.Self.Peer
 	w.Outbox.Messages = append(w.Outbox.Messages, ms)
 }
+
+// Note adds an entry to the audit trail: a part of the system saw that something
+// changed, and by whom.
+func (w *World) Note(part, who, what, from, to string) {
+	w.Outbox.Audits = append(w.Outbox.Audits, carobaudit.Audit{Part: part, Who: who, What: what, From: from, To: to})
+}
