Keep a stable subset of targets in view, and go to the own data centre first

A node keeps spread targets of a service in view, by rendezvous hashing, those of its own data centre first; calls stay in it while a target there is loaded below near and not slow.

--- a/internal/carobbench/bench.go
+++ b/internal/carobbench/bench.go
@@ -20,7 +20,8 @@
 	Program string
 	// Folder takes the settings and profiles of the processes.
 	Folder string
-	// Deployments, Cases and Variants name what is measured; empty is all.
+	// Deployments, Cases and Variants name what is measured; empty is all
+	// deployments, the deciding cases and the usual variants.
 	Deployments, Cases, Variants []string
 	// Rounds is how often each cell is measured; it is positive.
 	Rounds int
@@ -48,6 +49,12 @@
 
 // NewBench returns a bench that has measured nothing yet.
 func NewBench(c Config) *Bench {
+	if len(c.Cases) == 0 {
+		c.Cases = deciding
+	}
+	if len(c.Variants) == 0 {
+		c.Variants = usual
+	}
 	return &Bench{config: c}
 }
 
--- a/internal/carobbench/cases.go
+++ b/internal/carobbench/cases.go
@@ -33,6 +33,9 @@
 	return usual * time.Duration(max(s.stretch, 1))
 }
 
+// deciding has the names of the cases that are measured if none are named.
+var deciding = []string{"steady80", "noisy", "straggler", "failfast", "drain", "overload"}
+
 // cases is the look-up table of all scenarios. To add one, add a row.
 var cases = []scenario{
 	{name: "steady50", load: 0.5, deadline: patient},
--- a/pkg/carobgroup/group.go
+++ b/pkg/carobgroup/group.go
@@ -12,4 +12,6 @@
 	Profile carobword.Word
 	// Targets are in the order of their names.
 	Targets []carobtargetid.ID
+	// View has the targets that this node keeps in view, if they are not all.
+	View []carobtargetid.ID
 }
--- a/pkg/carobrouting/system.go
+++ b/pkg/carobrouting/system.go
@@ -56,6 +56,7 @@
 		return
 	}
 	age(s.candidates)
+	s.candidates = nearest(s.candidates, float64(cl.Profile.Near))
 	chosen := policyOf(cl.Profile.Policy).pick(w.Random, s.candidates)
 	s.send(w, now, cl, s.candidates[chosen])
 }
@@ -79,21 +80,25 @@
 }
 
 // collect lists the targets that may get the next attempt. Targets that have
-// refused the call already come in only when no other is left.
+// refused the call already come in only when no other is left, and those out of
+// view only when no one in view is ready.
 func (s *System) collect(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call) {
 	s.candidates = s.candidates[:0]
 	gp := w.Groups.Get(cl.Arrival.Service)
 	if gp == nil {
 		return
 	}
-	for _, again := range []bool{false, true} {
-		for _, id := range gp.Targets {
-			if tried(cl, id) == again {
-				s.consider(w, now, id)
+	inView := view(w, gp, cl.Profile.Spread)
+	for _, ids := range [][]carobtargetid.ID{inView, gp.Targets} {
+		for _, again := range []bool{false, true} {
+			for _, id := range ids {
+				if tried(cl, id) == again {
+					s.consider(w, now, id)
+				}
+			}
+			if len(s.candidates) > 0 {
+				return
 			}
-		}
-		if len(s.candidates) > 0 {
-			return
 		}
 	}
 }
