Write hops, audits and ordered records into the log in batches

Cause: nothing carried Outbox.Hops, Outbox.Audits and Outbox.Appends to the log; the node's own record was appended by a loop of its own.

Change: carobscribe packs entries by gzip, makes one append a stream in five seconds (0.2 s after the first entry when it was idle), keeps 8 MiB of packs through an outage, and tells in the next pack how many entries were dropped. Ordered records are tried again until they stand, the newest for each stream.

Seen: go test -race ./internal/carobscribe ./internal/carobcourier passes: 20 packs of 1,000 hops survive an outage; beyond the bound entries + dropped are what came, and the packs tell the same number lost.

--- a/internal/carobcodec/codec.go
+++ b/internal/carobcodec/codec.go
@@ -2,6 +2,8 @@
 package carobcodec
 
 import (
+	"sync/atomic"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/carobknot/carobknot/pkg/carobkind"
@@ -11,6 +13,8 @@
 type Codec struct {
 	encode cbor.EncMode
 	decode cbor.DecMode
+	// broken counts what could not be decoded.
+	broken atomic.Uint64
 }
 
 // NewCodec returns the codec, whose bounds keep a hostile message from costing
@@ -50,7 +54,13 @@
 // Unmarshal decodes a message.
 func (c *Codec) Unmarshal(data []byte, message any) error {
 	if err := c.decode.Unmarshal(data, message); err != nil {
+		c.broken.Add(1)
 		return carobkind.Wrap(carobkind.Invalid, err, "decode message")
 	}
 	return nil
 }
+
+// Broken returns how many messages could not be decoded.
+func (c *Codec) Broken() uint64 {
+	return c.broken.Load()
+}
--- a/internal/carobnode/node.go
+++ b/internal/carobnode/node.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"time"
 
@@ -19,6 +18,7 @@
 	"github.com/carobknot/carobknot/internal/carobmeter"
 	"github.com/carobknot/carobknot/internal/carobplatform"
 	"github.com/carobknot/carobknot/internal/carobpool"
+	"github.com/carobknot/carobknot/internal/carobscribe"
 	"github.com/carobknot/carobknot/internal/carobsettings"
 	"github.com/carobknot/carobknot/internal/carobsplitter"
 	"github.com/carobknot/carobknot/internal/carobtail"
@@ -26,8 +26,8 @@
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobkind"
-	"github.com/carobknot/carobknot/pkg/carobmember"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
+	"github.com/carobknot/carobknot/pkg/carobsize"
 	"github.com/carobknot/carobknot/pkg/carobstream"
 )
 
@@ -98,11 +98,13 @@
 	courier := do.MustInvoke[*carobcourier.Courier](n.injector)
 	admin := do.MustInvoke[*carobadmin.Admin](n.injector)
 	attempts := do.MustInvoke[*attemptServer](n.injector)
+	scribe := do.MustInvoke[*carobscribe.Scribe](n.injector)
 
 	control.Attach(do.MustInvoke[*carobadmitter.Admitter](n.injector))
 	control.Attach(entrance)
 	control.Attach(courier)
 	control.Attach(do.MustInvoke[*carobmeter.Meter](n.injector))
+	control.Attach(scribe)
 	control.Attach(n)
 
 	go timer.Run(inner)
@@ -110,7 +112,7 @@
 	go splitter.Run(inner)
 	go n.follow(inner, carobstream.Profiles)
 	go n.follow(inner, carobstream.Nodes)
-	go n.join(inner)
+	go scribe.Run(inner)
 	failed := make(chan error, 1)
 	serve := func(part string, run func(net.Listener) error, ls net.Listener) {
 		if err := run(ls); err != nil && inner.Err() == nil {
@@ -157,6 +159,7 @@
 	_ = do.MustInvoke[*carobtimer.Timer](n.injector).Wait(last, goodbye)
 	closing, closed := context.WithTimeout(cx, closePatience)
 	defer closed()
+	do.MustInvoke[*carobscribe.Scribe](n.injector).Flush(closing)
 	_ = do.MustInvoke[*attemptServer](n.injector).ShutdownWithContext(closing)
 	_ = do.MustInvoke[*carobcourier.Courier](n.injector).Shutdown(closing)
 	_ = do.MustInvoke[*carobadmin.Admin](n.injector).Shutdown(closing)
@@ -184,21 +187,6 @@
 	}).Run(cx)
 }
 
-// join announces the node in the log, so that others find it.
-func (n *Node) join(cx context.Context) {
-	data, err := json.Marshal(do.MustInvoke[carobmember.Member](n.injector))
-	if err != nil {
-		return
-	}
-	client := do.MustInvoke[*carobplatform.Client](n.injector)
-	for cx.Err() == nil {
-		if _, err := client.Append(cx, carobstream.Nodes, data); err == nil {
-			return
-		}
-		_ = do.MustInvoke[*carobtimer.Timer](n.injector).Wait(cx, joinPause)
-	}
-}
-
 func (n *Node) closeListeners() {
 	for _, ls := range []net.Listener{n.call, n.peer, n.admin} {
 		if ls != nil {
@@ -207,6 +195,9 @@
 	}
 }
 
+// scribeKept is the most bytes that are kept of each stream while the log is out.
+const scribeKept = 8 * carobsize.MiB
+
 // Pools of connections.
 var (
 	peerPool   = carobpool.Config{Dial: time.Second, Idle: 30 * time.Second, Kept: 256, Ask: true}
--- a/internal/carobnode/wire.go
+++ b/internal/carobnode/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/samber/do/v2"
+	"github.com/sirupsen/logrus"
 
 	"github.com/carobknot/carobknot/internal/carobadmin"
 	"github.com/carobknot/carobknot/internal/carobcodec"
@@ -10,6 +11,7 @@
 	"github.com/carobknot/carobknot/internal/carobmailbox"
 	"github.com/carobknot/carobknot/internal/carobmeter"
 	"github.com/carobknot/carobknot/internal/carobplatform"
+	"github.com/carobknot/carobknot/internal/carobscribe"
 	"github.com/carobknot/carobknot/internal/carobsplitter"
 	"github.com/carobknot/carobknot/internal/carobtimer"
 	"github.com/carobknot/carobknot/pkg/carobcore"
@@ -63,6 +65,12 @@
 	do.Provide(i, func(do.Injector) (*carobplatform.Client, error) {
 		return carobplatform.NewClient(carobplatform.Config{URL: st.Log, Patience: logPatience}), nil
 	})
+	do.Provide(i, func(i do.Injector) (*carobscribe.Scribe, error) {
+		return carobscribe.NewScribe(carobscribe.Config{
+			Self: do.MustInvoke[carobmember.Member](i), Log: do.MustInvoke[*carobplatform.Client](i),
+			Timer: do.MustInvoke[*carobtimer.Timer](i), Logger: logrus.NewEntry(n.config.Logger), Kept: scribeKept,
+		}), nil
+	})
 	do.Provide(i, func(i do.Injector) (*carobadmin.Admin, error) {
 		return carobadmin.NewAdmin(carobadmin.Config{
 			Mailbox: do.MustInvoke[*carobmailbox.Mailbox](i), Control: do.MustInvoke[*carobcontrol.Control](i),
