--- a/pkg/carobgate/gate.go
+++ b/pkg/carobgate/gate.go
@@ -21,7 +21,8 @@
 	Latency time.Duration
 	// Changed says that the newest report of the target's load is out of date.
 	Changed bool
-	// Learned is as of when Latency is; Never before the first call.
+	// Learned is when the newest call that Latency is made of started; Never before
+	// the first call.
 	Learned carobinstant.Instant
 	// Since is when the target came, for the ramp of a cold start.
 	Since carobinstant.Instant
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -36,6 +36,7 @@
 	"github.com/carobknot/carobknot/pkg/carobtable"
 	"github.com/carobknot/carobknot/pkg/carobtarget"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
+	"github.com/carobknot/carobknot/pkg/carobtrace"
 	"github.com/carobknot/carobknot/pkg/carobwatermark"
 	"github.com/carobknot/carobknot/pkg/carobword"
 )
@@ -124,6 +125,13 @@
 	Snapshot        caroboffset.Offset
 	SnapshotThrough caroboffset.Offset
 
+	// Tracing.
+
+	// CallTraces has the hops of the calls that this node is the entry of.
+	CallTraces *carobtable.Table[carobcallid.ID, carobtrace.Trace]
+	// JobTraces has the hops of the jobs at the node's own targets.
+	JobTraces *carobtable.Table[carobjobid.ID, carobtrace.Trace]
+
 	// The tick at hand.
 
 	Inbox  carobinbox.Inbox
@@ -162,6 +170,8 @@
 		Hints:       carobtable.NewTable[carobnodeid.ID, carobaddress.Address](carobtable.Config{Limit: c.Limits.Peers}),
 		Inquiries:   carobtable.NewTable[uint64, carobinquiry.Inquiry](carobtable.Config{Limit: inquiries}),
 		Peers:       carobtable.NewTable[carobnodeid.ID, carobpeer.Peer](carobtable.Config{Limit: c.Limits.Peers}),
+		CallTraces:  carobtable.NewTable[carobcallid.ID, carobtrace.Trace](carobtable.Config{Limit: 2 * c.Limits.Calls}),
+		JobTraces:   carobtable.NewTable[carobjobid.ID, carobtrace.Trace](carobtable.Config{Limit: 2 * c.Limits.Jobs}),
 		Profiles:    carobtable.NewTable[carobword.Word, carobrevision.Revision](carobtable.Config{Limit: carobrevision.Most}),
 	}
 	w.makeCalls(c.Limits)
