--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -3,6 +3,8 @@
 package carobentry
 
 import (
+	"github.com/samber/lo"
+
 	"github.com/carobknot/carobknot/pkg/carobarrival"
 	"github.com/carobknot/carobknot/pkg/carobcall"
 	"github.com/carobknot/carobknot/pkg/carobcallid"
@@ -12,8 +14,11 @@
 	"github.com/carobknot/carobknot/pkg/carobjobid"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobonce"
+	"github.com/carobknot/carobknot/pkg/carobreadiness"
 	"github.com/carobknot/carobknot/pkg/carobreply"
+	"github.com/carobknot/carobknot/pkg/carobservice"
 	"github.com/carobknot/carobknot/pkg/carobstage"
+	"github.com/carobknot/carobknot/pkg/carobtargetid"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
@@ -71,7 +76,7 @@
 // objection returns why a call cannot be taken in at all, or None.
 func objection(w *carobworld.World, ar carobarrival.Arrival) carobkind.Kind {
 	switch {
-	case w.Stopping:
+	case w.Stopping && !servedElsewhere(w, ar.Service):
 		return carobkind.Leaving
 	case w.Calls.Full():
 		return carobkind.Busy
@@ -84,6 +89,16 @@
 	}
 }
 
+// servedElsewhere reports whether another node has a target of the service. A
+// node that is stopping still serves the calls that come on open connections.
+func servedElsewhere(w *carobworld.World, service carobservice.Service) bool {
+	gp := w.Groups.Get(service)
+	return gp != nil && lo.SomeBy(gp.Targets, func(id carobtargetid.ID) bool {
+		tg := w.Targets.Get(id)
+		return tg != nil && !w.Owns(tg) && tg.State == carobreadiness.Ready
+	})
+}
+
 func reply(w *carobworld.World, now carobinstant.Instant, rp carobreply.Reply) {
 	cl := w.Calls.Get(rp.Job.Call)
 	if cl == nil || rp.Job.Attempt < 1 || rp.Job.Attempt > len(cl.Attempts) {
