--- a/internal/carobsettings/settings.go
+++ b/internal/carobsettings/settings.go
@@ -27,7 +27,7 @@
 	// Peer is where the node listens for other nodes.
 	Peer carobaddress.Address `json:"peer"`
 	// Public is where other nodes reach the node, if that is not Peer.
-	Public carobaddress.Address `json:"public"`
+	Public carobaddress.Address `json:"public,omitempty"`
 	// Admin is where the VM's own targets and operators reach the node.
 	Admin carobaddress.Address `json:"admin"`
 	// Log is the URL of the platform's log.
