--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -11,6 +11,7 @@
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobadmission"
 	"github.com/carobknot/carobknot/pkg/carobcatchup"
+	"github.com/carobknot/carobknot/pkg/carobclaiming"
 	"github.com/carobknot/carobknot/pkg/carobcompaction"
 	"github.com/carobknot/carobknot/pkg/carobdetection"
 	"github.com/carobknot/carobknot/pkg/carobdissemination"
@@ -56,6 +57,13 @@
 const (
 	tickPeriod    = 200 * time.Millisecond
 	tickAllowance = time.Second
+	// claimPatience is longer than an append to the log may take.
+	claimPatience = 2500 * time.Millisecond
+	claimGap      = 25 * time.Millisecond
+	claimLull     = 200 * time.Millisecond
+	claimPause    = 200 * time.Millisecond
+	claimKeys     = 50_000
+	claimKept     = 4 << 20
 	// targetSilence is how long a target may go without an announcement.
 	targetSilence = 3 * time.Second
 )
@@ -77,6 +85,9 @@
 			carobgrouping.NewSystem(),
 			carobfencing.NewSystem(),
 			carobadmission.NewSystem(),
+			carobclaiming.NewSystem(carobclaiming.Config{
+				Gap: claimGap, Lull: claimLull, Patience: claimPatience, Pause: claimPause, Keys: claimKeys, Kept: claimKept,
+			}),
 			carobentry.NewSystem(),
 			carobrouting.NewSystem(),
 			carobejection.NewSystem(),
