--- a/test/fuzz/entry_test.go
+++ b/test/fuzz/entry_test.go
@@ -10,6 +10,7 @@
 	"github.com/carobknot/carobknot/pkg/carobdelivery"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
+	"github.com/carobknot/carobknot/pkg/carobkept"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroboffer"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
@@ -107,6 +108,10 @@
 		n.s.oracle.told(call.String(), string(cn.Kind.Outcome()), "")
 		return
 	}
+	if cn.Kept != nil {
+		n.s.oracle.told(call.String(), "answered", string(cn.Kept.Body))
+		return
+	}
 	at := x.attempts[cn.Attempt]
 	if at == nil || at.body == "" {
 		n.s.oracle.complain("call %s is concluded with attempt %d, which has no answer", call, cn.Attempt)
@@ -114,7 +119,9 @@
 	}
 	n.s.oracle.told(call.String(), "answered", strings.Clone(at.body))
 	n.post(func(in *carobinbox.Inbox) {
-		in.Deliveries = append(in.Deliveries, carobdelivery.Delivery{Job: carobjobid.ID{Call: call, Attempt: cn.Attempt}})
+		in.Deliveries = append(in.Deliveries, carobdelivery.Delivery{
+			Job: carobjobid.ID{Call: call, Attempt: cn.Attempt}, Kept: &carobkept.Kept{Body: []byte(at.body)},
+		})
 	})
 }
 
--- a/test/fuzz/node_test.go
+++ b/test/fuzz/node_test.go
@@ -55,6 +55,8 @@
 	// be appended.
 	marks   map[carobstream.Stream]carobmark.Mark
 	waiting map[carobstream.Stream][]byte
+	// follows counts the orders to follow each stream, or to stop that.
+	follows map[carobstream.Stream]int
 	// open are the attempts on their way to other places.
 	open       []*attempt
 	born, died time.Duration
@@ -91,7 +93,7 @@
 	s.lives++
 	n := &node{
 		s: s, place: place, alive: true, born: s.elapsed(), logless: s.elapsed(),
-		marks: map[carobstream.Stream]carobmark.Mark{}, waiting: map[carobstream.Stream][]byte{},
+		marks: map[carobstream.Stream]carobmark.Mark{}, follows: map[carobstream.Stream]int{}, waiting: map[carobstream.Stream][]byte{},
 		skew:  time.Duration(s.random.Int64N(int64(time.Hour))),
 		calls: map[carobcallid.ID]*exchange{}, tasks: map[carobjobid.ID]*task{}, reports: map[carobtargetid.ID]carobreport.Report{},
 		self: carobmember.Member{
@@ -250,6 +252,7 @@
 func (n *node) carry(out *caroboutbox.Outbox) {
 	n.carryJobs(out)
 	n.carryCalls(out)
+	n.carryClaims(out)
 	for _, ms := range out.Messages {
 		n.s.carry(n.place, ms)
 	}
