--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -27,6 +27,7 @@
 	"github.com/carobknot/carobknot/pkg/carobmembership"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobpause"
+	"github.com/carobknot/carobknot/pkg/carobprobing"
 	"github.com/carobknot/carobknot/pkg/carobreconciliation"
 	"github.com/carobknot/carobknot/pkg/carobregistry"
 	"github.com/carobknot/carobknot/pkg/carobrouting"
@@ -90,6 +91,7 @@
 				Gap: claimGap, Lull: claimLull, Patience: claimPatience, Pause: claimPause, Keys: claimKeys, Kept: claimKept,
 			}),
 			carobentry.NewSystem(),
+			carobprobing.NewSystem(),
 			carobrouting.NewSystem(),
 			carobejection.NewSystem(),
 			carobhedging.NewSystem(),
--- a/pkg/carobhedging/system.go
+++ b/pkg/carobhedging/system.go
@@ -20,11 +20,6 @@
 )
 
 const (
-	// share is the most second attempts for each call. Together with the retries
-	// after failures they have to stay below a twentieth.
-	share = 0.045
-	// saved is the most second attempts that are saved up.
-	saved = 2
 	// again is how often within a delay a call is looked at once more that got no
 	// second attempt since the budget was spent or all targets were busy.
 	again = 2
@@ -93,9 +88,6 @@
 	if pc == nil {
 		return
 	}
-	if sd.Job.Attempt == 1 {
-		pc.Hedges.Earn(share, saved)
-	}
 	if !mayHedge(cl) || pc.Latency.Weight() < enough {
 		return
 	}
@@ -120,7 +112,7 @@
 		return
 	}
 	s.due.Set(id, now.Add(delay(cl, pc)/again))
-	if pc.Hedges.Tokens >= 1 {
+	if w.BudgetOf(cl.Arrival.Service).Tokens >= 1 {
 		cl.Extra = true
 		w.WakeAt(now.Add(time.Nanosecond))
 	}
