--- a/test/capacity/nodes_test.go
+++ b/test/capacity/nodes_test.go
@@ -86,7 +86,7 @@
 	program := filepath.Join(t.TempDir(), "carobknot")
 	require.NoError(t, exec.Command("go", "build", "-o", program, "../../cmd/carobknot").Run())
 	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "nodes\tcpu us/s\tshare of a core\tresident MiB\twritten B/s\t")
+	_, _ = fmt.Fprintln(table, "nodes\tcpu us/s\tshare of a core\tresident MiB\twritten B/s\t")
 	for _, n := range []int{2, 10, 30} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) { measureIdle(t, table, program, n) })
 	}
@@ -123,5 +123,5 @@
 	}
 	each := float64(n) * span.Seconds()
 	micros := float64(sum.processor.Microseconds()) / each
-	fmt.Fprintf(table, "%d\t%.0f\t%.2f%%\t%.1f\t%.0f\t\n", n, micros, micros/1e4, float64(sum.resident)/1024/float64(n), float64(sum.written)/each)
+	_, _ = fmt.Fprintf(table, "%d\t%.0f\t%.2f%%\t%.1f\t%.0f\t\n", n, micros, micros/1e4, float64(sum.resident)/1024/float64(n), float64(sum.written)/each)
 }
--- a/test/capacity/slopes_test.go
+++ b/test/capacity/slopes_test.go
@@ -54,7 +54,7 @@
 // Processor time is that of the whole harness, encoding and decoding included.
 func TestSlopeOfMembership(t *testing.T) {
 	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "members\tcase\tB/s\tmost B/s\tbatches/s\tcpu us/s\tKiB a member\t")
+	_, _ = fmt.Fprintln(table, "members\tcase\tB/s\tmost B/s\tbatches/s\tcpu us/s\tKiB a member\t")
 	for _, n := range []int{10, 30, 100, 300} {
 		var before, after runtime.MemStats
 		runtime.GC()
@@ -65,7 +65,7 @@
 		member := float64(after.HeapAlloc-before.HeapAlloc) / 1024 / float64(n*n)
 		row := func(name string, during func()) {
 			bytes, most, batches, processor := c.spend(20*time.Second, during)
-			fmt.Fprintf(table, "%d\t%s\t%.0f\t%.0f\t%.1f\t%d\t%.2f\t\n", n, name, bytes, most, batches, processor.Microseconds(), member)
+			_, _ = fmt.Fprintf(table, "%d\t%s\t%.0f\t%.0f\t%.1f\t%d\t%.2f\t\n", n, name, bytes, most, batches, processor.Microseconds(), member)
 			require.Less(t, most, float64(allowance))
 		}
 		row("rest", func() {})
--- a/test/capacity/tables_test.go
+++ b/test/capacity/tables_test.go
@@ -31,7 +31,7 @@
 // that the tables have.
 func TestTickCost(t *testing.T) {
 	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "members\topen calls\tempty tick us\tarrival us\tB a call\t")
+	_, _ = fmt.Fprintln(table, "members\topen calls\tempty tick us\tarrival us\tB a call\t")
 	for _, members := range []int{10, 100} {
 		c := settledCluster(t, members)
 		c.publish(caroboffset.None)
@@ -51,7 +51,7 @@
 			opened = calls
 			const ticks = 1000
 			empty := micros(ticks, func(int) { n.core.Step(c.now, carobinbox.Inbox{}) })
-			fmt.Fprintf(table, "%d\t%d\t%.2f\t%.2f\t%.0f\t\n", members, n.core.World().Calls.Len(), empty, arrival, bytes)
+			_, _ = fmt.Fprintf(table, "%d\t%d\t%.2f\t%.2f\t%.0f\t\n", members, n.core.World().Calls.Len(), empty, arrival, bytes)
 		}
 	}
 	require.NoError(t, table.Flush())
