--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -27,6 +27,7 @@
 	"github.com/carobknot/carobknot/pkg/carobmembership"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobpause"
+	"github.com/carobknot/carobknot/pkg/carobprobing"
 	"github.com/carobknot/carobknot/pkg/carobreconciliation"
 	"github.com/carobknot/carobknot/pkg/carobregistry"
 	"github.com/carobknot/carobknot/pkg/carobrouting"
@@ -62,6 +63,7 @@
 	claimGap      = 25 * time.Millisecond
 	claimLull     = 200 * time.Millisecond
 	claimPause    = 200 * time.Millisecond
+	lastPatience  = 3 * time.Second
 	claimKeys     = 50_000
 	claimKept     = 4 << 20
 	// targetSilence is how long a target may go without an announcement.
@@ -89,11 +91,12 @@
 				Gap: claimGap, Lull: claimLull, Patience: claimPatience, Pause: claimPause, Keys: claimKeys, Kept: claimKept,
 			}),
 			carobentry.NewSystem(),
+			carobprobing.NewSystem(),
 			carobrouting.NewSystem(),
 			carobejection.NewSystem(),
 			carobhedging.NewSystem(),
 			carobtracing.NewSystem(carobtracing.Config{Seed: c.World.Seed}),
-			carobshutdown.NewSystem(),
+			carobshutdown.NewSystem(carobshutdown.Config{Patience: lastPatience}),
 			carobdissemination.NewSystem(),
 		},
 	}
--- a/pkg/carobrouting/system.go
+++ b/pkg/carobrouting/system.go
@@ -73,8 +73,7 @@
 	}
 	age(s.candidates)
 	cd := s.candidates[policyOf(cl.Profile.Policy).pick(w.Random, s.candidates)]
-	pc := w.Paces.Get(cl.Arrival.Service)
-	if cd.flight < float64(cd.slots) && !tried(cl, cd.target) && pc != nil && pc.Hedges.Spend(1) {
+	if cd.flight < float64(cd.slots) && !tried(cl, cd.target) && w.BudgetOf(cl.Arrival.Service).Spend() {
 		s.send(w, now, cl, cd)
 	}
 }
@@ -116,6 +115,7 @@
 	if cd.load = load(w, id); cd.load == nil || out(cd.load) {
 		return
 	}
+	cd.load.Looked = now
 	weigh(w, now, tg, &cd)
 	s.candidates = append(s.candidates, cd)
 }
