--- a/pkg/carobhedging/system_test.go
+++ b/pkg/carobhedging/system_test.go
@@ -38,7 +38,6 @@
 	})
 	change(cl)
 	s := NewSystem()
-	pc.Hedges.Earn(1, 1)
 	w.Outbox.Sends = []carobsend.Send{{Job: carobjobid.ID{Call: id, Attempt: 1}}}
 	s.Run(w, 1)
 	return s, w, cl
@@ -71,11 +70,11 @@
 func TestHedgesAreCapped(t *testing.T) {
 	s, w, cl := begin(t, func(*carobcall.Call) {})
 	w.Begin(carobinbox.Inbox{})
-	paceOf(w, "lookups").Hedges.Tokens = 0.99
+	w.BudgetOf("lookups").Tokens = 0.99
 	s.Run(w, carobinstant.Instant(20*time.Millisecond))
 	require.False(t, cl.Extra)
 	// The call is not forgotten.
-	paceOf(w, "lookups").Hedges.Tokens = 1
+	w.BudgetOf("lookups").Tokens = 1
 	s.Run(w, carobinstant.Instant(30*time.Millisecond))
 	require.True(t, cl.Extra)
 }
