Take a shard of keys over in milliseconds when nodes start together

Cause: keyed calls of the first two seconds of a fresh demo waited up to 1.9 s. A trace of all appends showed that nodes which start together each take the shards over before they know of each other, and the real home, overtaken last, waited 2.5 s (longer than an append may take) for its next takeover. Ruled out: the log (appends 1 ms), the follow of the stream (read in 3 ms). Change: the pause between takeovers starts at 25 ms and doubles up to 2.5 s while the shard is contested; a takeover waits until the stream was read (or 200 ms), since an epoch from before is a takeover in vain; the first read of a tail waits for nothing. Homes are worked out when a peer changes and not in every tick, which at 660 peers would cost 5,280 hashes a tick. The rig of the system's tests changes peers by hand and now counts that as membership does.

--- a/internal/carobtail/tail.go
+++ b/internal/carobtail/tail.go
@@ -48,18 +48,20 @@
 }
 
 // Run posts the records of the stream, from the first kept one on, until cx ends.
+// The first read waits for nothing, so that how far an empty stream reaches is
+// known at once.
 func (t *Tail) Run(cx context.Context) {
 	next := caroboffset.Offset(0)
-	out := false
+	out, hold := false, time.Duration(0)
 	for cx.Err() == nil {
-		pg, err := t.config.Log.Read(cx, t.config.Stream, next, wait)
+		pg, err := t.config.Log.Read(cx, t.config.Stream, next, hold)
 		if err != nil {
 			t.say(&out, err)
 			_ = t.config.Timer.Wait(cx, pause)
 			continue
 		}
 		t.say(&out, nil)
-		next = max(next, pg.Next)
+		next, hold = max(next, pg.Next), wait
 		t.post(pg)
 	}
 }
--- a/pkg/carobclaiming/rig_test.go
+++ b/pkg/carobclaiming/rig_test.go
@@ -224,6 +224,7 @@
 	for _, n := range r.nodes {
 		if pr := n.world.Peers.Get(carobnodeid.ID(name)); pr != nil {
 			pr.Member.Standing = standing
+			n.world.PeerChanges++
 		}
 	}
 }
--- a/pkg/carobclaiming/system.go
+++ b/pkg/carobclaiming/system.go
@@ -61,6 +61,16 @@
 // System appends and answers claims.
 type System struct {
 	config Config
+	// moved has what the homes were last worked out from.
+	moved roster
+}
+
+// roster is what decides on the homes of shards.
+type roster struct {
+	// changes is one more than the changes of peers that were seen; 0 before
+	// the first tick.
+	changes  uint64
+	stopping bool
 }
 
 // NewSystem returns the system.
@@ -70,18 +80,11 @@
 
 // Run takes in what was read, answers what was asked, and appends what waits.
 func (s *System) Run(w *carobworld.World, now carobinstant.Instant) {
-	s.move(w)
-	for _, mk := range w.Inbox.Marks {
-		if hm := homeOfStream(w, mk.Stream); hm != nil {
-			hm.Next = max(hm.Next, mk.First)
-			hm.Claimed.Forget(mk.First)
-		}
-	}
-	for _, rc := range w.Inbox.Records {
-		if hm := homeOfStream(w, rc.Stream); hm != nil {
-			read(w, hm, rc)
-		}
+	if rs := (roster{changes: w.PeerChanges + 1, stopping: w.Stopping}); rs != s.moved {
+		s.moved = rs
+		s.move(w, now)
 	}
+	readAll(w)
 	for _, cd := range w.Inbox.Committed {
 		s.committed(w, now, cd)
 	}
@@ -98,6 +101,26 @@
 	}
 }
 
+// readAll takes in what was read of the streams.
+func readAll(w *carobworld.World) {
+	for _, mk := range w.Inbox.Marks {
+		if hm := homeOfStream(w, mk.Stream); hm != nil {
+			hm.Next = max(hm.Next, mk.First)
+			hm.Claimed.Forget(mk.First)
+		}
+	}
+	for _, rc := range w.Inbox.Records {
+		if hm := homeOfStream(w, rc.Stream); hm != nil {
+			read(w, hm, rc)
+		}
+	}
+	for _, mk := range w.Inbox.Marks {
+		if hm := homeOfStream(w, mk.Stream); hm != nil && hm.Next >= mk.Next {
+			hm.Read = true
+		}
+	}
+}
+
 // Home returns the node that is the home of a key's shard, and its address, as
 // this node sees it.
 func Home(w *carobworld.World, key carobkey.Key) (carobnodeid.ID, carobaddress.Address) {
@@ -122,7 +145,7 @@
 
 // move takes up the shards that this node has become the home of, and lets go of
 // those that it is not any more.
-func (s *System) move(w *carobworld.World) {
+func (s *System) move(w *carobworld.World, now carobinstant.Instant) {
 	for sh := range carobshard.Shard(carobshard.Count) {
 		node, _ := homeOf(w, sh)
 		mine, hm := node == w.Self.Node, w.Homes.Get(sh)
@@ -136,6 +159,7 @@
 		}
 		w.Homes.Put(sh, carobhome.Home{
 			Claimed: carobclaims.NewClaims(carobclaims.Config{Keys: s.config.Keys, Kept: s.config.Kept}),
+			Since:   now,
 			Back:    map[carobcallid.ID]carobaddress.Address{},
 		})
 	}
@@ -214,8 +238,14 @@
 	})
 }
 
-// next returns the batch that is to be appended now, or nil.
+// next returns the batch that is to be appended now, or nil. A takeover waits
+// until the stream was read, or some time has passed: one that names an epoch
+// from before that would be void, and so a wait of Patience for nothing.
 func (s *System) next(w *carobworld.World, now carobinstant.Instant, hm *carobhome.Home) *carobclaimbatch.Batch {
+	if due := hm.Since.Add(s.config.Lull); !hm.Read && !due.Reached(now) {
+		w.WakeAt(due)
+		return nil
+	}
 	owner := hm.Claimed.OwnedBy(w.Self.Node, w.Self.Incarnation)
 	if owner && len(hm.Claims)+len(hm.Settlements) == 0 {
 		return nil
@@ -228,6 +258,7 @@
 		Node: w.Self.Node, Incarnation: w.Self.Incarnation, Number: w.Commits, Epoch: hm.Claimed.Epoch(), Take: !owner,
 	}
 	if !owner {
+		hm.Pause = s.nextPause(now, hm)
 		hm.Taken = now
 		return bt
 	}
@@ -236,6 +267,17 @@
 	return bt
 }
 
+// nextPause returns the time between a takeover and the next. It doubles while
+// another node takes the shard back each time, and is short again after a while:
+// nodes that start together agree within milliseconds on who is the home, and
+// keys must not wait long for the last of their takeovers.
+func (s *System) nextPause(now carobinstant.Instant, hm *carobhome.Home) time.Duration {
+	if hm.Taken == carobinstant.Never || now.Sub(hm.Taken) > 2*s.config.Patience {
+		return s.config.Gap
+	}
+	return min(2*hm.Pause, s.config.Patience)
+}
+
 // mayAppend reports whether enough time has passed since the last append, so
 // that claims that come fast share one; and, for a takeover, since the last of
 // those, so that two nodes that both take themselves for the home do not fight
@@ -244,7 +286,7 @@
 	last, gap := hm.Sent, s.config.Gap
 	switch {
 	case !owner:
-		last, gap = hm.Taken, s.config.Patience
+		last, gap = hm.Taken, hm.Pause
 	case len(hm.Claims) == 0:
 		gap = s.config.Lull
 	}
--- a/pkg/carobhome/home.go
+++ b/pkg/carobhome/home.go
@@ -2,6 +2,8 @@
 package carobhome
 
 import (
+	"time"
+
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobcallid"
 	"github.com/carobknot/carobknot/pkg/carobclaim"
@@ -15,6 +17,10 @@
 // Home is a shard whose claims this node appends.
 type Home struct {
 	Claimed *carobclaims.Claims
+	// Since is when this node took itself for the home.
+	Since carobinstant.Instant
+	// Read says that the stream was read to what was its end then.
+	Read bool
 	// Next is the offset of the record that is folded next. It only grows.
 	Next caroboffset.Offset
 	// Flight is the batch that was sent to the log and has not been read back;
@@ -23,6 +29,8 @@
 	// Sent is when a batch was last sent to the log, and Taken when a takeover
 	// was; Never before the first.
 	Sent, Taken carobinstant.Instant
+	// Pause is the time from Taken to the next takeover at the earliest.
+	Pause time.Duration
 	// Due is when Flight is sent again.
 	Due carobinstant.Instant
 	// Claims and Settlements wait for the next batch.
--- a/pkg/carobmembership/system.go
+++ b/pkg/carobmembership/system.go
@@ -75,6 +75,7 @@
 	if w.Peers.Put(mb.Node, follow(old, mb, now)) == nil {
 		return
 	}
+	w.PeerChanges++
 	if !asked {
 		w.News.Put(mb.Node, struct{}{})
 	}
@@ -142,6 +143,7 @@
 		if pr.Member.Standing == carobstanding.Unreachable && age > keepUnreachable ||
 			pr.Member.Standing == carobstanding.Gone && age > keepGone {
 			w.Peers.Delete(id)
+			w.PeerChanges++
 		}
 	}
 }
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -78,6 +78,8 @@
 	Groups *carobtable.Table[carobservice.Service, carobgroup.Group]
 	// Peers has all other nodes known.
 	Peers *carobtable.Table[carobnodeid.ID, carobpeer.Peer]
+	// PeerChanges counts the changes of Peers.
+	PeerChanges uint64
 	// News has the peers whose newest word is still to be passed on.
 	News *carobtable.Table[carobnodeid.ID, struct{}]
 	// Hints has where nodes were by the log, of nodes that are not known.
