Sleep while a stopping node says goodbye

Cause: when outcomes of keyed calls were not settled within their 3 s, the system for shutdown asked to wake at an instant that had passed, tick after tick, until the process ended a second later. Change: it asks to be woken only at an instant to come.

--- a/pkg/carobshutdown/system.go
+++ b/pkg/carobshutdown/system.go
@@ -38,6 +38,8 @@
 		s.idle = now
 	}
 	due := s.idle.Add(s.config.Patience)
-	w.WakeAt(due)
+	if !due.Reached(now) {
+		w.WakeAt(due)
+	}
 	w.Outbox.Stopped = w.Unsettled.Len() == 0 || due.Reached(now)
 }
