Put no profile into force that the predecessor may have seen replaced

Cause: a node that starts took profiles from a peer that had not read the newest change yet, before it had read the log itself. Its predecessor on the VM had that change in force, so the node went back. Change: a node that starts uses no profile until it has read the log to its end, or 5 s have passed without the log: by then nodes that run have what any of them read. Left: a change that only a dead node has read while the log is out stays unknown until the log is back.

--- a/pkg/carobfold/system.go
+++ b/pkg/carobfold/system.go
@@ -13,6 +13,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/carobknot/carobknot/pkg/carobchange"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
@@ -25,8 +26,17 @@
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
+// patience is how long a node that starts waits for the log. What one node has
+// read reaches the others in less, so after it no node that still runs has more.
+const patience = 5 * time.Second
+
 // System folds the records of the stream of profiles.
-type System struct{}
+type System struct {
+	// until is when the node stops waiting for the log; Never before the first tick.
+	until carobinstant.Instant
+	// met says that the node has read the log to its end, or waits no more.
+	met bool
+}
 
 // NewSystem returns the system.
 func NewSystem() *System {
@@ -39,7 +49,7 @@
 }
 
 // Run folds in the records that have come.
-func (s *System) Run(w *carobworld.World, _ carobinstant.Instant) {
+func (s *System) Run(w *carobworld.World, now carobinstant.Instant) {
 	for _, ms := range w.Inbox.Messages {
 		if ms.Supply == nil {
 			continue
@@ -56,6 +66,25 @@
 			take(w, rc)
 		}
 	}
+	s.meet(w, now)
+}
+
+// meet keeps a node that starts from using profiles that its predecessor on the
+// VM may have seen replaced already.
+func (s *System) meet(w *carobworld.World, now carobinstant.Instant) {
+	if s.until == carobinstant.Never {
+		s.until = now.Add(patience)
+	}
+	for _, mk := range w.Inbox.Marks {
+		if mk.Stream == carobstream.Profiles && w.ProfilesRead+1 >= mk.Next {
+			s.met = true
+		}
+	}
+	s.met = s.met || s.until.Reached(now)
+	w.Behind = !s.met
+	if w.Behind {
+		w.WakeAt(s.until)
+	}
 }
 
 // take folds a record in, or holds it back until those before it have come.
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -126,6 +126,9 @@
 
 	// Profiles.
 
+	// Behind says that the log may have newer profiles than this node, which has
+	// just started. None is in force until then.
+	Behind bool
 	// ProfilesRead is the offset of the newest change that was folded in. It
 	// never goes down.
 	ProfilesRead caroboffset.Offset
@@ -228,7 +231,7 @@
 		return nil
 	}
 	rv := w.Profiles.Get(gp.Profile)
-	if rv == nil {
+	if rv == nil || w.Behind {
 		return nil
 	}
 	return &rv.Change.Profile
