--- a/test/fuzz/node_test.go
+++ b/test/fuzz/node_test.go
@@ -55,6 +55,8 @@
 	// be appended.
 	marks   map[carobstream.Stream]carobmark.Mark
 	waiting map[carobstream.Stream][]byte
+	// idle counts the ticks in a row that asked for another at once.
+	idle int
 	// follows counts the orders to follow each stream, or to stop that.
 	follows map[carobstream.Stream]int
 	// open are the attempts on their way to other places.
@@ -217,6 +219,12 @@
 	n.alarms++
 	alarm := n.alarms
 	if wake := n.core.Wake(); wake != carobinstant.Never {
+		if n.idle++; wake > n.clock() {
+			n.idle = 0
+		}
+		if n.idle > 20 {
+			n.s.oracle.complain("node %s spins: it asks to wake %s ago", n.self.Node, n.clock().Sub(wake))
+		}
 		n.do(max(wake.Sub(n.clock()), localTime), func() {
 			if alarm == n.alarms {
 				n.ring()
@@ -239,6 +247,9 @@
 		}
 	}
 	for name, rv := range n.core.World().Profiles.All() {
+		if n.core.World().Behind {
+			break
+		}
 		o.holds(string(n.self.Node), string(name), int64(rv.Offset), rv.Change.Profile.Deadline.String())
 	}
 	for _, ms := range out.Messages {
