--- a/test/fuzz/fuzz_test.go
+++ b/test/fuzz/fuzz_test.go
@@ -160,14 +160,19 @@
 		t.Skip("make fuzz runs this")
 	}
 	var c count
-	for end := time.Now().Add(*long); time.Now().Before(end); { //nolint:forbidigo // the length of a run, no decision
-		seed := uint64(time.Now().UnixNano()) //nolint:forbidigo // a new seed
-		require.NoError(t, flag.Set("rapid.seed", strconv.FormatUint(seed, 10)))
-		ok := t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			rapid.Check(t, func(rt *rapid.T) { play(rt, plan{}, &c) })
+	end := time.Now().Add(*long)                      //nolint:forbidigo // the length of a run, no decision
+	for round := 0; time.Now().Before(end); round++ { //nolint:forbidigo // as above
+		seed := strconv.FormatInt(time.Now().UnixNano(), 10) //nolint:forbidigo // a new seed
+		require.NoError(t, flag.Set("rapid.seed", seed))
+		name, p := "TestFaults", plan{}
+		if round%2 == 1 {
+			name, p = "TestKeys", plan{resubmit: true}
+		}
+		ok := t.Run("seed="+seed, func(t *testing.T) {
+			rapid.Check(t, func(rt *rapid.T) { play(rt, p, &c) })
 		})
 		if !ok {
-			t.Fatalf("reproduce: go test ./test/fuzz -run '^TestFaults$' -rapid.seed=%d\n%s", seed, c.String())
+			t.Fatalf("reproduce: go test ./test/fuzz -run '^%s$' -rapid.seed=%s\n%s", name, seed, c.String())
 		}
 	}
 	fmt.Println("fuzz:", c.String())
--- a/test/fuzz/mutations_test.go
+++ b/test/fuzz/mutations_test.go
@@ -5,9 +5,11 @@
 	"slices"
 
 	"github.com/carobknot/carobknot/pkg/carobchange"
+	"github.com/carobknot/carobknot/pkg/carobclaimbatch"
 	"github.com/carobknot/carobknot/pkg/carobconclusion"
 	"github.com/carobknot/carobknot/pkg/carobfate"
 	"github.com/carobknot/carobknot/pkg/carobfinish"
+	"github.com/carobknot/carobknot/pkg/carobgrant"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobjudgment"
 	"github.com/carobknot/carobknot/pkg/carobkind"
@@ -60,6 +62,9 @@
 // replaced has calls cut by nodes that are replaced at once.
 var replaced = []string{"call", "call often", "wait a little", "replace", "break connections"}
 
+// rehomed has homes of keys replaced between calls with the same keys.
+var rehomed = []string{"call", "call often", "wait", "wait a little", "replace"}
+
 // mutations are the faults that the oracle must find.
 var mutations = []mutation{
 	{name: "take a cut for unreachable", hear: func(_ *node, in *carobinbox.Inbox) {
@@ -102,6 +107,18 @@
 	{name: "forget what has ended", decide: func(n *node, _ *carobinbox.Inbox, _ *caroboutbox.Outbox) {
 		n.core.World().Ended = carobworld.NewWorld(carobworld.Config{Limits: caroblimits.NewLimits()}).Ended
 	}},
+	{name: "grant every claim", resubmit: true, decide: func(_ *node, _ *carobinbox.Inbox, out *caroboutbox.Outbox) {
+		for _, ms := range out.Messages {
+			if ms.ClaimReply != nil {
+				ms.ClaimReply.Grant = carobgrant.Granted
+			}
+		}
+	}},
+	{name: "forget the claims of earlier homes", resubmit: true, only: rehomed, hear: func(n *node, in *carobinbox.Inbox) {
+		for i := range in.Records {
+			in.Records[i].Data = unclaimed(n, in.Records[i].Data)
+		}
+	}},
 	{name: "spend past the budget", decide: func(_ *node, _ *carobinbox.Inbox, out *caroboutbox.Outbox) {
 		for _, ms := range out.Messages {
 			if ms.Poll != nil || ms.Report != nil {
@@ -197,3 +214,17 @@
 	}
 	return rebased
 }
+
+// unclaimed takes the claims of other nodes out of a record of them.
+func unclaimed(n *node, data []byte) []byte {
+	var bt carobclaimbatch.Batch
+	if json.Unmarshal(data, &bt) != nil || len(bt.Claims) == 0 || bt.Node == n.self.Node && bt.Incarnation == n.self.Incarnation {
+		return data
+	}
+	bt.Claims, bt.Settlements = nil, nil
+	changed, err := json.Marshal(bt)
+	if err != nil {
+		return data
+	}
+	return changed
+}
