--- a/internal/carobbench/bench_test.go
+++ b/internal/carobbench/bench_test.go
@@ -57,5 +57,8 @@
 	var out bytes.Buffer
 	table(&out, "lechfeld", results)
 	require.Contains(t, out.String(), "2.0 (1.0-3.0)")
+	out.Reset()
+	table(&out, "lechfeld", results[:2])
+	require.Contains(t, out.String(), "2.0 (1.0-3.0)", "the median of two is their mean")
 	require.NotContains(t, out.String(), "noisy")
 }
--- a/internal/carobbench/table.go
+++ b/internal/carobbench/table.go
@@ -19,7 +19,9 @@
 		values[i] = figure(&results[i])
 	}
 	slices.Sort(values)
-	return spread{low: values[0], median: values[len(values)/2], high: values[len(values)-1]}
+	upper := len(values) / 2
+	lower := (len(values) - 1) / 2
+	return spread{low: values[0], median: (values[lower] + values[upper]) / 2, high: values[len(values)-1]}
 }
 
 func (s spread) String() string {
