Prove that a caller who hangs up leaves the queue

Cause: only hang-ups of running calls were tested. Tests whose target waits hung in their clean-up for ten minutes when they failed, since the target was let go at their end only. Change: a test of a hang-up in the queue, through two processes; targets are let go however a test ends.

--- a/test/request_test.go
+++ b/test/request_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -220,6 +221,8 @@
 	output, code := run("publish", "-log", log, "../examples/profiles/lookups.json")
 	require.Equal(t, 0, code, output)
 	began, end := make(chan struct{}, 10), make(chan struct{})
+	release := sync.OnceFunc(func() { close(end) })
+	defer release()
 	m.serve(t, "lookups", listenHTTP(t, func(_ http.ResponseWriter, rq *http.Request) {
 		if rq.URL.Path == "/slow" {
 			began <- struct{}{}
@@ -273,7 +276,7 @@
 	}, 10*time.Second, time.Millisecond)
 
 	// The call that ran all the while has its answer.
-	close(end)
+	release()
 	require.Equal(t, http.StatusOK, readAnswer(t, slowReader).status)
 }
 
--- a/test/stream_test.go
+++ b/test/stream_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -13,6 +14,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -86,6 +88,8 @@
 func TestBackpressure(t *testing.T) {
 	m := startMesh(t)
 	open := make(chan struct{})
+	release := sync.OnceFunc(func() { close(open) })
+	defer release()
 	m.serve(t, "evidence", listenHTTP(t, func(_ http.ResponseWriter, rq *http.Request) {
 		if rq.Method == http.MethodPost {
 			<-open
@@ -98,7 +102,7 @@
 	// The kernel's buffers and the nodes' take some bytes, and then no more.
 	require.NoError(t, cn.SetWriteDeadline(clock.Wall().Add(2*time.Second)))
 	n, err := io.Copy(cn, flow(large))
-	close(open)
+	release()
 	require.Error(t, err)
 	require.Less(t, n, int64(resident))
 	require.Less(t, m.near.peak(t), resident)
@@ -279,3 +283,54 @@
 	require.Contains(t, string(data), "can not be sent again")
 	require.Equal(t, int64(1), calls.Load())
 }
+
+// A caller that hangs up while its call waits for a slot takes it out of the
+// queue: it never runs, and those behind it go on.
+func TestHangupInQueue(t *testing.T) {
+	m := startMesh(t)
+	began, end := make(chan string, 10), make(chan struct{})
+	release := sync.OnceFunc(func() { close(end) })
+	announce(t, m.far, "lookups/one", listenHTTP(t, func(_ http.ResponseWriter, rq *http.Request) {
+		if rq.URL.Path != "/ready" {
+			began <- rq.URL.Path
+			<-end
+		}
+	}), 1)
+	t.Cleanup(release)
+	m.known(t, "lookups")
+	call := func(path string) (net.Conn, *bufio.Reader) {
+		cn, reader := m.dial(t)
+		_, err := io.WriteString(cn, "GET "+path+" HTTP/1.1\r\nHost: lookups\r\nCarobknot-Deadline: 60000\r\n\r\n")
+		require.NoError(t, err)
+		return cn, reader
+	}
+	_, first := call("/first")
+	require.Equal(t, "/first", await(t, began, "the target was not called"))
+	second, _ := call("/second")
+	m.jobs(t, 2)
+	require.NoError(t, second.Close())
+	m.jobs(t, 1)
+	_, third := call("/third")
+	m.jobs(t, 2)
+	release()
+	require.Equal(t, http.StatusOK, readAnswer(t, first).status)
+	require.Equal(t, http.StatusOK, readAnswer(t, third).status)
+	require.Equal(t, "/third", await(t, began, "the target was not called"))
+}
+
+// jobs waits until the far node has a number of calls at its targets, queued
+// ones included.
+func (m mesh) jobs(t *testing.T, calls int) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		rs, err := http.Get("http://" + m.far.addresses["admin"] + "/status")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = rs.Body.Close() }()
+		var status struct {
+			Jobs int `json:"jobs"`
+		}
+		return json.NewDecoder(rs.Body).Decode(&status) == nil && status.Jobs == calls
+	}, 10*time.Second, 10*time.Millisecond)
+}
