--- a/pkg/carobbucket/bucket.go
+++ b/pkg/carobbucket/bucket.go
@@ -1,43 +1,56 @@
-// Package carobbucket caps what is spent over time.
+// Package carobbucket is a token bucket, which caps what is spent over time.
 package carobbucket
 
-import (
-	"github.com/carobknot/carobknot/pkg/carobinstant"
-	"github.com/carobknot/carobknot/pkg/carobrate"
-	"github.com/carobknot/carobknot/pkg/carobsize"
-)
+import "github.com/carobknot/carobknot/pkg/carobinstant"
 
-// Config is how a bucket is made.
-type Config struct {
-	// Rate is what may be spent over time; Burst, at once.
-	Rate  carobrate.Rate
-	Burst carobsize.Size
+// Bucket holds tokens. An empty one is ready to be filled.
+type Bucket struct {
+	// Tokens is what may be spent now. Only Overdraw takes it below 0.
+	Tokens float64
+	// Filled is as of when the bucket was last filled by time.
+	Filled carobinstant.Instant
+	// Spent is what was taken out since the start, Denied how often too little
+	// was in.
+	Spent  float64
+	Denied uint64
 }
 
-// Bucket is a token bucket of bytes. In any span of time no more than Burst and
-// Rate over the span are spent, but for one amount larger than Burst.
-type Bucket struct {
-	config Config
-	// left is what may be spent at the instant at. It is below zero after an
-	// amount that was larger than what was left.
-	left float64
-	at   carobinstant.Instant
+// Earn adds tokens, up to the most that are saved.
+func (b *Bucket) Earn(tokens, most float64) {
+	b.Tokens = min(most, b.Tokens+tokens)
 }
 
-// NewBucket returns a full bucket.
-func NewBucket(c Config) *Bucket {
-	return &Bucket{config: c, left: float64(c.Burst)}
+// Fill adds the tokens of the time since it was last filled. The first time it
+// fills the bucket to the brim.
+func (b *Bucket) Fill(now carobinstant.Instant, rate, most float64) {
+	if b.Filled == carobinstant.Never {
+		b.Tokens = most
+	} else {
+		b.Earn(now.Sub(b.Filled).Seconds()*rate, most)
+	}
+	b.Filled = now
 }
 
-// Spend takes an amount and reports true, unless the bucket is empty.
-func (b *Bucket) Spend(now carobinstant.Instant, amount int) bool {
-	if b.at != carobinstant.Never {
-		b.left = min(float64(b.config.Burst), b.left+b.config.Rate.Over(now.Sub(b.at)))
+// Spend takes tokens out and reports whether there were enough.
+func (b *Bucket) Spend(tokens float64) bool {
+	if b.Tokens < tokens {
+		b.Denied++
+		return false
 	}
-	b.at = now
-	if b.left <= 0 {
+	b.Tokens -= tokens
+	b.Spent += tokens
+	return true
+}
+
+// Overdraw takes tokens out, even more than there are, unless the bucket is
+// empty, and reports whether it did. So an amount larger than the bucket is
+// spent too, and waited for afterwards.
+func (b *Bucket) Overdraw(tokens float64) bool {
+	if b.Tokens <= 0 {
+		b.Denied++
 		return false
 	}
-	b.left -= float64(amount)
+	b.Tokens -= tokens
+	b.Spent += tokens
 	return true
 }
--- a/pkg/carobbudget/budget.go
+++ b/pkg/carobbudget/budget.go
@@ -5,9 +5,9 @@
 const (
 	// share is how many tokens a call brings: resends and hedges together stay
 	// below this share of the calls.
-	share = 0.05
+	share = 0.045
 	// burst is the most tokens that are saved up.
-	burst = 10
+	burst = 3
 )
 
 // Budget is the token bucket of one service's resends and hedges. Moves after a
--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -11,19 +11,23 @@
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobadmission"
 	"github.com/carobknot/carobknot/pkg/carobcatchup"
+	"github.com/carobknot/carobknot/pkg/carobclaiming"
 	"github.com/carobknot/carobknot/pkg/carobcompaction"
 	"github.com/carobknot/carobknot/pkg/carobdetection"
 	"github.com/carobknot/carobknot/pkg/carobdissemination"
+	"github.com/carobknot/carobknot/pkg/carobejection"
 	"github.com/carobknot/carobknot/pkg/carobentry"
 	"github.com/carobknot/carobknot/pkg/carobfencing"
 	"github.com/carobknot/carobknot/pkg/carobfold"
 	"github.com/carobknot/carobknot/pkg/carobgrouping"
+	"github.com/carobknot/carobknot/pkg/carobhedging"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobjoining"
 	"github.com/carobknot/carobknot/pkg/carobmembership"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobpause"
+	"github.com/carobknot/carobknot/pkg/carobprobing"
 	"github.com/carobknot/carobknot/pkg/carobreconciliation"
 	"github.com/carobknot/carobknot/pkg/carobregistry"
 	"github.com/carobknot/carobknot/pkg/carobrouting"
@@ -54,6 +58,14 @@
 const (
 	tickPeriod    = 200 * time.Millisecond
 	tickAllowance = time.Second
+	// claimPatience is longer than an append to the log may take.
+	claimPatience = 2500 * time.Millisecond
+	claimGap      = 25 * time.Millisecond
+	claimLull     = 200 * time.Millisecond
+	claimPause    = 200 * time.Millisecond
+	lastPatience  = 3 * time.Second
+	claimKeys     = 50_000
+	claimKept     = 4 << 20
 	// targetSilence is how long a target may go without an announcement.
 	targetSilence = 3 * time.Second
 )
@@ -75,10 +87,16 @@
 			carobgrouping.NewSystem(),
 			carobfencing.NewSystem(),
 			carobadmission.NewSystem(),
+			carobclaiming.NewSystem(carobclaiming.Config{
+				Gap: claimGap, Lull: claimLull, Patience: claimPatience, Pause: claimPause, Keys: claimKeys, Kept: claimKept,
+			}),
 			carobentry.NewSystem(),
+			carobprobing.NewSystem(),
 			carobrouting.NewSystem(),
+			carobejection.NewSystem(),
+			carobhedging.NewSystem(),
 			carobtracing.NewSystem(carobtracing.Config{Seed: c.World.Seed}),
-			carobshutdown.NewSystem(),
+			carobshutdown.NewSystem(carobshutdown.Config{Patience: lastPatience}),
 			carobdissemination.NewSystem(),
 		},
 	}
--- a/pkg/carobdissemination/system.go
+++ b/pkg/carobdissemination/system.go
@@ -4,7 +4,7 @@
 // nodes at random, and then along with probes, which go anyway. The word reaches
 // nearly all nodes so, in a number of steps that grows with the logarithm of
 // their number; reconciliation makes up for the rest. Nothing is sent when there
-// is no news, and a bucket caps what much news costs.
+// is no news, and a throttle caps what much news costs.
 package carobdissemination
 
 import (
@@ -12,7 +12,6 @@
 	"slices"
 	"time"
 
-	"github.com/carobknot/carobknot/pkg/carobbucket"
 	"github.com/carobknot/carobknot/pkg/carobgossip"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobmember"
@@ -21,6 +20,7 @@
 	"github.com/carobknot/carobknot/pkg/carobrate"
 	"github.com/carobknot/carobknot/pkg/carobsize"
 	"github.com/carobknot/carobknot/pkg/carobstanding"
+	"github.com/carobknot/carobknot/pkg/carobthrottle"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
@@ -40,7 +40,7 @@
 
 // System passes news on.
 type System struct {
-	bucket *carobbucket.Bucket
+	throttle *carobthrottle.Throttle
 	// beat is that of the newest own word, and passed how often it was passed on.
 	beat   uint64
 	passed int
@@ -50,7 +50,7 @@
 
 // NewSystem returns the system.
 func NewSystem() *System {
-	return &System{bucket: carobbucket.NewBucket(carobbucket.Config{
+	return &System{throttle: carobthrottle.NewThrottle(carobthrottle.Config{
 		Rate: carobrate.Rate(8 * carobsize.KiB), Burst: 64 * carobsize.KiB,
 	})}
 }
@@ -80,7 +80,7 @@
 	s.next = now.Add(interval)
 	w.WakeAt(s.next)
 	to := recipients(w)
-	if len(to) == 0 || !s.bucket.Spend(now, fanout*large) {
+	if len(to) == 0 || !s.throttle.Spend(now, fanout*large) {
 		return
 	}
 	members := s.pick(w, floods, large)
--- a/pkg/carobload/load.go
+++ b/pkg/carobload/load.go
@@ -14,6 +14,10 @@
 	Report carobreport.Report
 	// At is when the report came; Never before the first.
 	At carobinstant.Instant
+	// Looked is when the target was last among the candidates for a call.
+	Looked carobinstant.Instant
+	// Asked is when the last probe was sent; Never if none was.
+	Asked carobinstant.Instant
 	// Sent counts the own attempts made since the report that have no reply.
 	Sent int
 	// Open counts the own attempts that have no reply yet, at least 0.
@@ -24,6 +28,8 @@
 	Latency time.Duration
 	// Successes and Failures decay with time; together they give the error rate.
 	Successes, Failures float64
+	// Streak is the failures since the last success.
+	Streak int
 	// Counted is as of when Successes and Failures have decayed.
 	Counted carobinstant.Instant
 	// Ejected is until when the target gets no calls; Never if it is in.
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -6,12 +6,14 @@
 
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobaudit"
+	"github.com/carobknot/carobknot/pkg/carobbucket"
 	"github.com/carobknot/carobknot/pkg/carobbudget"
 	"github.com/carobknot/carobknot/pkg/carobcall"
 	"github.com/carobknot/carobknot/pkg/carobcallid"
 	"github.com/carobknot/carobknot/pkg/carobfinish"
 	"github.com/carobknot/carobknot/pkg/carobgate"
 	"github.com/carobknot/carobknot/pkg/carobgroup"
+	"github.com/carobknot/carobknot/pkg/carobhome"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
 	"github.com/carobknot/carobknot/pkg/carobinquiry"
@@ -26,17 +28,20 @@
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/caroboffset"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
+	"github.com/carobknot/carobknot/pkg/carobpace"
 	"github.com/carobknot/carobknot/pkg/carobpeer"
 	"github.com/carobknot/carobknot/pkg/carobprofile"
 	"github.com/carobknot/carobknot/pkg/carobrecord"
 	"github.com/carobknot/carobknot/pkg/carobrevision"
 	"github.com/carobknot/carobknot/pkg/carobring"
 	"github.com/carobknot/carobknot/pkg/carobservice"
+	"github.com/carobknot/carobknot/pkg/carobshard"
 	"github.com/carobknot/carobknot/pkg/carobsnapshot"
 	"github.com/carobknot/carobknot/pkg/carobtable"
 	"github.com/carobknot/carobknot/pkg/carobtarget"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 	"github.com/carobknot/carobknot/pkg/carobtrace"
+	"github.com/carobknot/carobknot/pkg/carobunsettled"
 	"github.com/carobknot/carobknot/pkg/carobwatermark"
 	"github.com/carobknot/carobknot/pkg/carobword"
 )
@@ -86,6 +91,10 @@
 
 	// Loads has the entry side's view of targets.
 	Loads *carobtable.Table[carobtargetid.ID, carobload.Load]
+	// Buckets has the budget of measuring.
+	Buckets *carobtable.Table[carobword.Word, carobbucket.Bucket]
+	// Paces has how fast services answer.
+	Paces *carobtable.Table[carobservice.Service, carobpace.Pace]
 
 	// Calls, admission and claims.
 
@@ -106,6 +115,12 @@
 	Forgotten, Barred carobincarnation.Incarnation
 	// Budgets has the budget of each service's resends and hedges.
 	Budgets *carobtable.Table[carobservice.Service, carobbudget.Budget]
+	// Homes has the shards of idempotency keys that this node is home of.
+	Homes *carobtable.Table[carobshard.Shard, carobhome.Home]
+	// Commits counts the batches of claims of this node.
+	Commits uint64
+	// Unsettled has the ended calls whose ends their homes do not have yet.
+	Unsettled *carobtable.Table[carobcallid.ID, carobunsettled.Unsettled]
 	// Paused says that more time passed before this tick than ticks allow.
 	Paused bool
 
@@ -152,7 +167,11 @@
 
 // NewWorld returns a world with empty tables.
 func NewWorld(c Config) *World {
-	const stream = 1
+	const (
+		stream = 1
+		// measures is how many things the budget of measuring caps.
+		measures = 2
+	)
 	w := &World{
 		Self:         c.Self,
 		ProfilesRead: caroboffset.None,
@@ -164,6 +183,8 @@
 		Random:      rand.New(rand.NewPCG(c.Seed, stream)), //nolint:gosec // choices must repeat under a seed
 		Targets:     carobtable.NewTable[carobtargetid.ID, carobtarget.Target](carobtable.Config{Limit: c.Limits.Targets}),
 		Groups:      carobtable.NewTable[carobservice.Service, carobgroup.Group](carobtable.Config{Limit: c.Limits.Targets}),
+		Buckets:     carobtable.NewTable[carobword.Word, carobbucket.Bucket](carobtable.Config{Limit: measures}),
+		Paces:       carobtable.NewTable[carobservice.Service, carobpace.Pace](carobtable.Config{Limit: c.Limits.Targets}),
 		Loads:       carobtable.NewTable[carobtargetid.ID, carobload.Load](carobtable.Config{Limit: c.Limits.Targets}),
 		Gates:       carobtable.NewTable[carobtargetid.ID, carobgate.Gate](carobtable.Config{Limit: c.Limits.Targets}),
 		News:        carobtable.NewTable[carobnodeid.ID, struct{}](carobtable.Config{Limit: c.Limits.Peers}),
@@ -193,6 +214,10 @@
 	w.Inbox = in
 	w.Outbox = caroboutbox.Outbox{}
 	w.wake = carobinstant.Never
+	if in.Stop && !w.Stopping {
+		w.Stopping = true
+		w.Self.Beat++
+	}
 }
 
 // ProfileOf returns the profile in force for a service, or nil if its targets
