--- a/pkg/carobmessage/message.go
+++ b/pkg/carobmessage/message.go
@@ -14,7 +14,9 @@
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
 	"github.com/carobknot/carobknot/pkg/carobjudgment"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
+	"github.com/carobknot/carobknot/pkg/carobpoll"
 	"github.com/carobknot/carobknot/pkg/carobprobe"
+	"github.com/carobknot/carobknot/pkg/carobreport"
 	"github.com/carobknot/carobknot/pkg/carobsettlement"
 	"github.com/carobknot/carobknot/pkg/carobsupply"
 )
@@ -55,4 +57,9 @@
 	Settled    *carobcallid.ID             `json:"settled,omitempty"`
 
 	// Measuring.
+
+	// Poll asks for the load of a target.
+	Poll *carobpoll.Poll `json:"poll,omitempty"`
+	// Report answers a poll.
+	Report *carobreport.Report `json:"report,omitempty"`
 }
--- a/pkg/carobrouting/system.go
+++ b/pkg/carobrouting/system.go
@@ -56,6 +56,7 @@
 		return
 	}
 	age(s.candidates)
+	s.candidates = nearest(s.candidates, float64(cl.Profile.Near))
 	chosen := policyOf(cl.Profile.Policy).pick(w.Random, s.candidates)
 	s.send(w, now, cl, s.candidates[chosen])
 }
@@ -73,28 +74,31 @@
 	}
 	age(s.candidates)
 	cd := s.candidates[policyOf(cl.Profile.Policy).pick(w.Random, s.candidates)]
-	pc := w.Paces.Get(cl.Arrival.Service)
-	if cd.flight < float64(cd.slots) && !tried(cl, cd.target) && pc != nil && pc.Hedges.Spend(1) {
+	if cd.flight < float64(cd.slots) && !tried(cl, cd.target) && w.BudgetOf(cl.Arrival.Service).Spend() {
 		s.send(w, now, cl, cd)
 	}
 }
 
 // collect lists the targets that may get the next attempt. Targets that have
-// refused the call already come in only when no other is left.
+// refused the call already come in only when no other is left, and those out of
+// view only when no one in view is ready.
 func (s *System) collect(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call) {
 	s.candidates = s.candidates[:0]
 	gp := w.Groups.Get(cl.Arrival.Service)
 	if gp == nil {
 		return
 	}
-	for _, again := range []bool{false, true} {
-		for _, id := range gp.Targets {
-			if tried(cl, id) == again {
-				s.consider(w, now, id)
+	inView := view(w, gp, cl.Profile.Spread)
+	for _, ids := range [][]carobtargetid.ID{inView, gp.Targets} {
+		for _, again := range []bool{false, true} {
+			for _, id := range ids {
+				if tried(cl, id) == again {
+					s.consider(w, now, id)
+				}
+			}
+			if len(s.candidates) > 0 {
+				return
 			}
-		}
-		if len(s.candidates) > 0 {
-			return
 		}
 	}
 }
@@ -116,6 +120,7 @@
 	if cd.load = load(w, id); cd.load == nil || out(cd.load) {
 		return
 	}
+	cd.load.Looked = now
 	weigh(w, now, tg, &cd)
 	s.candidates = append(s.candidates, cd)
 }
