Let a stopping node linger once, in the core

Cause: the core now waits until no attempt has come for half a second before it says that it has stopped, and the node then waited a second more for the same reason. Conclusion: one wait, where the decisions are.

--- a/internal/carobnode/node.go
+++ b/internal/carobnode/node.go
@@ -54,8 +54,8 @@
 	sortPatience = 5 * time.Second
 	// drainPatience is how long a shutdown waits for what is in flight.
 	drainPatience = 60 * time.Second
-	// goodbye is how long a node that has nothing left still refuses attempts.
-	goodbye       = time.Second
+	// goodbye is how long the last messages to other nodes have to leave.
+	goodbye       = 200 * time.Millisecond
 	closePatience = 2 * time.Second
 	joinPause     = 500 * time.Millisecond
 )
@@ -147,7 +147,7 @@
 
 // shutDown ends the node gracefully. Callers can open no more connections; what
 // they have sent is still answered. Other nodes are told, and get refusals for
-// what they send all the same, until they have had time to hear: an attempt
+// what they send all the same, until none has sent an attempt for a while: one
 // that met a closed connection instead could not be told from one that ran.
 func (n *Node) shutDown(cx context.Context) {
 	logger := n.config.Logger.WithField("node", n.config.Settings.Name)
--- a/test/capacity/membership_test.go
+++ b/test/capacity/membership_test.go
@@ -234,6 +234,7 @@
 	c.gather(20)
 	leaver := c.nodes[4]
 	c.step(leaver, carobinbox.Inbox{Stop: true})
+	c.runUntil(10*time.Second, func() bool { return leaver.stopped })
 	require.True(t, leaver.stopped)
 	leaver.dead = true
 	took := c.runUntil(10*time.Second, func() bool {
