Look for a target once a tick for all calls that wait for one service

Cause: with 10,000 calls waiting for a service none of whose targets is ready, the capacity test did not finish: each tick listed all candidates for each call, and such ticks came every 5 ms. Change: a service that was found without a candidate is not looked at again in the same tick; the look without a message comes every 20 ms, since a target that becomes ready is a message anyway.

--- a/pkg/carobrouting/system.go
+++ b/pkg/carobrouting/system.go
@@ -12,6 +12,7 @@
 	"github.com/carobknot/carobknot/pkg/carobload"
 	"github.com/carobknot/carobknot/pkg/carobreadiness"
 	"github.com/carobknot/carobknot/pkg/carobsend"
+	"github.com/carobknot/carobknot/pkg/carobservice"
 	"github.com/carobknot/carobknot/pkg/carobstage"
 	"github.com/carobknot/carobknot/pkg/carobtarget"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
@@ -19,19 +20,22 @@
 )
 
 // pause is how long a call waits before a target is looked for again.
-const pause = 5 * time.Millisecond
+const pause = 20 * time.Millisecond
 
 // System places the calls that wait for a target.
 type System struct {
 	// candidates is kept between calls to save its memory.
 	candidates []candidate
+	// empty has the services that were found to have no candidate in this tick,
+	// so that thousands of calls that wait for the same service cost one look.
+	empty map[carobservice.Service]struct{}
 	// turn counts the attempts that were placed.
 	turn uint64
 }
 
 // NewSystem returns the system.
 func NewSystem() *System {
-	return &System{}
+	return &System{empty: map[carobservice.Service]struct{}{}}
 }
 
 // Run learns from replies and places waiting calls.
@@ -39,6 +43,7 @@
 	for _, rp := range w.Inbox.Replies {
 		learn(w, now, rp)
 	}
+	clear(s.empty)
 	for _, cl := range w.Calls.All() {
 		switch {
 		case cl.Stage == carobstage.Waiting:
@@ -50,8 +55,12 @@
 }
 
 func (s *System) place(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call) {
+	if _, ok := s.empty[cl.Arrival.Service]; ok {
+		return
+	}
 	s.collect(w, now, cl)
 	if len(s.candidates) == 0 {
+		s.empty[cl.Arrival.Service] = struct{}{}
 		w.WakeAt(now.Add(pause))
 		return
 	}
