--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -78,6 +78,8 @@
 	Groups *carobtable.Table[carobservice.Service, carobgroup.Group]
 	// Peers has all other nodes known.
 	Peers *carobtable.Table[carobnodeid.ID, carobpeer.Peer]
+	// PeerChanges counts the changes of Peers.
+	PeerChanges uint64
 	// News has the peers whose newest word is still to be passed on.
 	News *carobtable.Table[carobnodeid.ID, struct{}]
 	// Hints has where nodes were by the log, of nodes that are not known.
@@ -126,6 +128,9 @@
 
 	// Profiles.
 
+	// Behind says that the log may have newer profiles than this node, which has
+	// just started. None is in force until then.
+	Behind bool
 	// ProfilesRead is the offset of the newest change that was folded in. It
 	// never goes down.
 	ProfilesRead caroboffset.Offset
@@ -228,7 +233,7 @@
 		return nil
 	}
 	rv := w.Profiles.Get(gp.Profile)
-	if rv == nil {
+	if rv == nil || w.Behind {
 		return nil
 	}
 	return &rv.Change.Profile
