Take a target's 503 for a refusal where the profile says so

Cause: a profile's refuse was read and never used; the 503 of a target that sheds went to the caller as its answer and was kept for its key, so that the key never ran. Change: under such a profile the entry counts the 503 as busy, drops its body and places the call elsewhere.

--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -3,6 +3,8 @@
 package carobentry
 
 import (
+	"net/http"
+
 	"github.com/samber/lo"
 
 	"github.com/carobknot/carobknot/pkg/carobarrival"
@@ -121,6 +123,10 @@
 	if at.Over {
 		return
 	}
+	if shed(cl, rp) {
+		cancel(w, cl, rp.Job.Attempt)
+		rp.Kind = carobkind.Busy
+	}
 	at.Over, at.Kind = true, rp.Kind
 	if cl.Stage != carobstage.Placed && cl.Stage != carobstage.Fencing {
 		return
@@ -135,6 +141,12 @@
 	}
 }
 
+// shed reports whether a target's answer proves that it did not run the call.
+// Its body is then not wanted.
+func shed(cl *carobcall.Call, rp carobreply.Reply) bool {
+	return rp.Kind == carobkind.None && cl.Profile.Refuse && rp.Status == http.StatusServiceUnavailable
+}
+
 // failed decides on a call of which all attempts have failed.
 func failed(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call) {
 	left := len(cl.Attempts) < cl.Profile.Tries && !cl.Deadline.Reached(now)
