Let the process tests' callers keep the addresses they ask

Cause: with the race detector, TestFailures and TestRollingRestart reported data races: callers read the addresses of a node that the test was starting anew. The reports name test files only. Change: callers take the call addresses once; a node started anew keeps its own. Conclusion: a fault of the harness; no check changed.

--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -106,6 +106,9 @@
 // traffic is callers that ask the cluster without a break.
 type traffic struct {
 	cluster *cluster
+	// calls are where the nodes take calls. A node that is started anew has the
+	// same address.
+	calls []string
 	stop    context.CancelFunc
 	callers sync.WaitGroup
 	// done gets a value for each call that has ended.
@@ -140,6 +143,9 @@
 	const callers = 8
 	cx, stop := context.WithCancel(context.Background())
 	tr := &traffic{cluster: c, stop: stop, done: make(chan told, 1<<16)}
+	for _, node := range c.nodes {
+		tr.calls = append(tr.calls, node.addresses["call"])
+	}
 	client := &http.Client{Transport: transport, Timeout: 4 * time.Second}
 	t.Cleanup(stop)
 	for caller := range callers {
@@ -155,10 +161,10 @@
 // call sends one call. A node that takes no connection is passed over:
 // nothing was sent to it.
 func (tr *traffic) call(cx context.Context, client *http.Client, at int, service, body string) {
-	for range tr.cluster.nodes {
+	for range tr.calls {
 		asked := client.Transport != asking
 		trace := httptrace.WithClientTrace(context.WithoutCancel(cx), &httptrace.ClientTrace{Got100Continue: func() { asked = true }})
-		rq, err := http.NewRequestWithContext(trace, http.MethodPost, "http://"+tr.cluster.nodes[at].addresses["call"]+"/", strings.NewReader(body))
+		rq, err := http.NewRequestWithContext(trace, http.MethodPost, "http://"+tr.calls[at]+"/", strings.NewReader(body))
 		if err != nil {
 			panic(err)
 		}
@@ -168,7 +174,7 @@
 		}
 		rs, err := client.Do(rq) //nolint:bodyclose // learn closes it
 		if op := (*net.OpError)(nil); errors.As(err, &op) && op.Op == "dial" || err != nil && !asked {
-			at = (at + 1) % len(tr.cluster.nodes)
+			at = (at + 1) % len(tr.calls)
 			continue
 		}
 		tr.note(learn(rs, err, service, body))
