Run a node on one core unless its settings say otherwise

Cause: a call takes eight hand-overs between goroutines of two nodes; with many idle cores each wakes a thread, which costs more than the work. Change: limits.cores, 1 by default, given to the runtime by the node command.

--- a/internal/carobcommand/node.go
+++ b/internal/carobcommand/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"runtime"
 
 	"github.com/sirupsen/logrus"
 
@@ -35,6 +36,7 @@
 	if err != nil {
 		return err
 	}
+	runtime.GOMAXPROCS(st.Limits.Cores)
 	nd, err := carobnode.NewNode(cx, carobnode.Config{Settings: st, Logger: newLogger(sd)})
 	if err != nil {
 		return err
--- a/pkg/caroblimits/limits.go
+++ b/pkg/caroblimits/limits.go
@@ -22,6 +22,8 @@
 	Peers int `json:"peers"`
 	// Conns is the most connections that callers may open.
 	Conns int `json:"conns"`
+	// Cores is how many processor cores the node's goroutines use at once.
+	Cores int `json:"cores"`
 	// Header is the longest header of a call.
 	Header carobsize.Size `json:"header"`
 	// Body is the longest body of a call.
@@ -46,6 +48,7 @@
 		Targets: 4_000,
 		Peers:   4_000,
 		Conns:   4_000,
+		Cores:   1,
 		Header:  16 * carobsize.KiB,
 		Body:    1024 * carobsize.MiB,
 		Kept:    32 * carobsize.MiB,
@@ -66,6 +69,7 @@
 		{"targets", int64(l.Targets)},
 		{"peers", int64(l.Peers)},
 		{"conns", int64(l.Conns)},
+		{"cores", int64(l.Cores)},
 		{"header", int64(l.Header)},
 		{"body", int64(l.Body)},
 		{"kept", int64(l.Kept)},
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -108,7 +108,7 @@
 	cluster *cluster
 	// calls are where the nodes take calls. A node that is started anew has the
 	// same address.
-	calls []string
+	calls   []string
 	stop    context.CancelFunc
 	callers sync.WaitGroup
 	// done gets a value for each call that has ended.
