--- a/test/stand_test.go
+++ b/test/stand_test.go
@@ -126,6 +126,20 @@
 	}, 10*time.Second, 10*time.Millisecond)
 }
 
+// lists waits until the near node knows all of some targets.
+func (m mesh) lists(t *testing.T, targets ...string) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		view, code := run("status", "-admin", m.near.addresses["admin"], "-json")
+		for _, target := range targets {
+			if code != 0 || !strings.Contains(view, `"`+target+`"`) {
+				return false
+			}
+		}
+		return true
+	}, 10*time.Second, 10*time.Millisecond)
+}
+
 // dial opens a raw connection for a call to the near node.
 func (m mesh) dial(t *testing.T) (net.Conn, *bufio.Reader) {
 	t.Helper()
--- a/test/stream_test.go
+++ b/test/stream_test.go
@@ -241,6 +241,7 @@
 		announce(t, m.far, "evidence/"+name, listenHTTP(t, handler), 1)
 	}
 	m.known(t, "evidence")
+	m.lists(t, "evidence/one", "evidence/two")
 	hold, _ := m.dial(t)
 	_, err := io.WriteString(hold, "GET /slow HTTP/1.1\r\nHost: evidence\r\n\r\n")
 	require.NoError(t, err)
