Tell expired, not cancelled, when the deadline ended a call

Cause: the process tests saw 2 of 1,008 callers of a slow target told cancelled: at the deadline the entry gives the attempt up, and its end as given up was taken for the reason. The outcome, unknown, was right and is the same. Figures: TestDeadline/given_up_at_the_deadline fails without the change.

--- a/pkg/carobentry/fence.go
+++ b/pkg/carobentry/fence.go
@@ -158,6 +158,8 @@
 	return kind
 }
 
+// doubtful reports whether the end of an attempt says why the call may have run.
+// That the entry gave it up says nothing: the deadline or another attempt does.
 func doubtful(at *carobattempt.Attempt) bool {
-	return at.Over && !at.NotRun() && at.Kind != carobkind.None
+	return at.Over && !at.NotRun() && at.Kind != carobkind.None && at.Kind != carobkind.Cancelled
 }
--- a/pkg/carobentry/fence_test.go
+++ b/pkg/carobentry/fence_test.go
@@ -94,6 +94,15 @@
 		r.reply(1, carobkind.None)
 		require.Equal(t, 1, r.world.Outbox.Conclusions[0].Attempt)
 	})
+	t.Run("given up at the deadline", func(t *testing.T) {
+		r := newRig(t, carobonce.Call)
+		r.arrive(false)
+		r.rest(patience)
+		r.step(carobinbox.Inbox{})
+		r.reply(1, carobkind.Cancelled)
+		r.verdict(1, carobfate.Running)
+		r.concluded(carobkind.Expired)
+	})
 	t.Run("node replaced", func(t *testing.T) {
 		r := newRig(t, carobonce.Call)
 		r.arrive(false)
--- a/pkg/carobstage/stage.go
+++ b/pkg/carobstage/stage.go
@@ -4,7 +4,7 @@
 // Stage is a step in the life of a call.
 type Stage int
 
-// The stages, in order.
+// The stages, in order. Waiting is the zero value, since most calls begin there.
 const (
 	// Claiming: the call needs its idempotency key.
 	Claiming Stage = iota - 1
