Let calls that all targets are too busy for wait at their entry

Ruled out: longer queues at the targets, which bind a call to one of them. Change: after its tries a call that was refused for want of room waits 10 ms, then longer each time up to 160 ms, and is offered again until its deadline; 100 attempts at most. Nothing has run by then, so this is safe for every call.

--- a/pkg/carobcall/call.go
+++ b/pkg/carobcall/call.go
@@ -33,6 +33,9 @@
 	Stage carobstage.Stage
 	// Extra says that a second attempt is wanted beside the one under way.
 	Extra bool
+	// Rest is until when a call waits that all its tries were refused for want of
+	// room; Never if it need not.
+	Rest carobinstant.Instant
 	// Attempts has attempt n at index n-1.
 	Attempts []carobattempt.Attempt
 	// Last is the kind of the newest failed attempt.
--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/samber/lo"
 
@@ -25,6 +26,15 @@
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
+const (
+	// firstRest is the mean of the first wait of a call that was refused by all.
+	firstRest = 10 * time.Millisecond
+	// mostDoublings bounds the waits.
+	mostDoublings = 4
+	// mostRefusals is how many attempts a call has at most.
+	mostRefusals = 100
+)
+
 // System takes calls in, follows their attempts and settles them.
 type System struct{}
 
@@ -154,6 +164,8 @@
 	case left && cl.NotRun():
 		w.BudgetOf(cl.Arrival.Service).Moves++
 		cl.Stage = carobstage.Waiting
+	case cl.Last == carobkind.Busy && cl.NotRun() && len(cl.Attempts) < mostRefusals && !cl.Deadline.Reached(now):
+		rest(w, now, cl)
 	case left && mayRepeat(cl) && w.BudgetOf(cl.Arrival.Service).Spend():
 		cl.Stage = carobstage.Waiting
 	default:
@@ -161,6 +173,17 @@
 	}
 }
 
+// rest lets a call wait at its entry that every target it was offered to was too
+// busy for. A jump of load is over in milliseconds, and a caller that has time
+// left would rather wait than be refused. The waits grow, so that calls beyond
+// what the targets can do cost few refusals.
+func rest(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call) {
+	doublings := min(len(cl.Attempts)-cl.Profile.Tries, mostDoublings)
+	pause := firstRest << max(0, doublings)
+	cl.Rest = now.Add(pause/2 + time.Duration(w.Random.Int64N(int64(pause))))
+	cl.Stage = carobstage.Waiting
+}
+
 // mayRepeat reports whether a call may run though an attempt at it may have.
 func mayRepeat(cl *carobcall.Call) bool {
 	return cl.Profile.Once == carobonce.No && !cl.Arrival.Streamed
--- a/pkg/carobprofile/profile.go
+++ b/pkg/carobprofile/profile.go
@@ -27,7 +27,7 @@
 	Spread int `json:"spread"`
 	// Deadline is the time that a call has if its caller names none.
 	Deadline carobspan.Span `json:"deadline"`
-	// Tries is how many attempts a call has, at least 1.
+	// Tries is how many attempts a call has before it waits for room, at least 1.
 	Tries int `json:"tries"`
 	// Hedge is the quantile of latency after which a call that may run more than
 	// once is tried a second time; 0 is never.
--- a/pkg/carobrouting/system.go
+++ b/pkg/carobrouting/system.go
@@ -55,6 +55,10 @@
 }
 
 func (s *System) place(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call) {
+	if cl.Rest != carobinstant.Never && !cl.Rest.Reached(now) {
+		w.WakeAt(cl.Rest)
+		return
+	}
 	if _, ok := s.empty[cl.Arrival.Service]; ok {
 		return
 	}
