Split the run of a node into its steps

Cause: read as a newcomer, Run was one function of 60 lines, the pools' settings were package variables, and a constant was left over from the first path. Change: attach, start and serve; the pools are made where they are used. Conclusion: no change in what it does.

--- a/internal/carobnode/node.go
+++ b/internal/carobnode/node.go
@@ -18,7 +18,6 @@
 	"github.com/carobknot/carobknot/internal/carobmailbox"
 	"github.com/carobknot/carobknot/internal/carobmeter"
 	"github.com/carobknot/carobknot/internal/carobplatform"
-	"github.com/carobknot/carobknot/internal/carobpool"
 	"github.com/carobknot/carobknot/internal/carobscribe"
 	"github.com/carobknot/carobknot/internal/carobsettings"
 	"github.com/carobknot/carobknot/internal/carobsplitter"
@@ -57,7 +56,15 @@
 	// goodbye is how long the last messages to other nodes have to leave.
 	goodbye       = 200 * time.Millisecond
 	closePatience = 2 * time.Second
-	joinPause     = 500 * time.Millisecond
+
+	// dialPatience is how long opening a connection may take.
+	dialPatience = time.Second
+	// targetIdle and peerIdle are how long a connection is kept unused. Targets
+	// close theirs sooner than nodes do.
+	targetIdle = 5 * time.Second
+	peerIdle   = 30 * time.Second
+	// idleConns is the most unused connections to one address.
+	idleConns = 256
 )
 
 // NewNode opens a node's listeners and makes its parts.
@@ -92,57 +99,65 @@
 func (n *Node) Run(cx context.Context) error {
 	inner, cancel := context.WithCancel(context.WithoutCancel(cx))
 	defer cancel()
-	timer := do.MustInvoke[*carobtimer.Timer](n.injector)
-	control := do.MustInvoke[*carobcontrol.Control](n.injector)
-	splitter := do.MustInvoke[*carobsplitter.Splitter](n.injector)
-	entrance := do.MustInvoke[*carobentrance.Entrance](n.injector)
-	courier := do.MustInvoke[*carobcourier.Courier](n.injector)
-	admin := do.MustInvoke[*carobadmin.Admin](n.injector)
-	attempts := do.MustInvoke[*attemptServer](n.injector)
-	scribe := do.MustInvoke[*carobscribe.Scribe](n.injector)
+	n.attach(inner)
+	n.start(inner)
+	failed := n.serve(inner)
+	n.config.Logger.WithFields(logrus.Fields{
+		"node": n.config.Settings.Name, "call": n.Call(), "peer": n.Peer(), "admin": n.Admin(),
+	}).Info("node: started")
+	select {
+	case err := <-failed:
+		return err
+	case <-cx.Done():
+	}
+	n.shutDown(inner)
+	return nil
+}
 
+// attach connects the control goroutine with the parts that carry its effects out.
+func (n *Node) attach(cx context.Context) {
+	control := do.MustInvoke[*carobcontrol.Control](n.injector)
 	control.Attach(do.MustInvoke[*carobadmitter.Admitter](n.injector))
-	control.Attach(entrance)
-	control.Attach(courier)
+	control.Attach(do.MustInvoke[*carobentrance.Entrance](n.injector))
+	control.Attach(do.MustInvoke[*carobcourier.Courier](n.injector))
 	control.Attach(do.MustInvoke[*carobmeter.Meter](n.injector))
-	control.Attach(carobclaimlog.NewClaimLog(inner, carobclaimlog.Config{
+	control.Attach(carobclaimlog.NewClaimLog(cx, carobclaimlog.Config{
 		Log:     do.MustInvoke[*carobplatform.Client](n.injector),
-		Mailbox: do.MustInvoke[*carobmailbox.Mailbox](n.injector), Timer: timer,
-		Logger: logrus.NewEntry(n.config.Logger),
+		Mailbox: do.MustInvoke[*carobmailbox.Mailbox](n.injector),
+		Timer:   do.MustInvoke[*carobtimer.Timer](n.injector),
+		Logger:  logrus.NewEntry(n.config.Logger),
 	}))
-	control.Attach(scribe)
+	control.Attach(do.MustInvoke[*carobscribe.Scribe](n.injector))
 	control.Attach(n)
+}
 
-	go timer.Run(inner)
-	go control.Run(inner)
-	go splitter.Run(inner)
-	go n.follow(inner, carobstream.Profiles)
-	go n.follow(inner, carobstream.Nodes)
-	go scribe.Run(inner)
+// start starts the goroutines that serve nobody outside.
+func (n *Node) start(cx context.Context) {
+	go do.MustInvoke[*carobtimer.Timer](n.injector).Run(cx)
+	go do.MustInvoke[*carobcontrol.Control](n.injector).Run(cx)
+	go do.MustInvoke[*carobsplitter.Splitter](n.injector).Run(cx)
+	go do.MustInvoke[*carobscribe.Scribe](n.injector).Run(cx)
+	go n.follow(cx, carobstream.Profiles)
+	go n.follow(cx, carobstream.Nodes)
+}
+
+// serve starts the servers, and returns what tells of the first that fails.
+func (n *Node) serve(cx context.Context) <-chan error {
+	splitter := do.MustInvoke[*carobsplitter.Splitter](n.injector)
 	failed := make(chan error, 1)
-	serve := func(part string, run func(net.Listener) error, ls net.Listener) {
-		if err := run(ls); err != nil && inner.Err() == nil {
+	start := func(part string, run func(net.Listener) error, ls net.Listener) {
+		if err := run(ls); err != nil && cx.Err() == nil {
 			select {
 			case failed <- carobkind.Wrap(carobkind.Internal, err, "serve "+part):
 			default:
 			}
 		}
 	}
-	go serve("calls", entrance.Serve, n.call)
-	go serve("attempts", attempts.Serve, splitter.Calls)
-	go serve("control messages", courier.Serve, splitter.Control)
-	go serve("admin", admin.Serve, n.admin)
-	n.config.Logger.WithFields(logrus.Fields{
-		"node": n.config.Settings.Name, "call": n.Call(), "peer": n.Peer(), "admin": n.Admin(),
-	}).Info("node: started")
-
-	select {
-	case err := <-failed:
-		return err
-	case <-cx.Done():
-	}
-	n.shutDown(inner)
-	return nil
+	go start("calls", do.MustInvoke[*carobentrance.Entrance](n.injector).Serve, n.call)
+	go start("attempts", do.MustInvoke[*attemptServer](n.injector).Serve, splitter.Calls)
+	go start("control messages", do.MustInvoke[*carobcourier.Courier](n.injector).Serve, splitter.Control)
+	go start("admin", do.MustInvoke[*carobadmin.Admin](n.injector).Serve, n.admin)
+	return failed
 }
 
 // shutDown ends the node gracefully. Callers can open no more connections; what
@@ -203,9 +218,3 @@
 
 // scribeKept is the most bytes that are kept of each stream while the log is out.
 const scribeKept = 8 * carobsize.MiB
-
-// Pools of connections.
-var (
-	peerPool   = carobpool.Config{Dial: time.Second, Idle: 30 * time.Second, Kept: 256, Ask: true}
-	targetPool = carobpool.Config{Dial: time.Second, Idle: 5 * time.Second, Kept: 256}
-)
--- a/internal/carobnode/wire_traffic.go
+++ b/internal/carobnode/wire_traffic.go
@@ -39,26 +39,28 @@
 		}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*carobadmitter.Admitter, error) {
-		pool := targetPool
-		pool.Timer = do.MustInvoke[*carobtimer.Timer](i)
-		pool.Header, pool.Stall = int(st.Limits.Header), st.Limits.Stall.Duration()
+		targets := carobpool.NewPool(carobpool.Config{
+			Timer: do.MustInvoke[*carobtimer.Timer](i), Dial: dialPatience, Idle: targetIdle, Kept: idleConns,
+			Header: int(st.Limits.Header), Stall: st.Limits.Stall.Duration(),
+		})
 		return carobadmitter.NewAdmitter(carobadmitter.Config{
-			Mailbox: do.MustInvoke[*carobmailbox.Mailbox](i), Targets: carobpool.NewPool(pool),
+			Mailbox: do.MustInvoke[*carobmailbox.Mailbox](i), Targets: targets,
 			Watch: do.MustInvoke[*carobwatch.Watch](i), Timer: do.MustInvoke[*carobtimer.Timer](i),
 			Stall: st.Limits.Stall.Duration(),
 		}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*carobentrance.Entrance, error) {
-		pool := peerPool
-		pool.Timer = do.MustInvoke[*carobtimer.Timer](i)
-		pool.Header, pool.Stall = peerRoom+int(st.Limits.Header), st.Limits.Stall.Duration()
+		peers := carobpool.NewPool(carobpool.Config{
+			Timer: do.MustInvoke[*carobtimer.Timer](i), Dial: dialPatience, Idle: peerIdle, Kept: idleConns, Ask: true,
+			Header: peerRoom + int(st.Limits.Header), Stall: st.Limits.Stall.Duration(),
+		})
 		self := do.MustInvoke[carobmember.Member](i)
 		return carobentrance.NewEntrance(carobentrance.Config{
 			Node: self.Node, Incarnation: self.Incarnation, Limits: st.Limits,
 			Mailbox: do.MustInvoke[*carobmailbox.Mailbox](i), Control: do.MustInvoke[*carobcontrol.Control](i),
 			Watch: do.MustInvoke[*carobwatch.Watch](i), Timer: do.MustInvoke[*carobtimer.Timer](i),
 			Relay: carobrelay.NewRelay(carobrelay.Config{
-				Peers: carobpool.NewPool(pool), Own: do.MustInvoke[*carobadmitter.Admitter](i),
+				Peers: peers, Own: do.MustInvoke[*carobadmitter.Admitter](i),
 			}),
 		}), nil
 	})
@@ -70,7 +72,7 @@
 			ReadBufferSize:       peerRoom + int(st.Limits.Header),
 			MaxRequestBodySize:   math.MaxInt,
 			ReadTimeout:          st.Limits.Head.Duration(),
-			IdleTimeout:          2 * peerPool.Idle,
+			IdleTimeout:          2 * peerIdle,
 			WriteTimeout:         st.Limits.Stall.Duration(),
 			StreamRequestBody:    true,
 			NoDefaultContentType: true, NoDefaultServerHeader: true, CloseOnShutdown: true,
