Work homes of keys out again when a node is condemned

Cause: since homes are worked out when a peer changes, and no longer each tick, a node that was suspected or condemned here kept its shards in this node's view: the standing is set in the row, without going through the merge. Found by the long fuzz (calls with keys were not answered after the last fault). Change: a new standing counts as a change of peers. Figures: TestHomesFollowTheDead fails before and passes after.

--- a/pkg/carobdetection/system.go
+++ b/pkg/carobdetection/system.go
@@ -188,6 +188,7 @@
 func judge(w *carobworld.World, now carobinstant.Instant, pr *carobpeer.Peer, sd carobstanding.Standing) {
 	w.Note("member", string(w.Self.Node), "node "+string(pr.Member.Node), pr.Member.Standing.String(), sd.String())
 	pr.Member.Standing, pr.Since, pr.Told = sd, now, 0
+	w.PeerChanges++
 	w.News.Put(pr.Member.Node, struct{}{})
 }
 
--- a/test/fuzz/found_test.go
+++ b/test/fuzz/found_test.go
@@ -1,11 +1,16 @@
 package fuzz
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/carobknot/carobknot/pkg/carobclaiming"
+	"github.com/carobknot/carobknot/pkg/carobkey"
+	"github.com/carobknot/carobknot/pkg/carobshard"
+
 	"github.com/carobknot/carobknot/pkg/carobreadiness"
 	"github.com/carobknot/carobknot/pkg/carobstream"
 )
@@ -90,3 +95,21 @@
 	require.Empty(t, s.oracle.broken)
 	require.Equal(t, 1, s.oracle.tally.Runs)
 }
+
+// Homes of keys follow the standing of nodes: with one node dead, those that are
+// left hold just the shards that they take to be theirs.
+func TestHomesFollowTheDead(t *testing.T) {
+	s := newSimulation(1, 3, plan{})
+	s.advance(2 * time.Second)
+	s.nodes[2].kill()
+	s.advance(10 * time.Second)
+	for _, n := range s.nodes[:2] {
+		w := n.core.World()
+		for i := range 50 {
+			key := carobkey.Key{Service: "payouts", Text: strconv.Itoa(i)}
+			home, _ := carobclaiming.Home(w, key)
+			require.NotEqual(t, s.nodes[2].self.Node, home)
+			require.Equal(t, home == n.self.Node, w.Homes.Get(carobshard.Of(key)) != nil)
+		}
+	}
+}
