Say hello within seconds to a node that the log names

Cause: the long fuzz found two pairs of nodes that stayed apart: both seeds were replaced at once while their old records had expired, so that the two that were left took them for gone, and said hello to strangers only every 10 s. Ruled out: the homes of keys, which followed each pair's own view. Change: a record of a node that is not known brings a hello within 1 to 2 s, late enough that news of it has come to most nodes otherwise.

--- a/pkg/carobjoining/system.go
+++ b/pkg/carobjoining/system.go
@@ -33,6 +33,9 @@
 	// settled is the time between two hellos to nodes that are not known, though
 	// others are: they may have found together apart from this one.
 	settled = 10 * time.Second
+	// heard is the time, up to twice, after which a node that the log names gets
+	// a hello, if news of it has not come otherwise by then.
+	heard = time.Second
 )
 
 // Config is how the system is made.
@@ -63,6 +66,9 @@
 		s.renew = now.Add(renewal - time.Duration(w.Random.Int64N(int64(renewal/4))))
 		register(w)
 	}
+	if found && s.due != carobinstant.Never {
+		s.due = carobinstant.Earlier(s.due, now.Add(heard+time.Duration(w.Random.Int64N(int64(heard)))))
+	}
 	lonely := len(w.SomePeers(1, answers)) == 0
 	if s.due == carobinstant.Never || s.due.Reached(now) || found && lonely {
 		s.greet(w, lonely)
--- /dev/null
+++ b/pkg/carobjoining/system_test.go
@@ -0,0 +1,45 @@
+package carobjoining
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/caroblimits"
+	"github.com/carobknot/carobknot/pkg/carobmember"
+	"github.com/carobknot/carobknot/pkg/carobpeer"
+	"github.com/carobknot/carobknot/pkg/carobrecord"
+	"github.com/carobknot/carobknot/pkg/carobstream"
+	"github.com/carobknot/carobknot/pkg/carobworld"
+)
+
+func member(name, peer string) carobmember.Member {
+	var mb carobmember.Member
+	text := `{"node": "` + name + `", "incarnation": 1, "region": "bavaria", "centre": "west", "peer": "` + peer + `"}`
+	if err := json.Unmarshal([]byte(text), &mb); err != nil {
+		panic(err)
+	}
+	return mb
+}
+
+// A node that knows others says hello within seconds to one that the log names:
+// two groups that forgot each other must not stay apart.
+func TestNamedNodeGetsHelloSoon(t *testing.T) {
+	w := carobworld.NewWorld(carobworld.Config{Self: member("self", "127.0.0.1:1"), Limits: caroblimits.NewLimits()})
+	w.Peers.Put("friend", carobpeer.Peer{Member: member("friend", "127.0.0.1:2")})
+	s, now := NewSystem(Config{}), carobinstant.Instant(time.Hour)
+	w.Begin(carobinbox.Inbox{})
+	s.Run(w, now)
+	data, err := json.Marshal(member("other", "127.0.0.1:3"))
+	require.NoError(t, err)
+	w.Begin(carobinbox.Inbox{Records: []carobrecord.Record{{Stream: carobstream.Nodes, Data: data}}})
+	s.Run(w, now.Add(time.Millisecond))
+	w.Begin(carobinbox.Inbox{})
+	s.Run(w, now.Add(3*time.Second))
+	require.NotEmpty(t, w.Outbox.Messages)
+	require.EqualValues(t, "127.0.0.1:3", w.Outbox.Messages[0].To)
+}
