--- a/test/capacity/nodes_test.go
+++ b/test/capacity/nodes_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/carobknot/carobknot/internal/carobtimer"
 )
 
 // process is a process whose cost is measured.
@@ -108,12 +110,14 @@
 		startProcess(t, program, "target", "-id", fmt.Sprintf("service-%d/t-%d", i%5, i), "-profile", "lookups",
 			"-admin", nd.addresses["admin"])
 	}
-	time.Sleep(settle) //nolint:forbidigo // the harness measures over a span of real time
+	timer := carobtimer.NewTimer()
+	go timer.Run(t.Context())
+	require.NoError(t, timer.Wait(t.Context(), settle))
 	before := make([]cost, n)
 	for i, nd := range nodes {
 		before[i] = nd.cost(t)
 	}
-	time.Sleep(span) //nolint:forbidigo // as above
+	require.NoError(t, timer.Wait(t.Context(), span))
 	var sum cost
 	for i, nd := range nodes {
 		after := nd.cost(t)
