--- a/internal/carobadmitter/admitter.go
+++ b/internal/carobadmitter/admitter.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"strconv"
 	"sync"
 	"time"
 
@@ -24,15 +23,27 @@
 	"github.com/carobknot/carobknot/pkg/carobjobid"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroboffer"
+	"github.com/carobknot/carobknot/pkg/carobonce"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
+	"github.com/carobknot/carobknot/pkg/carobpressure"
 	"github.com/carobknot/carobknot/pkg/carobreport"
+	"github.com/carobknot/carobknot/pkg/carobsize"
 	"github.com/carobknot/carobknot/pkg/carobstart"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 )
 
 // exchanger sends a request to a target and returns the head of its answer.
 type exchanger interface {
-	Do(cx context.Context, ad carobaddress.Address, rq *fasthttp.Request) (*carobanswer.Answer, error)
+	Do(cx context.Context, ad carobaddress.Address, rq *fasthttp.Request, careful bool) (*carobanswer.Answer, error)
+}
+
+// dialect is how targets are spoken to.
+type dialect interface {
+	// Ask readies a request for its target.
+	Ask(rq *fasthttp.Request, st *carobstart.Start, target carobtargetid.ID)
+	// Judge reads what an answer says besides: None if it is the target's answer to
+	// the call, or why it is not; and the target's load, or nil.
+	Judge(rs *fasthttp.Response) (carobkind.Kind, *carobpressure.Pressure)
 }
 
 // Config is how an admitter is made.
@@ -40,6 +51,11 @@
 	Mailbox *carobmailbox.Mailbox
 	// Targets reaches the node's own targets.
 	Targets exchanger
+	// Dialect is how the targets are spoken to; nil is the system's own.
+	Dialect dialect
+	// Gather is the longest answer that is read to its end before it is passed on;
+	// 0 if all are passed on as they come.
+	Gather carobsize.Size
 	// Watch notices entry nodes that hang up.
 	Watch *carobwatch.Watch
 	Timer *carobtimer.Timer
@@ -65,6 +81,9 @@
 
 // NewAdmitter returns an admitter.
 func NewAdmitter(c Config) *Admitter {
+	if c.Dialect == nil {
+		c.Dialect = native{}
+	}
 	return &Admitter{config: c, desk: carobdesk.NewDesk[carobjobid.ID, order]()}
 }
 
@@ -98,7 +117,7 @@
 	a.config.Mailbox.Post(func(in *carobinbox.Inbox) { in.Offers = append(in.Offers, of) })
 	select {
 	case <-cx.Done():
-		a.finish(of.Job, carobkind.Cancelled, 0)
+		a.finish(carobfinish.Finish{Job: of.Job, Kind: carobkind.Cancelled})
 		return nil, carobkind.New(carobkind.Cancelled, "wait for admission")
 	case od := <-orders:
 		if od.start == nil {
@@ -116,29 +135,39 @@
 	return nil
 }
 
+// run sends a started job to its target. The job has ended when the target is
+// done with it.
 func (a *Admitter) run(cx context.Context, st *carobstart.Start, rq *fasthttp.Request, target carobtargetid.ID) (*carobanswer.Answer, error) {
 	carobheader.CleanRequest(&rq.Header)
-	rq.Header.Set(carobheader.Deadline, strconv.FormatInt(max(1, int64(st.Patience/time.Millisecond)), 10))
-	rq.Header.Set(carobheader.Call, st.Job.Call.String())
-	if st.Trace != "" {
-		rq.Header.Set(carobheader.Trace, st.Trace)
-	}
-	an, err := a.config.Targets.Do(cx, st.Address, rq)
+	a.config.Dialect.Ask(rq, st, target)
+	an, err := a.config.Targets.Do(cx, st.Address, rq, st.Once != carobonce.No)
 	if err != nil {
-		a.finish(st.Job, carobkind.Of(err), 0)
+		a.finish(carobfinish.Finish{Job: st.Job, Kind: carobkind.Of(err)})
 		return nil, err
 	}
+	fn := carobfinish.Finish{Job: st.Job, Status: an.Response.StatusCode()}
+	kind, pressure := a.config.Dialect.Judge(an.Response)
+	fn.Pressure = pressure
+	if most := int(a.config.Gather); most > 0 && an.Length <= most {
+		if errGather := an.Gather(most); errGather != nil && kind == carobkind.None {
+			kind = carobkind.Cut
+		}
+	}
+	if kind != carobkind.None {
+		_ = an.Body.Close()
+		fn.Kind = kind
+		a.finish(fn)
+		return nil, carobkind.New(kind, "the target's answer is not one to the call")
+	}
 	carobheader.CleanResponse(&an.Response.Header)
 	an.Report = a.Report(target)
-	status := an.Response.StatusCode()
 	an.Body = carobbody.NewBody(carobbody.Config{Stream: an.Body, Length: an.Length, Over: func(kind carobkind.Kind) {
-		a.finish(st.Job, kind, status)
+		fn.Kind = kind
+		a.finish(fn)
 	}})
 	return an, nil
 }
 
-func (a *Admitter) finish(job carobjobid.ID, kind carobkind.Kind, status int) {
-	a.config.Mailbox.Post(func(in *carobinbox.Inbox) {
-		in.Finishes = append(in.Finishes, carobfinish.Finish{Job: job, Kind: kind, Status: status})
-	})
+func (a *Admitter) finish(fn carobfinish.Finish) {
+	a.config.Mailbox.Post(func(in *carobinbox.Inbox) { in.Finishes = append(in.Finishes, fn) })
 }
--- /dev/null
+++ b/internal/carobadmitter/native.go
@@ -0,0 +1,32 @@
+package carobadmitter
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/carobknot/carobknot/internal/carobheader"
+	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/carobpressure"
+	"github.com/carobknot/carobknot/pkg/carobstart"
+	"github.com/carobknot/carobknot/pkg/carobtargetid"
+)
+
+// native is the system's own way to speak to targets.
+type native struct{}
+
+// Ask adds the time left, the call's id and its trace.
+func (native) Ask(rq *fasthttp.Request, st *carobstart.Start, _ carobtargetid.ID) {
+	const base = 10
+	rq.Header.Set(carobheader.Deadline, strconv.FormatInt(max(1, int64(st.Patience/time.Millisecond)), base))
+	rq.Header.Set(carobheader.Call, st.Job.Call.String())
+	if st.Trace != "" {
+		rq.Header.Set(carobheader.Trace, st.Trace)
+	}
+}
+
+// Judge takes every answer for the call's.
+func (native) Judge(*fasthttp.Response) (carobkind.Kind, *carobpressure.Pressure) {
+	return carobkind.None, nil
+}
--- a/internal/carobadmitter/serve.go
+++ b/internal/carobadmitter/serve.go
@@ -113,6 +113,7 @@
 	return caroboffer.Offer{
 		Job: carobjobid.ID{Call: call, Attempt: attempt}, Target: target,
 		Incarnation: carobincarnation.Incarnation(incarnation), Patience: time.Duration(patience),
-		Key: string(hd.Peek(carobheader.Key)), Trace: string(hd.Peek(carobheader.Trace)),
+		Wish: carobheader.ParseWish(string(hd.Peek(carobheader.Wish))),
+		Key:  string(hd.Peek(carobheader.Key)), Trace: string(hd.Peek(carobheader.Trace)),
 	}, nil
 }
--- a/internal/carobadmitter/visit.go
+++ b/internal/carobadmitter/visit.go
@@ -9,6 +9,7 @@
 	"github.com/carobknot/carobknot/internal/carobanswer"
 	"github.com/carobknot/carobknot/internal/carobbody"
 	"github.com/carobknot/carobknot/internal/carobupload"
+	"github.com/carobknot/carobknot/pkg/carobfinish"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroboffer"
@@ -45,7 +46,7 @@
 func (v *visit) abandon() {
 	if v.take() {
 		v.close()
-		v.admitter.finish(v.offer.Job, carobkind.Cancelled, 0)
+		v.admitter.finish(carobfinish.Finish{Job: v.offer.Job, Kind: carobkind.Cancelled})
 	}
 }
 
@@ -62,7 +63,7 @@
 		Conn: rc.Conn(), Timer: cf.Timer, Stall: cf.Stall,
 	})
 	if err != nil {
-		v.admitter.finish(v.offer.Job, carobkind.Cut, 0)
+		v.admitter.finish(carobfinish.Finish{Job: v.offer.Job, Kind: carobkind.Cut})
 		return carobkind.Wrap(carobkind.Cut, err, "read body")
 	}
 	rq := &fasthttp.Request{}
--- a/internal/carobanswer/answer.go
+++ b/internal/carobanswer/answer.go
@@ -2,6 +2,7 @@
 package carobanswer
 
 import (
+	"bytes"
 	"io"
 
 	"github.com/valyala/fasthttp"
@@ -23,3 +24,33 @@
 	// Report is the load of the target; nil if none came.
 	Report *carobreport.Report
 }
+
+// Gather reads a body that is not longer than most to its end, so that an answer
+// that was cut short is found before any of it is passed on. A longer body is
+// left as it is.
+func (a *Answer) Gather(most int) error {
+	if a.Bodiless || a.Length > most {
+		return nil
+	}
+	data, err := io.ReadAll(io.LimitReader(a.Body, int64(most)+1))
+	if err == nil && a.Length >= 0 && len(data) != a.Length {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		_ = a.Body.Close()
+		return err
+	}
+	if len(data) > most {
+		a.Body = &resumed{Reader: io.MultiReader(bytes.NewReader(data), a.Body), Closer: a.Body}
+		return nil
+	}
+	err = a.Body.Close()
+	a.Length, a.Body = len(data), io.NopCloser(bytes.NewReader(data))
+	return err
+}
+
+// resumed is a body of which the beginning was read before.
+type resumed struct {
+	io.Reader
+	io.Closer
+}
--- a/internal/carobcontrol/control.go
+++ b/internal/carobcontrol/control.go
@@ -48,18 +48,22 @@
 	alarm := c.config.Timer.Subscribe(c.config.Mailbox.Ring)
 	c.config.Mailbox.Ring()
 	for {
-		in, ok := c.config.Mailbox.Take(cx)
-		if !ok {
+		if !c.config.Mailbox.Await(cx) {
 			return
 		}
-		c.tick(in)
-		c.reply()
+		// Questions first: what was posted before a question was asked is in the
+		// tick that comes before its answer.
+		questions := c.questions()
+		c.tick(c.config.Mailbox.Take())
+		for _, ask := range questions {
+			ask(c.config.Core.World())
+		}
 		alarm(c.config.Core.Wake())
 	}
 }
 
-// Ask runs a question on the control goroutine between two ticks. The question
-// may read the world and must keep nothing of it.
+// Ask runs a question on the control goroutine between two ticks, after a tick
+// that took in all that was posted before. The question may read the world and must keep nothing of it.
 func (c *Control) Ask(cx context.Context, question func(w *carobworld.World)) error {
 	done := make(chan struct{})
 	ask := func(w *carobworld.World) {
@@ -87,13 +91,15 @@
 	}
 }
 
-func (c *Control) reply() {
+// questions takes out what is asked now.
+func (c *Control) questions() []func(w *carobworld.World) {
+	var asks []func(w *carobworld.World)
 	for {
 		select {
 		case ask := <-c.asks:
-			ask(c.config.Core.World())
+			asks = append(asks, ask)
 		default:
-			return
+			return asks
 		}
 	}
 }
--- a/internal/carobcourier/cost_test.go
+++ b/internal/carobcourier/cost_test.go
@@ -77,7 +77,8 @@
 			ms.Report = &carobreport.Report{Target: target, Running: 1 << 20, Queued: 1 << 20, Slots: 1 << 20, Latency: 1<<62 + 1}
 		}
 		r.Carry(&caroboutbox.Outbox{Messages: []carobmessage.Message{ms}})
-		in, ok := mailbox.Take(t.Context())
+		ok := mailbox.Await(t.Context())
+		in := mailbox.Take()
 		require.True(t, ok)
 		require.Len(t, in.Messages, 1)
 	}
--- a/internal/carobcourier/courier_test.go
+++ b/internal/carobcourier/courier_test.go
@@ -50,7 +50,8 @@
 	t.Helper()
 	cx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	in, ok := e.mailbox.Take(cx)
+	ok := e.mailbox.Await(cx)
+	in := e.mailbox.Take()
 	require.True(t, ok)
 	return in.Messages
 }
--- a/internal/carobentrance/door.go
+++ b/internal/carobentrance/door.go
@@ -34,7 +34,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &caller{Conn: cn, door: d}
+		c := &callerConn{Conn: cn, door: d}
 		if d.open.Add(1) <= d.limit {
 			return c, nil
 		}
@@ -42,8 +42,8 @@
 	}
 }
 
-// caller is a caller's connection.
-type caller struct {
+// callerConn is a caller's connection.
+type callerConn struct {
 	net.Conn
 	door *door
 	// linger says that bytes of a refused call may still be coming.
@@ -52,7 +52,7 @@
 }
 
 // SyscallConn gives access to the file descriptor.
-func (c *caller) SyscallConn() (syscall.RawConn, error) {
+func (c *callerConn) SyscallConn() (syscall.RawConn, error) {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return nil, net.ErrClosed
@@ -62,7 +62,7 @@
 
 // Close closes the connection, after the other end has had time to read a
 // refusal.
-func (c *caller) Close() error {
+func (c *callerConn) Close() error {
 	c.once.Do(func() {
 		if c.linger.Load() {
 			go c.drain()
@@ -73,12 +73,12 @@
 	return nil
 }
 
-func (c *caller) shut() {
+func (c *callerConn) shut() {
 	_ = c.Conn.Close()
 	c.door.open.Add(-1)
 }
 
-func (c *caller) drain() {
+func (c *callerConn) drain() {
 	defer c.shut()
 	tc, ok := c.Conn.(*net.TCPConn)
 	if !ok || tc.CloseWrite() != nil {
@@ -89,7 +89,7 @@
 }
 
 // turnAway refuses a connection above the limit.
-func (c *caller) turnAway() {
+func (c *callerConn) turnAway() {
 	kind := carobkind.Busy
 	text := fmt.Sprintf("%s: the limit of %d connections is reached\n", kind, c.door.limit)
 	answer := fmt.Sprintf("HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Type: text/plain; charset=utf-8\r\n"+
@@ -104,7 +104,7 @@
 
 // linger has a connection closed only after the refusal on it could be read.
 func linger(cn net.Conn) {
-	if c, ok := cn.(*caller); ok {
+	if c, ok := cn.(*callerConn); ok {
 		c.linger.Store(true)
 	}
 }
--- a/internal/carobentrance/entrance.go
+++ b/internal/carobentrance/entrance.go
@@ -11,14 +11,12 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/carobknot/carobknot/internal/carobanswer"
-	"github.com/carobknot/carobknot/internal/carobdesk"
+	"github.com/carobknot/carobknot/internal/carobexchange"
 	"github.com/carobknot/carobknot/internal/carobmailbox"
 	"github.com/carobknot/carobknot/internal/carobtimer"
 	"github.com/carobknot/carobknot/internal/carobupload"
 	"github.com/carobknot/carobknot/internal/carobwatch"
 	"github.com/carobknot/carobknot/pkg/carobcallid"
-	"github.com/carobknot/carobknot/pkg/carobconclusion"
-	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroblimits"
@@ -55,29 +53,21 @@
 
 // Entrance takes calls from callers.
 type Entrance struct {
-	config Config
-	server *fasthttp.Server
-	desk   *carobdesk.Desk[carobcallid.ID, order]
+	config    Config
+	server    *fasthttp.Server
+	exchanges *carobexchange.Exchanges
 	// sequence is that of the newest call.
 	sequence atomic.Uint64
 	// kept is the number of bytes of all bodies that are kept now.
 	kept atomic.Int64
 }
 
-// order is what the control goroutine decided on a call. One field is set.
-type order struct {
-	send       *carobsend.Send
-	conclusion *carobconclusion.Conclusion
-	// cancel is the attempt to give up.
-	cancel int
-}
-
 // maxWholeBody is more than any body has, so that the library streams them all.
 const maxWholeBody = math.MaxInt
 
 // NewEntrance returns an entrance that does not listen yet.
 func NewEntrance(c Config) *Entrance {
-	e := &Entrance{config: c, desk: carobdesk.NewDesk[carobcallid.ID, order]()}
+	e := &Entrance{config: c, exchanges: carobexchange.NewExchanges(carobexchange.Config{Mailbox: c.Mailbox, Relay: c.Relay})}
 	e.server = &fasthttp.Server{
 		Handler:                      e.serve,
 		ExpectHandler:                e.expect,
@@ -102,6 +92,9 @@
 	return e.server.Serve(&door{Listener: ls, timer: e.config.Timer, limit: int64(e.config.Limits.Conns)})
 }
 
+// Drain does nothing: Shutdown closes each connection behind its answer.
+func (e *Entrance) Drain() {}
+
 // Shutdown stops listening and returns when all connections are closed.
 func (e *Entrance) Shutdown(cx context.Context) error {
 	return e.server.ShutdownWithContext(cx)
@@ -109,15 +102,7 @@
 
 // Carry passes on what the control goroutine decided.
 func (e *Entrance) Carry(out *caroboutbox.Outbox) {
-	for _, sd := range out.Sends {
-		e.desk.Give(sd.Job.Call, order{send: &sd})
-	}
-	for _, job := range out.Cancels {
-		e.desk.Give(job.Call, order{cancel: job.Attempt})
-	}
-	for _, cn := range out.Conclusions {
-		e.desk.Give(cn.Call, order{conclusion: &cn})
-	}
+	e.exchanges.Carry(out)
 }
 
 func (e *Entrance) serve(rc *fasthttp.RequestCtx) {
@@ -141,15 +126,8 @@
 		ar.Patience = max(1, ar.Patience-e.config.Timer.Now().Sub(came))
 	}
 	ar.Streamed = upload.Streamed()
-	orders := e.desk.Open(call)
-	defer e.desk.Close(call)
-	hangup := func() {
-		e.config.Mailbox.Post(func(in *carobinbox.Inbox) { in.Hangups = append(in.Hangups, call) })
-	}
-	defer e.config.Watch.Add(rc.Conn(), hangup)()
-	e.config.Mailbox.Post(func(in *carobinbox.Inbox) { in.Arrivals = append(in.Arrivals, ar) })
-	x := &exchange{entrance: e, call: call, request: &rc.Request, upload: upload, attempts: map[int]*attempt{}}
-	x.follow(rc, orders)
+	defer e.config.Watch.Add(rc.Conn(), func() { e.exchanges.HangUp(call) })()
+	e.exchanges.Run(ar, &rc.Request, upload, &caller{entrance: e, ctx: rc, call: call})
 }
 
 func (e *Entrance) newCall() carobcallid.ID {
--- a/internal/carobentrance/exchange.go
+++ b/internal/carobexchange/exchange.go
@@ -1,4 +1,4 @@
-package carobentrance
+package carobexchange
 
 import (
 	"context"
@@ -7,7 +7,6 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/carobknot/carobknot/internal/carobanswer"
-	"github.com/carobknot/carobknot/internal/carobbody"
 	"github.com/carobknot/carobknot/internal/carobheader"
 	"github.com/carobknot/carobknot/internal/carobupload"
 	"github.com/carobknot/carobknot/pkg/carobcallid"
@@ -15,17 +14,18 @@
 	"github.com/carobknot/carobknot/pkg/carobdelivery"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
+	"github.com/carobknot/carobknot/pkg/carobkept"
 	"github.com/carobknot/carobknot/pkg/carobkind"
-	"github.com/carobknot/carobknot/pkg/caroboutcome"
 	"github.com/carobknot/carobknot/pkg/carobreply"
 	"github.com/carobknot/carobknot/pkg/carobsend"
 )
 
 // exchange is a call in traffic.
 type exchange struct {
-	entrance *Entrance
-	call     carobcallid.ID
-	request  *fasthttp.Request
+	exchanges *Exchanges
+	call      carobcallid.ID
+	request   *fasthttp.Request
+	caller    caller
 	// upload is the body, for every attempt.
 	upload *carobupload.Upload
 	mutex  sync.Mutex
@@ -43,7 +43,7 @@
 }
 
 // follow carries out orders until the call is concluded.
-func (x *exchange) follow(rc *fasthttp.RequestCtx, orders <-chan order) {
+func (x *exchange) follow(orders <-chan order) {
 	for od := range orders {
 		switch {
 		case od.send != nil:
@@ -51,7 +51,7 @@
 		case od.cancel != 0:
 			x.drop(od.cancel)
 		default:
-			x.conclude(rc, *od.conclusion)
+			x.conclude(*od.conclusion)
 			return
 		}
 	}
@@ -59,14 +59,14 @@
 
 // conclude tells the caller how its call ended. Attempts that the control
 // goroutine does not want any more were cancelled by earlier orders.
-func (x *exchange) conclude(rc *fasthttp.RequestCtx, cn carobconclusion.Conclusion) {
+func (x *exchange) conclude(cn carobconclusion.Conclusion) {
 	if cn.Kept != nil {
 		x.upload.Release()
-		deliverKept(rc, x.call, cn.Kept)
+		x.caller.Repeat(cn.Kept)
 		return
 	}
 	if cn.Kind == carobkind.None {
-		x.deliver(rc, cn.Attempt)
+		x.deliver(cn.Attempt)
 		return
 	}
 	x.upload.Release()
@@ -80,7 +80,7 @@
 	case cn.Kind.NotRun():
 		detail = "no target ran the call"
 	}
-	x.entrance.refuse(rc, x.call, carobkind.New(cn.Kind, "%s", detail))
+	x.caller.Refuse(cn.Kind, cn.After, detail)
 }
 
 func (x *exchange) send(sd carobsend.Send) {
@@ -95,7 +95,12 @@
 	at := &attempt{cancel: cancel}
 	x.attempts[sd.Job.Attempt] = at
 	go func() {
-		an, report, err := x.entrance.config.Relay.Do(cx, sd, rq)
+		an, report, err := x.exchanges.config.Relay.Do(cx, sd, rq)
+		if most := int(x.exchanges.config.Gather); an != nil && most > 0 {
+			if errGather := an.Gather(most); errGather != nil {
+				an, err = nil, carobkind.Wrap(carobkind.Cut, errGather, "read answer")
+			}
+		}
 		x.keep(at, an)
 		rp := carobreply.Reply{Job: sd.Job, Target: sd.Target, Kind: carobkind.Of(err), Report: report}
 		switch {
@@ -109,7 +114,7 @@
 }
 
 func (x *exchange) reply(rp carobreply.Reply) {
-	x.entrance.config.Mailbox.Post(func(in *carobinbox.Inbox) { in.Replies = append(in.Replies, rp) })
+	x.exchanges.config.Mailbox.Post(func(in *carobinbox.Inbox) { in.Replies = append(in.Replies, rp) })
 }
 
 // keep holds an answer until it is delivered, or closes it if nobody wants it.
@@ -139,32 +144,17 @@
 
 // deliver passes the answer of an attempt on. If the caller hangs up meanwhile,
 // the attempt is cancelled.
-func (x *exchange) deliver(rc *fasthttp.RequestCtx, number int) {
+func (x *exchange) deliver(number int) {
 	at := x.attempts[number]
 	x.mutex.Lock()
 	an := at.answer
 	x.mutex.Unlock()
-	carobheader.CleanResponse(&an.Response.Header)
-	an.Response.Header.CopyTo(&rc.Response.Header)
-	rc.Response.Header.Set(carobheader.Outcome, string(caroboutcome.Answered))
-	rc.Response.Header.Set(carobheader.Call, x.call.String())
 	job := carobjobid.ID{Call: x.call, Attempt: number}
-	cf := x.entrance.config
-	var kept *copier
-	if len(x.request.Header.Peek(carobheader.Key)) > 0 {
-		kept = keepCopy(an)
-	}
-	unwatch := cf.Watch.Add(rc.Conn(), at.cancel)
-	carobbody.Attach(rc, an, cf.Timer, cf.Limits.Stall.Duration(), func(kind carobkind.Kind) {
-		unwatch()
+	x.caller.Answer(an, at.cancel, func(kind carobkind.Kind, kept *carobkept.Kept) {
 		at.cancel()
 		x.upload.Release()
-		cf.Mailbox.Post(func(in *carobinbox.Inbox) {
-			dl := carobdelivery.Delivery{Job: job, Kind: kind}
-			if kind == carobkind.None {
-				dl.Kept = kept.kept()
-			}
-			in.Deliveries = append(in.Deliveries, dl)
+		x.exchanges.config.Mailbox.Post(func(in *carobinbox.Inbox) {
+			in.Deliveries = append(in.Deliveries, carobdelivery.Delivery{Job: job, Kind: kind, Kept: kept})
 		})
 	})
 }
--- a/internal/carobheader/header.go
+++ b/internal/carobheader/header.go
@@ -28,6 +28,8 @@
 	Incarnation = "Carobknot-Incarnation"
 	// Patience is the time left, in nanoseconds.
 	Patience = "Carobknot-Patience"
+	// Wish is what the caller wants of the call.
+	Wish = "Carobknot-Wish"
 	// Report is the load of the target.
 	Report = "Carobknot-Report"
 )
--- a/internal/carobloader/call.go
+++ b/internal/carobloader/call.go
@@ -44,7 +44,7 @@
 func (l *Loader) send(cx context.Context, cl call) {
 	cx, cancel := context.WithTimeout(context.WithoutCancel(cx), l.config.Deadline+grace)
 	defer cancel()
-	an, err := l.pool.Do(cx, cl.node, l.request(cl))
+	an, err := l.pool.Do(cx, cl.node, l.request(cl), false)
 	if err != nil {
 		l.fail(cl, carobkind.Of(err).Outcome(), carobkind.Of(err))
 		return
--- a/internal/carobmailbox/mailbox.go
+++ b/internal/carobmailbox/mailbox.go
@@ -38,17 +38,21 @@
 	}
 }
 
-// Take waits until the mailbox was rung and returns what has come together. It
-// reports false once cx has ended.
-func (m *Mailbox) Take(cx context.Context) (carobinbox.Inbox, bool) {
+// Await waits until the mailbox was rung. It reports false once cx has ended.
+func (m *Mailbox) Await(cx context.Context) bool {
 	select {
 	case <-cx.Done():
-		return carobinbox.Inbox{}, false
+		return false
 	case <-m.rung:
+		return true
 	}
+}
+
+// Take returns what has come together.
+func (m *Mailbox) Take() carobinbox.Inbox {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	in := m.inbox
 	m.inbox = carobinbox.Inbox{}
-	return in, true
+	return in
 }
--- a/internal/carobnode/node.go
+++ b/internal/carobnode/node.go
@@ -8,13 +8,15 @@
 
 	"github.com/samber/do/v2"
 	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
 
 	"github.com/carobknot/carobknot/internal/carobadmin"
 	"github.com/carobknot/carobknot/internal/carobadmitter"
 	"github.com/carobknot/carobknot/internal/carobclaimlog"
 	"github.com/carobknot/carobknot/internal/carobcontrol"
 	"github.com/carobknot/carobknot/internal/carobcourier"
-	"github.com/carobknot/carobknot/internal/carobentrance"
+	"github.com/carobknot/carobknot/internal/carobenroller"
+	"github.com/carobknot/carobknot/internal/carobfollower"
 	"github.com/carobknot/carobknot/internal/carobmailbox"
 	"github.com/carobknot/carobknot/internal/carobmeter"
 	"github.com/carobknot/carobknot/internal/carobplatform"
@@ -24,17 +26,53 @@
 	"github.com/carobknot/carobknot/internal/carobtail"
 	"github.com/carobknot/carobknot/internal/carobtimer"
 	"github.com/carobknot/carobknot/pkg/carobaddress"
+	"github.com/carobknot/carobknot/pkg/carobannouncement"
+	"github.com/carobknot/carobknot/pkg/carobarrival"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
+	"github.com/carobknot/carobknot/pkg/carobpressure"
+	"github.com/carobknot/carobknot/pkg/carobroutes"
 	"github.com/carobknot/carobknot/pkg/carobsize"
+	"github.com/carobknot/carobknot/pkg/carobstart"
 	"github.com/carobknot/carobknot/pkg/carobstream"
+	"github.com/carobknot/carobknot/pkg/carobtargetid"
+	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
 // Config is how a node is made.
 type Config struct {
 	Settings carobsettings.Settings
 	Logger   *logrus.Logger
+	// Dialect and Store are those of a platform; nil both for the system's own
+	// interface and log.
+	Dialect dialect
+	Store   store
+}
+
+// dialect is how a platform's callers and targets are spoken to.
+type dialect interface {
+	Arrival(rq *fasthttp.Request) (carobarrival.Arrival, error)
+	Refuse(rs *fasthttp.Response, rq *fasthttp.Request, kind carobkind.Kind, after time.Duration, detail string)
+	Ask(rq *fasthttp.Request, st *carobstart.Start, target carobtargetid.ID)
+	Mine(rq *fasthttp.Request, rs *fasthttp.Response) bool
+	Judge(rs *fasthttp.Response) (carobkind.Kind, *carobpressure.Pressure)
+}
+
+// store is where a platform keeps route tables and lets nodes find each other.
+type store interface {
+	Routes(cx context.Context, wait time.Duration) (*carobroutes.Routes, error)
+	Enrol(cx context.Context, node carobnodeid.ID, word []byte) error
+	Words(cx context.Context) ([][]byte, error)
+}
+
+// front takes calls.
+type front interface {
+	Carry(out *caroboutbox.Outbox)
+	Serve(ls net.Listener) error
+	Drain()
+	Shutdown(cx context.Context) error
 }
 
 // Node is one node: its listeners and its parts.
@@ -51,14 +89,22 @@
 const (
 	logPatience  = 2 * time.Second
 	sortPatience = 5 * time.Second
-	// drainPatience is how long a shutdown waits for what is in flight.
-	drainPatience = 60 * time.Second
 	// goodbye is how long the last messages to other nodes have to leave.
 	goodbye       = 200 * time.Millisecond
 	closePatience = 2 * time.Second
 
+	// alive is the time between two signs of life on a quiet connection.
+	alive = 500 * time.Millisecond
+	// recent is how long a connection may have been unused that gets a call which
+	// must not run twice.
+	recent = time.Second
+	// gather is the longest answer that is read to its end before it is passed on.
+	gather = 256 * carobsize.KiB
+
 	// dialPatience is how long opening a connection may take.
 	dialPatience = time.Second
+	// peerPatience is that for a platform's nodes, which are few round trips away.
+	peerPatience = 300 * time.Millisecond
 	// targetIdle and peerIdle are how long a connection is kept unused. Targets
 	// close theirs sooner than nodes do.
 	targetIdle = 5 * time.Second
@@ -67,10 +113,13 @@
 	idleConns = 256
 )
 
+// keepAlive finds connections that went silent.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: alive, Interval: alive, Count: 3}
+
 // NewNode opens a node's listeners and makes its parts.
 func NewNode(cx context.Context, c Config) (*Node, error) {
 	n := &Node{config: c, stopped: make(chan struct{})}
-	var listen net.ListenConfig
+	listen := net.ListenConfig{KeepAliveConfig: keepAlive}
 	for _, l := range []struct {
 		address carobaddress.Address
 		into    *net.Listener
@@ -95,6 +144,24 @@
 // Admin returns where the VM's own targets reach the node.
 func (n *Node) Admin() carobaddress.Address { return carobaddress.Address(n.admin.Addr().String()) }
 
+// Announce takes in what a target on the VM tells of itself, and returns once the
+// node goes by it.
+func (n *Node) Announce(cx context.Context, an carobannouncement.Announcement) error {
+	do.MustInvoke[*carobmailbox.Mailbox](n.injector).Post(func(in *carobinbox.Inbox) {
+		in.Announcements = append(in.Announcements, an)
+	})
+	return do.MustInvoke[*carobcontrol.Control](n.injector).Ask(cx, func(*carobworld.World) {})
+}
+
+// Ready reports whether the node can route calls by a route table.
+func (n *Node) Ready(cx context.Context) bool {
+	ready := false
+	err := do.MustInvoke[*carobcontrol.Control](n.injector).Ask(cx, func(w *carobworld.World) {
+		ready = w.Routes != nil && !w.Stopping
+	})
+	return err == nil && ready
+}
+
 // Run runs the node until cx ends, and then shuts down gracefully.
 func (n *Node) Run(cx context.Context) error {
 	inner, cancel := context.WithCancel(context.WithoutCancel(cx))
@@ -118,9 +185,20 @@
 func (n *Node) attach(cx context.Context) {
 	control := do.MustInvoke[*carobcontrol.Control](n.injector)
 	control.Attach(do.MustInvoke[*carobadmitter.Admitter](n.injector))
-	control.Attach(do.MustInvoke[*carobentrance.Entrance](n.injector))
+	control.Attach(do.MustInvoke[front](n.injector))
 	control.Attach(do.MustInvoke[*carobcourier.Courier](n.injector))
 	control.Attach(do.MustInvoke[*carobmeter.Meter](n.injector))
+	if n.config.Store != nil {
+		control.Attach(do.MustInvoke[*carobenroller.Enroller](n.injector))
+		control.Attach(do.MustInvoke[*carobfollower.Follower](n.injector))
+	} else {
+		n.attachLog(cx, control)
+	}
+	control.Attach(n)
+}
+
+// attachLog connects the control goroutine with what writes into the log.
+func (n *Node) attachLog(cx context.Context, control *carobcontrol.Control) {
 	control.Attach(carobclaimlog.NewClaimLog(cx, carobclaimlog.Config{
 		Log:     do.MustInvoke[*carobplatform.Client](n.injector),
 		Mailbox: do.MustInvoke[*carobmailbox.Mailbox](n.injector),
@@ -128,7 +206,6 @@
 		Logger:  logrus.NewEntry(n.config.Logger),
 	}))
 	control.Attach(do.MustInvoke[*carobscribe.Scribe](n.injector))
-	control.Attach(n)
 }
 
 // start starts the goroutines that serve nobody outside.
@@ -136,6 +213,11 @@
 	go do.MustInvoke[*carobtimer.Timer](n.injector).Run(cx)
 	go do.MustInvoke[*carobcontrol.Control](n.injector).Run(cx)
 	go do.MustInvoke[*carobsplitter.Splitter](n.injector).Run(cx)
+	if n.config.Store != nil {
+		go do.MustInvoke[*carobenroller.Enroller](n.injector).Run(cx)
+		go do.MustInvoke[*carobfollower.Follower](n.injector).Run(cx)
+		return
+	}
 	go do.MustInvoke[*carobscribe.Scribe](n.injector).Run(cx)
 	go n.follow(cx, carobstream.Profiles)
 	go n.follow(cx, carobstream.Nodes)
@@ -153,7 +235,7 @@
 			}
 		}
 	}
-	go start("calls", do.MustInvoke[*carobentrance.Entrance](n.injector).Serve, n.call)
+	go start("calls", do.MustInvoke[front](n.injector).Serve, n.call)
 	go start("attempts", do.MustInvoke[*attemptServer](n.injector).Serve, splitter.Calls)
 	go start("control messages", do.MustInvoke[*carobcourier.Courier](n.injector).Serve, splitter.Control)
 	go start("admin", do.MustInvoke[*carobadmin.Admin](n.injector).Serve, n.admin)
@@ -169,18 +251,27 @@
 	logger.Info("node: shutting down")
 	mailbox := do.MustInvoke[*carobmailbox.Mailbox](n.injector)
 	mailbox.Post(func(in *carobinbox.Inbox) { in.Stop = true })
-	last, done := context.WithTimeout(cx, drainPatience)
+	last, done := context.WithTimeout(cx, n.config.Settings.Grace.Duration())
 	defer done()
-	_ = do.MustInvoke[*carobentrance.Entrance](n.injector).Shutdown(last)
+	callers := do.MustInvoke[front](n.injector)
+	callers.Drain()
+	if stay := n.config.Settings.Stay.Duration(); stay > 0 {
+		_ = do.MustInvoke[*carobtimer.Timer](n.injector).Wait(last, stay)
+	} else {
+		_ = callers.Shutdown(last)
+	}
 	select {
 	case <-n.stopped:
 	case <-last.Done():
 		logger.Warn("node: calls still in flight are cut")
 	}
+	_ = callers.Shutdown(last)
 	_ = do.MustInvoke[*carobtimer.Timer](n.injector).Wait(last, goodbye)
 	closing, closed := context.WithTimeout(cx, closePatience)
 	defer closed()
-	do.MustInvoke[*carobscribe.Scribe](n.injector).Flush(closing)
+	if n.config.Store == nil {
+		do.MustInvoke[*carobscribe.Scribe](n.injector).Flush(closing)
+	}
 	_ = do.MustInvoke[*attemptServer](n.injector).ShutdownWithContext(closing)
 	_ = do.MustInvoke[*carobcourier.Courier](n.injector).Shutdown(closing)
 	_ = do.MustInvoke[*carobadmin.Admin](n.injector).Shutdown(closing)
--- a/internal/carobnode/wire.go
+++ b/internal/carobnode/wire.go
@@ -39,8 +39,8 @@
 	do.Provide(i, func(i do.Injector) (*carobcore.Core, error) {
 		self := do.MustInvoke[carobmember.Member](i)
 		return carobcore.NewCore(carobcore.Config{
-			World: carobworld.Config{Self: self, Limits: st.Limits, Measure: st.Measure, Seed: uint64(self.Incarnation)},
-			Seeds: st.Seeds,
+			World: carobworld.Config{Self: self, Limits: st.Limits, Measure: st.Measure, Retries: st.Retries, Seed: uint64(self.Incarnation)},
+			Seeds: st.Seeds, Profiles: st.Profiles, Silence: st.Silence.Duration(),
 		}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*carobcontrol.Control, error) {
@@ -50,6 +50,9 @@
 		}), nil
 	})
 	n.wireTraffic(i)
+	if n.config.Store != nil {
+		n.wireStore(i)
+	}
 	do.Provide(i, func(i do.Injector) (*carobcourier.Courier, error) {
 		codec, err := carobcodec.NewCodec()
 		if err != nil {
--- a/internal/carobpool/exchange.go
+++ b/internal/carobpool/exchange.go
@@ -168,7 +168,13 @@
 			return nil, err
 		}
 		if rs.StatusCode() >= fasthttp.StatusOK {
-			return rs, nil
+			if x.config.Mine == nil || x.config.Mine(x.request, rs) {
+				return rs, nil
+			}
+			if err := x.passOver(rs); err != nil {
+				return nil, err
+			}
+			continue
 		}
 		if rs.StatusCode() == fasthttp.StatusSwitchingProtocols {
 			return nil, carobkind.New(carobkind.Cut, "the other end switched protocols unasked")
@@ -177,6 +183,22 @@
 	return nil, carobkind.New(carobkind.Cut, "too many interim answers")
 }
 
+// passOver reads an answer to an earlier request to its end.
+func (x *exchange) passOver(rs *fasthttp.Response) error {
+	length := rs.Header.ContentLength()
+	if length < 0 || length > chunkSize || rs.ConnectionClose() {
+		return carobkind.New(carobkind.Cut, "the answer belongs to another request")
+	}
+	if rs.BodyStream() == nil {
+		return nil
+	}
+	n, err := io.Copy(io.Discard, rs.BodyStream())
+	if err == nil && n < int64(length) {
+		err = io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // readHead reads the head of the next answer. A final answer whose end could not
 // be told from a broken connection is an error.
 func (x *exchange) readHead() (*fasthttp.Response, error) {
@@ -190,7 +212,7 @@
 	if rs.StatusCode() < fasthttp.StatusOK || bodiless(x.request, rs) {
 		return rs, nil
 	}
-	if rs.Header.ContentLength() < -1 {
+	if rs.Header.ContentLength() < -1 && !x.config.Unframed {
 		return nil, carobkind.New(carobkind.Cut, "the answer has neither a length nor chunks")
 	}
 	return rs, rs.ReadBody(x.conn.reader, 0)
--- a/internal/carobpool/pool.go
+++ b/internal/carobpool/pool.go
@@ -9,12 +9,17 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
+	"strconv"
+	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"github.com/carobknot/carobknot/internal/carobanswer"
 	"github.com/carobknot/carobknot/internal/carobtimer"
@@ -40,6 +45,19 @@
 	// Ask says that the other end is asked whether it takes the request before
 	// a body that needs more than one write is sent to it.
 	Ask bool
+	// Recent is how long a connection may have been unused that gets a request which
+	// must not run twice; 0 is as long as any. The other end may have dropped an
+	// older one without a word, and then nobody knows whether it ran.
+	Recent time.Duration
+	// Alive is the time between two signs of life that a connection must give while
+	// nothing comes on it; 0 is the system's default. Three that are missed break it.
+	Alive time.Duration
+	// Unframed says that an answer may have neither a length nor chunks, and end
+	// with its connection.
+	Unframed bool
+	// Mine reports whether an answer belongs to the request; nil takes all. Others
+	// are passed over, since they answer earlier requests on the connection.
+	Mine func(rq *fasthttp.Request, rs *fasthttp.Response) bool
 }
 
 // Pool keeps connections to several addresses.
@@ -56,6 +74,8 @@
 	address carobaddress.Address
 	reader  *bufio.Reader
 	writer  *bufio.Writer
+	// idle is how long the connection is kept unused.
+	idle time.Duration
 	// since is when the connection was last used.
 	since carobinstant.Instant
 }
@@ -63,23 +83,32 @@
 const (
 	// bufferSize is the longest request that is sent in one write.
 	bufferSize = 4096
+	// missed is how many signs of life may be missing before a connection breaks.
+	missed = 3
 	// smallestHeader is the least room for the header of an answer.
 	smallestHeader = 4096
 )
 
 // NewPool returns a pool without connections.
 func NewPool(c Config) *Pool {
-	return &Pool{config: c, dialer: net.Dialer{Timeout: c.Dial}, idle: map[carobaddress.Address][]*conn{}}
+	p := &Pool{config: c, dialer: net.Dialer{Timeout: c.Dial}, idle: map[carobaddress.Address][]*conn{}}
+	if c.Alive > 0 {
+		p.dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: c.Alive, Interval: c.Alive, Count: missed}
+		p.dialer.Control = bound(missed * c.Alive)
+	}
+	return p
 }
 
 // Do sends a request and returns the head of its answer. When cx ends, the
 // connection is closed, which the other end sees as cancellation. An error is
 // Unreachable if nothing was sent, Cancelled if cx ended, and Cut otherwise.
 //
+// careful says that the request must not run twice.
+//
 // The request's body may still be on its way when Do returns. It is until the
 // answer's body is closed.
-func (p *Pool) Do(cx context.Context, ad carobaddress.Address, rq *fasthttp.Request) (*carobanswer.Answer, error) {
-	cn, err := p.get(cx, ad)
+func (p *Pool) Do(cx context.Context, ad carobaddress.Address, rq *fasthttp.Request, careful bool) (*carobanswer.Answer, error) {
+	cn, err := p.get(cx, ad, careful)
 	if err != nil {
 		return nil, carobkind.Wrap(carobkind.Unreachable, err, "open connection")
 	}
@@ -95,7 +124,8 @@
 		return nil, carobkind.Wrap(carobkind.Cut, err, "exchange")
 	}
 	bd := &body{pool: p, conn: cn, stop: stop, exchange: x, keep: !rs.ConnectionClose(), stream: rs.BodyStream()}
-	length := rs.Header.ContentLength()
+	length := max(rs.Header.ContentLength(), -1)
+	cn.idle = p.idleOf(rs)
 	bd.left, bd.ended = length, bd.stream == nil || length == 0
 	return &carobanswer.Answer{Response: rs, Bodiless: bd.stream == nil, Length: length, Body: bd}, nil
 }
@@ -109,13 +139,18 @@
 }
 
 // get returns an unused connection or opens one.
-func (p *Pool) get(cx context.Context, ad carobaddress.Address) (*conn, error) {
+func (p *Pool) get(cx context.Context, ad carobaddress.Address, careful bool) (*conn, error) {
 	for {
 		cn := p.pop(ad)
 		if cn == nil {
 			return p.open(cx, ad)
 		}
-		if p.config.Timer.Now().Sub(cn.since) < p.config.Idle && quiet(cn) {
+		age := p.config.Timer.Now().Sub(cn.since)
+		if age < cn.idle && quiet(cn) {
+			if careful && p.config.Recent > 0 && age > p.config.Recent {
+				p.keep(cn)
+				return p.open(cx, ad)
+			}
 			return cn, nil
 		}
 		_ = cn.Close()
@@ -137,6 +172,11 @@
 func (p *Pool) put(cn *conn) {
 	cn.since = p.config.Timer.Now()
 	_ = cn.SetDeadline(time.Time{})
+	p.keep(cn)
+}
+
+// keep holds a connection for a later request.
+func (p *Pool) keep(cn *conn) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if len(p.idle[cn.address]) >= p.config.Kept {
@@ -152,7 +192,7 @@
 		return nil, err
 	}
 	return &conn{
-		Conn: nc, address: ad,
+		Conn: nc, address: ad, idle: p.config.Idle,
 		reader: bufio.NewReaderSize(nc, max(p.config.Header, smallestHeader)), writer: bufio.NewWriterSize(nc, bufferSize),
 	}, nil
 }
@@ -214,3 +254,27 @@
 	b.pool.put(b.conn)
 	return nil
 }
+
+// idleOf returns how long a connection may be kept unused: a part of what the
+// other end says, if it says so.
+func (p *Pool) idleOf(rs *fasthttp.Response) time.Duration {
+	_, text, found := strings.Cut(string(rs.Header.Peek("Keep-Alive")), "timeout=")
+	seconds, err := strconv.Atoi(strings.TrimFunc(text, func(r rune) bool { return r < '0' || r > '9' }))
+	if !found || err != nil {
+		return p.config.Idle
+	}
+	const part = 2
+	return min(p.config.Idle, time.Duration(seconds)*time.Second/part)
+}
+
+// bound has a connection break when the other end acknowledges nothing for a
+// time.
+func bound(silence time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		errControl := raw.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence/time.Millisecond)) //nolint:gosec // descriptors are small
+		})
+		return errors.Join(errControl, err)
+	}
+}
--- a/internal/carobpool/pool_test.go
+++ b/internal/carobpool/pool_test.go
@@ -85,7 +85,7 @@
 	t.Helper()
 	cx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	an, err := p.Do(cx, pr.address, rq)
+	an, err := p.Do(cx, pr.address, rq, false)
 	if err != nil {
 		return 0, "", err
 	}
@@ -239,7 +239,7 @@
 		<-asked
 		cancel()
 	}()
-	_, err := p.Do(cx, pr.address, request(fasthttp.MethodPost, "/1"))
+	_, err := p.Do(cx, pr.address, request(fasthttp.MethodPost, "/1"), false)
 	require.Equal(t, carobkind.Cancelled, carobkind.Of(err))
 	close(late)
 	require.ErrorIs(t, <-closed, io.EOF)
@@ -254,7 +254,7 @@
 		return reply(cn, rq.URL.Path+strings.Repeat("x", 10_000))
 	})
 	p := newPool(t, nil)
-	an, err := p.Do(t.Context(), pr.address, request(fasthttp.MethodGet, "/1"))
+	an, err := p.Do(t.Context(), pr.address, request(fasthttp.MethodGet, "/1"), false)
 	require.NoError(t, err)
 	_, err = an.Body.Read(make([]byte, 10))
 	require.NoError(t, err)
@@ -389,7 +389,7 @@
 	require.NoError(t, err)
 	address := carobaddress.Address(ls.Addr().String())
 	require.NoError(t, ls.Close())
-	_, err = newPool(t, nil).Do(t.Context(), address, request(fasthttp.MethodGet, "/1"))
+	_, err = newPool(t, nil).Do(t.Context(), address, request(fasthttp.MethodGet, "/1"), false)
 	require.Equal(t, carobkind.Unreachable, carobkind.Of(err))
 	require.True(t, carobkind.Of(err).NotRun())
 }
--- a/internal/carobrelay/relay.go
+++ b/internal/carobrelay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroboffer"
+	"github.com/carobknot/carobknot/pkg/carobonce"
 	"github.com/carobknot/carobknot/pkg/carobreport"
 	"github.com/carobknot/carobknot/pkg/carobsend"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
@@ -19,7 +20,7 @@
 
 // exchanger sends a request to another node and returns the head of its answer.
 type exchanger interface {
-	Do(cx context.Context, ad carobaddress.Address, rq *fasthttp.Request) (*carobanswer.Answer, error)
+	Do(cx context.Context, ad carobaddress.Address, rq *fasthttp.Request, careful bool) (*carobanswer.Answer, error)
 }
 
 // admitter offers a job to this node's own target.
@@ -61,7 +62,8 @@
 	rq.Header.Set(carobheader.Target, sd.Target.String())
 	rq.Header.Set(carobheader.Incarnation, strconv.FormatUint(uint64(sd.Incarnation), base))
 	rq.Header.Set(carobheader.Patience, strconv.FormatInt(int64(sd.Patience), base))
-	an, err := r.config.Peers.Do(cx, sd.Peer, rq)
+	rq.Header.Set(carobheader.Wish, carobheader.FormatWish(sd.Wish))
+	an, err := r.config.Peers.Do(cx, sd.Peer, rq, sd.Once != carobonce.No)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -83,7 +85,7 @@
 
 func (r *Relay) own(cx context.Context, sd carobsend.Send, rq *fasthttp.Request) (*carobanswer.Answer, *carobreport.Report, error) {
 	of := caroboffer.Offer{
-		Job: sd.Job, Target: sd.Target, Incarnation: sd.Incarnation, Patience: sd.Patience,
+		Job: sd.Job, Target: sd.Target, Incarnation: sd.Incarnation, Patience: sd.Patience, Wish: sd.Wish,
 		Key: string(rq.Header.Peek(carobheader.Key)), Trace: string(rq.Header.Peek(carobheader.Trace)),
 	}
 	an, err := r.config.Own.Do(cx, of, rq)
--- a/internal/carobsettings/settings.go
+++ b/internal/carobsettings/settings.go
@@ -5,6 +5,7 @@
 	"net/url"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/carobknot/carobknot/internal/carobdocument"
 	"github.com/carobknot/carobknot/pkg/carobaddress"
@@ -13,7 +14,10 @@
 	"github.com/carobknot/carobknot/pkg/caroblimits"
 	"github.com/carobknot/carobknot/pkg/carobmeasure"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
+	"github.com/carobknot/carobknot/pkg/carobprofile"
 	"github.com/carobknot/carobknot/pkg/carobregion"
+	"github.com/carobknot/carobknot/pkg/carobretries"
+	"github.com/carobknot/carobknot/pkg/carobspan"
 )
 
 // Settings is what a node is told about itself.
@@ -35,7 +39,25 @@
 	// Seeds are peer addresses of other nodes to begin with. May be empty.
 	Seeds   []carobaddress.Address `json:"seeds"`
 	Measure carobmeasure.Measure   `json:"measure"`
-	Limits  caroblimits.Limits     `json:"limits"`
+	// Retries bounds what is sent again.
+	Retries carobretries.Retries `json:"retries"`
+	// Silence is how long a target may go without an announcement.
+	Silence carobspan.Span `json:"silence"`
+	// Grace is how long a graceful shutdown waits for what is in flight, and Stay
+	// how long it goes on taking calls at least: callers may not know yet.
+	Grace carobspan.Span `json:"grace"`
+	Stay  carobspan.Span `json:"stay"`
+	// Profiles are in force without having been published. May be empty.
+	Profiles []carobprofile.Profile `json:"profiles"`
+	Limits   caroblimits.Limits     `json:"limits"`
+}
+
+// NewSettings returns the defaults.
+func NewSettings() Settings {
+	return Settings{
+		Measure: carobmeasure.NewMeasure(), Retries: carobretries.NewRetries(), Limits: caroblimits.NewLimits(),
+		Silence: carobspan.Span(3 * time.Second), Grace: carobspan.Span(time.Minute),
+	}
 }
 
 // Load reads and checks a file of settings.
@@ -49,7 +71,7 @@
 
 // Parse checks settings; the file's name is for errors.
 func Parse(file string, data []byte) (Settings, error) {
-	st := Settings{Measure: carobmeasure.NewMeasure(), Limits: caroblimits.NewLimits()}
+	st := NewSettings()
 	dc := carobdocument.NewDocument(carobdocument.Config{Name: file, Data: data})
 	if err := dc.Decode(&st); err != nil {
 		return Settings{}, err
--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -129,6 +129,7 @@
 	gt.Running++
 	w.Outbox.Starts = append(w.Outbox.Starts, carobstart.Start{
 		Job: jb.Offer.Job, Address: tg.Address, Patience: jb.Deadline.Sub(now),
+		Once: jb.Offer.Wish.Once,
 	})
 }
 
--- a/pkg/carobannouncement/announcement.go
+++ b/pkg/carobannouncement/announcement.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 
 	"github.com/carobknot/carobknot/pkg/carobaddress"
+	"github.com/carobknot/carobknot/pkg/carobincarnation"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobreadiness"
+	"github.com/carobknot/carobknot/pkg/carobspan"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 	"github.com/carobknot/carobknot/pkg/carobword"
 )
@@ -25,6 +27,14 @@
 	Slots int `json:"slots"`
 	// Conns is how many connections the target accepts, at least 1.
 	Conns int `json:"conns"`
+	// Incarnation tells the lives of a target apart; the higher one is later. 0 is
+	// a target that does not tell.
+	Incarnation carobincarnation.Incarnation `json:"incarnation"`
+	// Sequence grows with each announcement of a life; 0 is a target that does not
+	// count.
+	Sequence uint64 `json:"sequence"`
+	// Cold is how much longer the target is slow after its start.
+	Cold carobspan.Span `json:"cold"`
 	// State says whether the target takes new work.
 	State carobreadiness.Readiness `json:"state"`
 }
--- a/pkg/carobarrival/arrival.go
+++ b/pkg/carobarrival/arrival.go
@@ -5,13 +5,20 @@
 	"time"
 
 	"github.com/carobknot/carobknot/pkg/carobcallid"
+	"github.com/carobknot/carobknot/pkg/carobrequestid"
 	"github.com/carobknot/carobknot/pkg/carobservice"
 )
 
 // Arrival says that a call has come to this node, which is its entry from now on.
 type Arrival struct {
-	Call    carobcallid.ID
+	Call carobcallid.ID
+	// Request is the caller's name for the call.
+	Request carobrequestid.ID
+	// Service is whose targets are called. If it is empty, the route that Host and
+	// Path lead to says so.
 	Service carobservice.Service
+	Host    string
+	Path    string
 	// Patience is the time that the caller gives; 0 if it names none.
 	Patience time.Duration
 	// Key is the idempotency key; empty if there is none.
--- a/pkg/carobbudget/budget.go
+++ b/pkg/carobbudget/budget.go
@@ -2,19 +2,11 @@
 // their first, so that retries cannot multiply the load of a service in trouble.
 package carobbudget
 
-const (
-	// share is how many tokens a call brings: resends and hedges together stay
-	// below this share of the calls.
-	share = 0.045
-	// burst is the most tokens that are saved up.
-	burst = 3
-)
-
 // Budget is the token bucket of one service's resends and hedges. Moves after a
-// refusal cost nothing, since a refused attempt took no slot; they are bounded by
-// the profile's tries.
+// refusal by a node cost nothing, since a refused attempt reached no target; they
+// are bounded by the profile's tries.
 type Budget struct {
-	// Tokens is at least 0 and at most burst.
+	// Tokens is at least 0.
 	Tokens float64
 	// Calls counts the calls that came.
 	Calls uint64
@@ -24,15 +16,11 @@
 	Moves uint64
 }
 
-// NewBudget returns a full bucket.
-func NewBudget() Budget {
-	return Budget{Tokens: burst}
-}
-
-// Earn takes in a call.
-func (b *Budget) Earn() {
+// Earn takes in a call, which brings a share of a token, up to the most that
+// are saved.
+func (b *Budget) Earn(share, most float64) {
 	b.Calls++
-	b.Tokens = min(burst, b.Tokens+share)
+	b.Tokens = min(most, b.Tokens+share)
 }
 
 // Spend reports whether one more resend or hedge may be made, and pays for it.
--- a/pkg/carobcall/call.go
+++ b/pkg/carobcall/call.go
@@ -9,7 +9,9 @@
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobonce"
 	"github.com/carobknot/carobknot/pkg/carobprofile"
+	"github.com/carobknot/carobknot/pkg/carobroute"
 	"github.com/carobknot/carobknot/pkg/carobstage"
+	"github.com/carobknot/carobknot/pkg/carobwish"
 )
 
 // Call is a call from its arrival until its caller has the answer or the error.
@@ -17,6 +19,10 @@
 	Arrival carobarrival.Arrival
 	// Profile is the one in force when the call came. It stays for the call.
 	Profile carobprofile.Profile
+	// Route is the one that the call took; nil if its caller named the service.
+	Route *carobroute.Route
+	// Slo is when the answer is wanted; Never if nobody said.
+	Slo carobinstant.Instant
 	// Came is when the call came.
 	Came carobinstant.Instant
 	// Deadline is when the caller's patience ends.
@@ -53,6 +59,17 @@
 	return n
 }
 
+// Runs returns on how many targets the call may have run.
+func (c *Call) Runs() int {
+	n := 0
+	for i := range c.Attempts {
+		if !c.Attempts[i].NotRun() {
+			n++
+		}
+	}
+	return n
+}
+
 // NotRun reports whether the call has certainly not run and never will, unless
 // it is sent again.
 func (c *Call) NotRun() bool {
@@ -64,6 +81,23 @@
 	return true
 }
 
+// Wish returns what the caller wants, as of now.
+func (c *Call) Wish(now carobinstant.Instant) carobwish.Wish {
+	ws := carobwish.Wish{Request: c.Arrival.Request, Rank: c.Rank(), Once: c.Profile.Once}
+	if c.Slo != carobinstant.Never {
+		ws.Slo, ws.Whole = c.Slo.Sub(now), c.Slo.Sub(c.Came)
+	}
+	return ws
+}
+
+// Rank returns the priority of the call, 0 the highest.
+func (c *Call) Rank() int {
+	if c.Route == nil {
+		return 0
+	}
+	return c.Route.Rank
+}
+
 // Key returns the idempotency key that the call must claim before it runs. It is
 // empty if the call needs none.
 func (c *Call) Key() carobkey.Key {
--- a/pkg/carobconclusion/conclusion.go
+++ b/pkg/carobconclusion/conclusion.go
@@ -2,6 +2,8 @@
 package carobconclusion
 
 import (
+	"time"
+
 	"github.com/carobknot/carobknot/pkg/carobcallid"
 	"github.com/carobknot/carobknot/pkg/carobkept"
 	"github.com/carobknot/carobknot/pkg/carobkind"
@@ -12,6 +14,9 @@
 	Call carobcallid.ID
 	// Kind is the error; None if the caller gets an answer.
 	Kind carobkind.Kind
+	// After is when the caller may try again; 0 is what the kind
+	// says.
+	After time.Duration
 	// Attempt is the one whose answer the caller gets; 0 if Kind is not None.
 	Attempt int
 	// Kept is an answer kept from an earlier call, which the caller gets if it is
--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -6,11 +6,13 @@
 package carobcore
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobadmission"
 	"github.com/carobknot/carobknot/pkg/carobcatchup"
+	"github.com/carobknot/carobknot/pkg/carobchange"
 	"github.com/carobknot/carobknot/pkg/carobclaiming"
 	"github.com/carobknot/carobknot/pkg/carobcompaction"
 	"github.com/carobknot/carobknot/pkg/carobdetection"
@@ -19,17 +21,22 @@
 	"github.com/carobknot/carobknot/pkg/carobentry"
 	"github.com/carobknot/carobknot/pkg/carobfencing"
 	"github.com/carobknot/carobknot/pkg/carobfold"
+	"github.com/carobknot/carobknot/pkg/carobfollowing"
 	"github.com/carobknot/carobknot/pkg/carobgrouping"
 	"github.com/carobknot/carobknot/pkg/carobhedging"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobjoining"
 	"github.com/carobknot/carobknot/pkg/carobmembership"
+	"github.com/carobknot/carobknot/pkg/caroboffset"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobpause"
 	"github.com/carobknot/carobknot/pkg/carobprobing"
+	"github.com/carobknot/carobknot/pkg/carobprofile"
 	"github.com/carobknot/carobknot/pkg/carobreconciliation"
 	"github.com/carobknot/carobknot/pkg/carobregistry"
+	"github.com/carobknot/carobknot/pkg/carobrevision"
+	"github.com/carobknot/carobknot/pkg/carobroutesync"
 	"github.com/carobknot/carobknot/pkg/carobrouting"
 	"github.com/carobknot/carobknot/pkg/carobshutdown"
 	"github.com/carobknot/carobknot/pkg/carobtracing"
@@ -46,6 +53,12 @@
 	World carobworld.Config
 	// Seeds are addresses of other nodes to begin with.
 	Seeds []carobaddress.Address
+	// Profiles are in force from the start, without having been published. May be
+	// empty.
+	Profiles []carobprofile.Profile
+	// Silence is how long a target may go without an announcement; 0 is the
+	// default.
+	Silence time.Duration
 }
 
 // Core is the decisions of one node.
@@ -73,15 +86,21 @@
 
 // NewCore returns a core with empty tables.
 func NewCore(c Config) *Core {
+	world := carobworld.NewWorld(c.World)
+	for _, pf := range c.Profiles {
+		world.Profiles.Put(pf.Name, carobrevision.Revision{Offset: caroboffset.None, Change: carobchange.Change{Profile: pf}})
+	}
 	return &Core{
-		world: carobworld.NewWorld(c.World),
+		world: world,
 		systems: []system{
 			carobpause.NewSystem(carobpause.Config{Period: tickPeriod, Allowance: tickAllowance}),
-			carobregistry.NewSystem(carobregistry.Config{Silence: targetSilence}),
+			carobregistry.NewSystem(carobregistry.Config{Silence: cmp.Or(c.Silence, targetSilence)}),
 			carobjoining.NewSystem(carobjoining.Config{Seeds: c.Seeds}),
 			carobmembership.NewSystem(),
 			carobdetection.NewSystem(),
 			carobreconciliation.NewSystem(),
+			carobroutesync.NewSystem(),
+			carobfollowing.NewSystem(),
 			carobfold.NewSystem(),
 			carobcatchup.NewSystem(),
 			carobcompaction.NewSystem(),
--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -18,8 +18,10 @@
 	"github.com/carobknot/carobknot/pkg/carobkey"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobonce"
+	"github.com/carobknot/carobknot/pkg/carobprofile"
 	"github.com/carobknot/carobknot/pkg/carobreadiness"
 	"github.com/carobknot/carobknot/pkg/carobreply"
+	"github.com/carobknot/carobknot/pkg/carobroute"
 	"github.com/carobknot/carobknot/pkg/carobservice"
 	"github.com/carobknot/carobknot/pkg/carobstage"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
@@ -31,6 +33,8 @@
 	firstRest = 10 * time.Millisecond
 	// mostDoublings bounds the waits.
 	mostDoublings = 4
+	// restPart is the part of its SLO that a call waits for room at most.
+	restPart = 4
 	// mostRefusals is how many attempts a call has at most.
 	mostRefusals = 100
 )
@@ -79,25 +83,47 @@
 }
 
 func arrive(w *carobworld.World, now carobinstant.Instant, ar carobarrival.Arrival) {
+	var rt *carobroute.Route
+	if ar.Service == "" {
+		if rt = lookUp(w, &ar); rt == nil {
+			refuse(w, ar.Call, unrouted(w))
+			return
+		}
+	}
 	kind := objection(w, ar)
 	if kind != carobkind.None {
 		refuse(w, ar.Call, kind)
 		return
 	}
-	w.BudgetOf(ar.Service).Earn()
-	pf := w.ProfileOf(ar.Service)
-	patience := ar.Patience
-	if patience <= 0 {
-		patience = pf.Deadline.Duration()
+	w.EarnRetry(ar.Service)
+	pf := *w.ProfileOf(ar.Service)
+	if rt != nil {
+		pf = rt.Apply(pf)
 	}
 	cl := w.Calls.Put(ar.Call, carobcall.Call{
-		Arrival: ar, Profile: *pf, Came: now, Deadline: now.Add(patience), Last: carobkind.NoTarget,
+		Arrival: ar, Profile: pf, Route: rt, Came: now, Deadline: now.Add(patience(ar, pf, rt)), Last: carobkind.NoTarget,
 	})
+	if rt != nil && rt.Slo > 0 {
+		cl.Slo = now.Add(rt.Slo.Duration())
+	}
 	if cl.Key() != (carobkey.Key{}) {
 		cl.Stage = carobstage.Claiming
 	}
 }
 
+// patience returns how long a call may take. What an operator says of a route
+// shortens what the caller says.
+func patience(ar carobarrival.Arrival, pf carobprofile.Profile, rt *carobroute.Route) time.Duration {
+	switch {
+	case ar.Patience <= 0:
+		return pf.Deadline.Duration()
+	case rt != nil && rt.Timeout > 0:
+		return min(ar.Patience, rt.Timeout.Duration())
+	default:
+		return ar.Patience
+	}
+}
+
 // objection returns why a call cannot be taken in at all, or None.
 func objection(w *carobworld.World, ar carobarrival.Arrival) carobkind.Kind {
 	switch {
@@ -141,6 +167,9 @@
 	if cl.Stage != carobstage.Placed && cl.Stage != carobstage.Fencing {
 		return
 	}
+	if rp.Kind == carobkind.None && again5xx(w, now, cl, rp) {
+		return
+	}
 	if rp.Kind == carobkind.None {
 		answer(w, cl, rp.Job.Attempt)
 		return
@@ -157,22 +186,40 @@
 	return rp.Kind == carobkind.None && cl.Profile.Refuse && rp.Status == http.StatusServiceUnavailable
 }
 
+// again5xx sends a call that may run again once more if its target answered
+// that it failed, and reports whether it did. Without budget or time for that,
+// the caller gets the target's answer.
+func again5xx(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call, rp carobreply.Reply) bool {
+	if rp.Status < http.StatusInternalServerError || cl.Route == nil || !mayRepeat(cl) || cl.Open() > 0 ||
+		cl.Runs() >= cl.Profile.Tries || cl.Slo.Reached(now) || !w.BudgetOf(cl.Arrival.Service).Spend() {
+		return false
+	}
+	cl.Stage = carobstage.Waiting
+	return true
+}
+
 // failed decides on a call of which all attempts have failed.
 func failed(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call) {
 	left := len(cl.Attempts) < cl.Profile.Tries && !cl.Deadline.Reached(now)
 	switch {
-	case left && cl.NotRun():
+	case left && moves(cl):
 		w.BudgetOf(cl.Arrival.Service).Moves++
 		cl.Stage = carobstage.Waiting
-	case cl.Last == carobkind.Busy && cl.NotRun() && len(cl.Attempts) < mostRefusals && !cl.Deadline.Reached(now):
+	case cl.Last == carobkind.Busy && cl.NotRun() && len(cl.Attempts) < mostRefusals && mayRest(now, cl):
 		rest(w, now, cl)
-	case left && mayRepeat(cl) && w.BudgetOf(cl.Arrival.Service).Spend():
+	case left && (cl.NotRun() || mayRepeat(cl)) && w.BudgetOf(cl.Arrival.Service).Spend():
 		cl.Stage = carobstage.Waiting
 	default:
 		fence(w, now, cl)
 	}
 }
 
+// moves reports whether another attempt at a call costs nothing: none has run,
+// and the last one reached no target.
+func moves(cl *carobcall.Call) bool {
+	return cl.NotRun() && cl.Last != carobkind.Shed && cl.Last != carobkind.Misdirected
+}
+
 // rest lets a call wait at its entry that every target it was offered to was too
 // busy for. A jump of load is over in milliseconds, and a caller that has time
 // left would rather wait than be refused. The waits grow, so that calls beyond
@@ -184,6 +231,16 @@
 	cl.Stage = carobstage.Waiting
 }
 
+// mayRest reports whether a call that nobody has room for now may still wait. One
+// with an SLO waits for a part of it at most: later it would be too late for its
+// caller, who learns more from a refusal.
+func mayRest(now carobinstant.Instant, cl *carobcall.Call) bool {
+	if cl.Deadline.Reached(now) {
+		return false
+	}
+	return cl.Slo == carobinstant.Never || now.Sub(cl.Came) < cl.Slo.Sub(cl.Came)/restPart
+}
+
 // mayRepeat reports whether a call may run though an attempt at it may have.
 func mayRepeat(cl *carobcall.Call) bool {
 	return cl.Profile.Once == carobonce.No && !cl.Arrival.Streamed
@@ -234,10 +291,24 @@
 		unsettle(w, now, cl, kind, nil)
 	}
 	cancelOthers(w, cl, 0)
-	refuse(w, cl.Arrival.Call, kind)
+	w.Outbox.Conclusions = append(w.Outbox.Conclusions, carobconclusion.Conclusion{
+		Call: cl.Arrival.Call, Kind: kind, After: comeBack(w, cl, kind),
+	})
 	w.Calls.Delete(cl.Arrival.Call)
 }
 
+// comeBack returns after how long a caller with an SLO may try again: a time
+// within it, spread so that callers do not come back together. 0 is what the kind
+// says.
+func comeBack(w *carobworld.World, cl *carobcall.Call, kind carobkind.Kind) time.Duration {
+	after := kind.Retry()
+	if after == 0 || cl.Slo == carobinstant.Never {
+		return 0
+	}
+	step := min(after, cl.Slo.Sub(cl.Came)/restPart)
+	return step/2 + time.Duration(w.Random.Int64N(int64(step)))
+}
+
 func cancelOthers(w *carobworld.World, cl *carobcall.Call, keep int) {
 	for i := range cl.Attempts {
 		if i+1 != keep {
--- a/pkg/carobinbox/inbox.go
+++ b/pkg/carobinbox/inbox.go
@@ -13,6 +13,7 @@
 	"github.com/carobknot/carobknot/pkg/caroboffer"
 	"github.com/carobknot/carobknot/pkg/carobrecord"
 	"github.com/carobknot/carobknot/pkg/carobreply"
+	"github.com/carobknot/carobknot/pkg/carobroutes"
 )
 
 // Inbox has one queue for each kind of message from the traffic goroutines.
@@ -28,6 +29,10 @@
 	Records       []carobrecord.Record
 	// Marks say how far the streams reach that Records are from.
 	Marks []carobmark.Mark
+	// Routes are the route tables that the store gave.
+	Routes []*carobroutes.Routes
+	// Blind says whether the store could be read, the newest last.
+	Blind []bool
 	// Stop asks the node to shut down gracefully.
 	Stop bool
 
--- a/pkg/carobkind/kind.go
+++ b/pkg/carobkind/kind.go
@@ -32,6 +32,12 @@
 	Spent Kind = "spent"
 	// NotReady: the node has no profile or no view of the targets yet.
 	NotReady Kind = "not-ready"
+	// NoRoute: the route table in force has no route for the call.
+	NoRoute Kind = "no-route"
+	// Shed: the target says that it did not run the call.
+	Shed Kind = "shed"
+	// Misdirected: another target answered at the address, and ran nothing.
+	Misdirected Kind = "misdirected"
 	// NoTarget: no target of the service is known and ready.
 	NoTarget Kind = "no-target"
 	// Busy: slots and queues are full.
@@ -90,6 +96,9 @@
 	Slow:           {http.StatusRequestTimeout, caroboutcome.NotRun, soon, logrus.InfoLevel},
 	Spent:          {http.StatusServiceUnavailable, caroboutcome.NotRun, soon, logrus.InfoLevel},
 	NotReady:       {http.StatusServiceUnavailable, caroboutcome.NotRun, soon, logrus.WarnLevel},
+	NoRoute:        {http.StatusNotFound, caroboutcome.NotRun, 0, logrus.InfoLevel},
+	Shed:           {http.StatusServiceUnavailable, caroboutcome.NotRun, soon, logrus.InfoLevel},
+	Misdirected:    {http.StatusServiceUnavailable, caroboutcome.NotRun, soon, logrus.WarnLevel},
 	NoTarget:       {http.StatusServiceUnavailable, caroboutcome.NotRun, soon, logrus.WarnLevel},
 	Busy:           {http.StatusServiceUnavailable, caroboutcome.NotRun, soon, logrus.InfoLevel},
 	Late:           {http.StatusGatewayTimeout, caroboutcome.NotRun, soon, logrus.InfoLevel},
--- a/pkg/carobmember/member.go
+++ b/pkg/carobmember/member.go
@@ -29,6 +29,8 @@
 	Standing carobstanding.Standing `json:"standing,omitempty"`
 	// Leaving says that the node is shutting down.
 	Leaving bool `json:"leaving,omitempty"`
+	// Blind says that the node cannot read the operator's records.
+	Blind bool `json:"blind,omitempty"`
 	// Targets are the targets on the node's VM.
 	Targets []carobtarget.Target `json:"targets,omitempty"`
 }
--- a/pkg/carobmembership/system.go
+++ b/pkg/carobmembership/system.go
@@ -88,7 +88,7 @@
 func follow(old *carobpeer.Peer, mb carobmember.Member, now carobinstant.Instant) carobpeer.Peer {
 	next := carobpeer.Peer{Member: mb, Heard: now, Since: now}
 	if old != nil && old.Member.Standing == mb.Standing && old.Member.Incarnation == mb.Incarnation {
-		next.Heard, next.Since = old.Heard, old.Since
+		next.Heard, next.Since, next.Routes = old.Heard, old.Since, old.Routes
 	}
 	return next
 }
--- a/pkg/carobmessage/check.go
+++ b/pkg/carobmessage/check.go
@@ -43,6 +43,10 @@
 		set = append(set, m.Supply)
 	}
 
+	if m.Routes != nil {
+		set = append(set, m.Routes)
+	}
+
 	// Calls and claims.
 
 	// Measuring.
--- a/pkg/carobmessage/message.go
+++ b/pkg/carobmessage/message.go
@@ -17,11 +17,14 @@
 	"github.com/carobknot/carobknot/pkg/carobpoll"
 	"github.com/carobknot/carobknot/pkg/carobprobe"
 	"github.com/carobknot/carobknot/pkg/carobreport"
+	"github.com/carobknot/carobknot/pkg/carobroutefetch"
+	"github.com/carobknot/carobknot/pkg/carobroutes"
+	"github.com/carobknot/carobknot/pkg/carobrouteversion"
 	"github.com/carobknot/carobknot/pkg/carobsettlement"
 	"github.com/carobknot/carobknot/pkg/carobsupply"
 )
 
-// Message is one control message. Of the pointers exactly one is set, which
+// Message is one control message. Of the pointers at most one is set, which
 // says what kind of message it is.
 type Message struct {
 	// To is where the message goes. It does not travel.
@@ -31,6 +34,10 @@
 	Incarnation carobincarnation.Incarnation `json:"incarnation"`
 	Back        carobaddress.Address         `json:"back"`
 
+	// RoutesVersion is that of the sender's route table. A message without content
+	// tells just that.
+	RoutesVersion carobrouteversion.Version `json:"routesversion,omitempty"`
+
 	// Membership and profiles.
 
 	// Gossip tells who is there.
@@ -43,6 +50,10 @@
 	Fetch  *carobfetch.Fetch   `json:"fetch,omitempty"`
 	Supply *carobsupply.Supply `json:"supply,omitempty"`
 
+	// RouteFetch asks for the route table, and Routes gives it.
+	RouteFetch *carobroutefetch.Fetch `json:"routefetch,omitempty"`
+	Routes     *carobroutes.Routes    `json:"routes,omitempty"`
+
 	// Calls and claims.
 
 	// Fence asks what became of a job.
--- a/pkg/caroboffer/offer.go
+++ b/pkg/caroboffer/offer.go
@@ -7,6 +7,7 @@
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
+	"github.com/carobknot/carobknot/pkg/carobwish"
 )
 
 // Offer asks a target's node to run a job.
@@ -17,6 +18,8 @@
 	Incarnation carobincarnation.Incarnation
 	// Patience is the time left to the call.
 	Patience time.Duration
+	// Wish is what the caller wants of the call.
+	Wish carobwish.Wish
 	// Key is the idempotency key; empty if there is none.
 	Key string
 	// Trace is the trace context, as W3C writes it.
--- a/pkg/caroboutbox/outbox.go
+++ b/pkg/caroboutbox/outbox.go
@@ -28,6 +28,8 @@
 	Appends []carobappend.Append
 	// Verdicts say what became of the changes of profiles that were folded in.
 	Verdicts []carobverdict.Verdict
+	// Following says whether this node follows the operator's records from now on.
+	Following bool
 	// Stopped says that a graceful shutdown is complete.
 	Stopped bool
 
--- a/pkg/carobpeer/peer.go
+++ b/pkg/carobpeer/peer.go
@@ -4,6 +4,7 @@
 import (
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobmember"
+	"github.com/carobknot/carobknot/pkg/carobrouteversion"
 )
 
 // Peer is what a node knows of another node.
@@ -15,6 +16,8 @@
 	Heard carobinstant.Instant
 	// Since is when the standing came to be what it is.
 	Since carobinstant.Instant
+	// Routes is the newest route table that the other node is known to have.
+	Routes carobrouteversion.Version
 	// Told is how often this node has passed the word on.
 	Told int
 }
--- a/pkg/carobregistry/system.go
+++ b/pkg/carobregistry/system.go
@@ -7,6 +7,7 @@
 	"github.com/carobknot/carobknot/pkg/carobannouncement"
 	"github.com/carobknot/carobknot/pkg/carobgate"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/caroblife"
 	"github.com/carobknot/carobknot/pkg/carobreadiness"
 	"github.com/carobknot/carobknot/pkg/carobtarget"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
@@ -36,20 +37,74 @@
 // Run takes in announcements and marks silent targets as leaving.
 func (s *System) Run(w *carobworld.World, now carobinstant.Instant) {
 	for _, an := range w.Inbox.Announcements {
-		if an.Withdrawn {
-			withdraw(w, an)
-			continue
+		switch {
+		case late(w, an):
+			note(w, an.Target, "late announcement", string(an.State))
+		case an.Withdrawn:
+			leave(w, an)
+		default:
+			announce(w, now, an)
 		}
-		announce(w, now, an)
 	}
-	for id := range w.Gates.All() {
-		if tg := w.Targets.Get(id); tg != nil && w.Owns(tg) {
+	for id, gt := range w.Gates.All() {
+		tg := w.Targets.Get(id)
+		switch {
+		case tg != nil && w.Owns(tg):
 			s.listen(w, now, tg)
+		case gt.Running == 0 && gt.Queued == 0:
+			w.Gates.Delete(id)
 		}
 	}
 }
 
+// late reports whether a word of a target was overtaken: by a later one, or by
+// a later life at its address.
+func late(w *carobworld.World, an carobannouncement.Announcement) bool {
+	if an.Withdrawn {
+		lf := lifeOf(w, an.Target)
+		return lf != nil && an.Incarnation > 0 && an.Incarnation < lf.Incarnation
+	}
+	lf := w.Lives.Get(an.Address)
+	return lf != nil && lf.Older(an.Incarnation, an.Sequence)
+}
+
+// leave notes that a target took its leave, and forgets it.
+func leave(w *carobworld.World, an carobannouncement.Announcement) {
+	if lf := lifeOf(w, an.Target); lf != nil {
+		lf.Left, an.Target = true, lf.Target
+	}
+	withdraw(w, an)
+}
+
+// lifeOf returns the newest life of a target, or nil. A target that takes its
+// leave need not say of which service it was.
+func lifeOf(w *carobworld.World, id carobtargetid.ID) *caroblife.Life {
+	for _, lf := range w.Lives.All() {
+		if lf.Target.Name == id.Name && (id.Service == "" || lf.Target.Service == id.Service) {
+			return lf
+		}
+	}
+	return nil
+}
+
+// live notes the life that a word is of. A target that had the address before is
+// gone, and so are the connections and the memory of an earlier life.
+func live(w *carobworld.World, now carobinstant.Instant, an carobannouncement.Announcement) {
+	lf := w.Lives.Get(an.Address)
+	if lf != nil && lf.Target != an.Target && an.Incarnation > 0 {
+		withdraw(w, carobannouncement.Announcement{Target: lf.Target})
+	}
+	if lf != nil && lf.Target == an.Target && lf.Incarnation != an.Incarnation {
+		note(w, an.Target, "earlier life", "new life")
+		if gt := w.Gates.Get(an.Target); gt != nil {
+			gt.Since = now
+		}
+	}
+	w.Lives.Put(an.Address, caroblife.Life{Target: an.Target, Incarnation: an.Incarnation, Sequence: an.Sequence})
+}
+
 func announce(w *carobworld.World, now carobinstant.Instant, an carobannouncement.Announcement) {
+	live(w, now, an)
 	next := carobtarget.Target{
 		ID: an.Target, Node: w.Self.Node, Address: an.Address, Profile: an.Profile,
 		Slots: an.Slots, Conns: an.Conns, State: an.State, Heard: now,
@@ -67,7 +122,8 @@
 	if gt == nil {
 		gt = w.Gates.Put(an.Target, carobgate.Gate{Since: now})
 	}
-	gt.Limit = an.Slots
+	gt.Slots, gt.Limit = an.Slots, an.Slots
+	gt.Cold = now.Add(an.Cold.Duration())
 	if !changed {
 		return
 	}
--- a/pkg/carobrouting/system.go
+++ b/pkg/carobrouting/system.go
@@ -177,5 +177,6 @@
 	w.Outbox.Sends = append(w.Outbox.Sends, carobsend.Send{
 		Job:    carobjobid.ID{Call: cl.Arrival.Call, Attempt: len(cl.Attempts)},
 		Target: cd.target, Peer: cd.peer, Incarnation: cd.incarnation, Patience: cl.Deadline.Sub(now),
+		Once: cl.Profile.Once, Wish: cl.Wish(now),
 	})
 }
--- a/pkg/carobstart/start.go
+++ b/pkg/carobstart/start.go
@@ -6,6 +6,7 @@
 
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
+	"github.com/carobknot/carobknot/pkg/carobonce"
 )
 
 // Start orders that a job is sent to its target.
@@ -15,6 +16,8 @@
 	Address carobaddress.Address
 	// Patience is the time left to the call.
 	Patience time.Duration
+	// Once says how often the call may run.
+	Once carobonce.Once
 	// Trace is the trace context for the target, as W3C writes it.
 	Trace string
 }
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -3,6 +3,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobaudit"
@@ -20,6 +21,7 @@
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobjob"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
+	"github.com/carobknot/carobknot/pkg/caroblife"
 	"github.com/carobknot/carobknot/pkg/caroblimits"
 	"github.com/carobknot/carobknot/pkg/carobload"
 	"github.com/carobknot/carobknot/pkg/carobmeasure"
@@ -32,8 +34,11 @@
 	"github.com/carobknot/carobknot/pkg/carobpeer"
 	"github.com/carobknot/carobknot/pkg/carobprofile"
 	"github.com/carobknot/carobknot/pkg/carobrecord"
+	"github.com/carobknot/carobknot/pkg/carobretries"
 	"github.com/carobknot/carobknot/pkg/carobrevision"
 	"github.com/carobknot/carobknot/pkg/carobring"
+	"github.com/carobknot/carobknot/pkg/carobroutes"
+	"github.com/carobknot/carobknot/pkg/carobrouteversion"
 	"github.com/carobknot/carobknot/pkg/carobservice"
 	"github.com/carobknot/carobknot/pkg/carobshard"
 	"github.com/carobknot/carobknot/pkg/carobsnapshot"
@@ -52,6 +57,7 @@
 	Self    carobmember.Member
 	Limits  caroblimits.Limits
 	Measure carobmeasure.Measure
+	Retries carobretries.Retries
 	// Seed is what all random choices follow from.
 	Seed uint64
 }
@@ -63,6 +69,7 @@
 	Self    carobmember.Member
 	Limits  caroblimits.Limits
 	Measure carobmeasure.Measure
+	Retries carobretries.Retries
 	// Random is the only source of chance for systems.
 	Random *rand.Rand
 	// Stopping says that the node is shutting down.
@@ -72,6 +79,8 @@
 
 	// Targets has all targets known, the node's own among them.
 	Targets *carobtable.Table[carobtargetid.ID, carobtarget.Target]
+	// Lives has the newest life of a target at each address on the VM.
+	Lives *carobtable.Table[carobaddress.Address, caroblife.Life]
 	// TargetsChanged says that Groups does not match Targets yet.
 	TargetsChanged bool
 	// Groups has the services of Targets.
@@ -126,8 +135,11 @@
 	// Paused says that more time passed before this tick than ticks allow.
 	Paused bool
 
-	// Profiles.
+	// Profiles and routes.
 
+	// Routes is the route table in force; nil if none is known. Its version never
+	// goes down.
+	Routes *carobroutes.Routes
 	// Behind says that the log may have newer profiles than this node, which has
 	// just started. None is in force until then.
 	Behind bool
@@ -177,6 +189,9 @@
 		// measures is how many things the budget of measuring caps.
 		measures = 2
 	)
+	if c.Retries == (carobretries.Retries{}) {
+		c.Retries = carobretries.NewRetries()
+	}
 	w := &World{
 		Self:         c.Self,
 		ProfilesRead: caroboffset.None,
@@ -187,6 +202,8 @@
 		Measure:     c.Measure,
 		Random:      rand.New(rand.NewPCG(c.Seed, stream)), //nolint:gosec // choices must repeat under a seed
 		Targets:     carobtable.NewTable[carobtargetid.ID, carobtarget.Target](carobtable.Config{Limit: c.Limits.Targets}),
+		Lives:       carobtable.NewTable[carobaddress.Address, caroblife.Life](carobtable.Config{Limit: carobmember.MostTargets}),
+		Retries:     c.Retries,
 		Groups:      carobtable.NewTable[carobservice.Service, carobgroup.Group](carobtable.Config{Limit: c.Limits.Targets}),
 		Buckets:     carobtable.NewTable[carobword.Word, carobbucket.Bucket](carobtable.Config{Limit: measures}),
 		Paces:       carobtable.NewTable[carobservice.Service, carobpace.Pace](carobtable.Config{Limit: c.Limits.Targets}),
@@ -245,12 +262,22 @@
 	if bg := w.Budgets.Get(service); bg != nil {
 		return bg
 	}
-	if bg := w.Budgets.Put(service, carobbudget.NewBudget()); bg != nil {
+	if bg := w.Budgets.Put(service, carobbudget.Budget{Tokens: w.savedRetries()}); bg != nil {
 		return bg
 	}
 	return &carobbudget.Budget{}
 }
 
+// EarnRetry takes a call into the budget of its service.
+func (w *World) EarnRetry(service carobservice.Service) {
+	w.BudgetOf(service).Earn(float64(w.Retries.Share), w.savedRetries())
+}
+
+// savedRetries returns the most resends that this node saves up.
+func (w *World) savedRetries() float64 {
+	return w.Retries.Most(w.Peers.Len() + 1)
+}
+
 // TakeSnapshot returns the profiles in force as they are now.
 func (w *World) TakeSnapshot() carobsnapshot.Snapshot {
 	sn := carobsnapshot.Snapshot{Through: w.ProfilesRead, Revisions: make([]carobrevision.Revision, 0, w.Profiles.Len())}
@@ -265,9 +292,24 @@
 	return tg.Node == w.Self.Node
 }
 
+// RoutesVersion returns the version of the route table in force, or None.
+func (w *World) RoutesVersion() carobrouteversion.Version {
+	if w.Routes == nil {
+		return carobrouteversion.None
+	}
+	return w.Routes.Version
+}
+
+// NoteRoutes adds a newer route table to the audit trail.
+func (w *World) NoteRoutes(from string, rs *carobroutes.Routes) {
+	w.Note("routes", from, "route table",
+		strconv.FormatUint(uint64(w.RoutesVersion()), 10), strconv.FormatUint(uint64(rs.Version), 10))
+}
+
 // Tell sends a control message from this node.
 func (w *World) Tell(ms carobmessage.Message) {
 	ms.From, ms.Incarnation, ms.Back = w.Self.Node, w.Self.Incarnation, w.Self.Peer
+	ms.RoutesVersion = w.RoutesVersion()
 	w.Outbox.Messages = append(w.Outbox.Messages, ms)
 }
 
