Place near first, queue by SLO and rank, admit fewer to a slow VM

Change: policy local with a price for the way; the queue ordered by what can still be in time, by calls that others wait for, rank, SLO; the least urgent gives way when the queue is full; six tenths of the slots while the target says that its VM is twice as slow as usual; a stopping node refuses calls once callers had time to notice.

--- a/internal/carobingress/ingress.go
+++ b/internal/carobingress/ingress.go
@@ -27,6 +27,7 @@
 	"github.com/carobknot/carobknot/pkg/caroblimits"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
+	"github.com/carobknot/carobknot/pkg/carobsize"
 )
 
 // dialect is how callers are spoken to.
@@ -112,6 +113,7 @@
 	ar.Call = carobcallid.ID{
 		Node: i.config.Node, Incarnation: i.config.Incarnation, Sequence: i.sequence.Add(1),
 	}
+	ar.Size = carobsize.Size(held)
 	upload, err := carobupload.NewUpload(carobupload.Config{Whole: rq.Body()})
 	if err != nil {
 		c.Refuse(carobkind.Of(err), 0, err.Error())
--- a/internal/carobnode/node.go
+++ b/internal/carobnode/node.go
@@ -267,7 +267,8 @@
 	}
 	_ = callers.Shutdown(last)
 	_ = do.MustInvoke[*carobtimer.Timer](n.injector).Wait(last, goodbye)
-	closing, closed := context.WithTimeout(cx, closePatience)
+	const part = 10
+	closing, closed := context.WithTimeout(cx, min(closePatience, n.config.Settings.Grace.Duration()/part))
 	defer closed()
 	if n.config.Store == nil {
 		do.MustInvoke[*carobscribe.Scribe](n.injector).Flush(closing)
--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -78,16 +78,15 @@
 	}
 	jb := w.Jobs.Put(of.Job, carobjob.Job{Offer: of, Came: now, Deadline: now.Add(of.Patience)})
 	gt.Changed = true
+	gt.Limit = limit(gt, now)
 	if gt.Running < gt.Limit && gt.Queued == 0 {
 		start(w, now, jb, tg, gt)
 		return
 	}
-	if gt.Queued >= queueLimit(w, tg) {
-		w.Jobs.Delete(of.Job)
-		refuse(w, of.Job, carobkind.Busy)
-		return
-	}
 	gt.Queued++
+	if gt.Queued > queueLimit(w, tg) {
+		carobfencing.Withdraw(w, leastUrgent(w, now, of.Target), carobkind.Busy)
+	}
 }
 
 // known reports whether the offer of a job came before, so that this one is a
@@ -145,6 +144,10 @@
 	}
 	gt.Running--
 	gt.Changed = true
+	if ps := fn.Pressure; ps != nil {
+		gt.Slowness, gt.Told = ps.Slowness, now
+	}
+	gt.Limit = limit(gt, now)
 	learn(gt, jb.Started, now)
 	carobfencing.Remember(w, fn)
 	w.Jobs.Delete(fn.Job)
@@ -199,11 +202,11 @@
 	}
 }
 
-// drain starts queued jobs, the earliest deadline first, while slots are free.
+// drain starts queued jobs, the most urgent first, while slots are free.
 func drain(w *carobworld.World, now carobinstant.Instant, id carobtargetid.ID, gt *carobgate.Gate) {
 	tg := w.Targets.Get(id)
 	for tg != nil && gt.Queued > 0 && gt.Running < gt.Limit {
-		jb := mostUrgent(w, id)
+		jb := mostUrgent(w, now, id)
 		if jb == nil {
 			return
 		}
@@ -213,19 +216,6 @@
 	}
 }
 
-func mostUrgent(w *carobworld.World, id carobtargetid.ID) *carobjob.Job {
-	var best *carobjob.Job
-	for _, jb := range w.Jobs.All() {
-		if jb.Offer.Target != id || jb.Started != carobinstant.Never {
-			continue
-		}
-		if best == nil || jb.Deadline.Before(best.Deadline) {
-			best = jb
-		}
-	}
-	return best
-}
-
 func refuse(w *carobworld.World, job carobjobid.ID, kind carobkind.Kind) {
 	w.Outbox.Refusals = append(w.Outbox.Refusals, carobrefusal.Refusal{Job: job, Kind: kind})
 }
--- a/pkg/carobarrival/arrival.go
+++ b/pkg/carobarrival/arrival.go
@@ -7,6 +7,7 @@
 	"github.com/carobknot/carobknot/pkg/carobcallid"
 	"github.com/carobknot/carobknot/pkg/carobrequestid"
 	"github.com/carobknot/carobknot/pkg/carobservice"
+	"github.com/carobknot/carobknot/pkg/carobsize"
 )
 
 // Arrival says that a call has come to this node, which is its entry from now on.
@@ -23,6 +24,8 @@
 	Patience time.Duration
 	// Key is the idempotency key; empty if there is none.
 	Key string
+	// Size is how long the body is, if it is kept.
+	Size carobsize.Size
 	// Streamed says that the body is too long to be kept for another attempt.
 	Streamed bool
 	// Trace is the trace context of the caller, as W3C writes it.
--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -59,6 +59,9 @@
 	// Silence is how long a target may go without an announcement; 0 is the
 	// default.
 	Silence time.Duration
+	// Stay is how long a stopping node goes on taking calls; 0 is as long as they
+	// come.
+	Stay time.Duration
 }
 
 // Core is the decisions of one node.
@@ -110,7 +113,7 @@
 			carobclaiming.NewSystem(carobclaiming.Config{
 				Gap: claimGap, Lull: claimLull, Patience: claimPatience, Pause: claimPause, Keys: claimKeys, Kept: claimKept,
 			}),
-			carobentry.NewSystem(),
+			carobentry.NewSystem(carobentry.Config{Stay: c.Stay}),
 			carobprobing.NewSystem(),
 			carobrouting.NewSystem(),
 			carobejection.NewSystem(),
--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -40,16 +40,34 @@
 )
 
 // System takes calls in, follows their attempts and settles them.
-type System struct{}
+type System struct {
+	config Config
+	// until is when a stopping node takes its last call; Never while it does not stop.
+	until carobinstant.Instant
+}
+
+// Config is how the system is made.
+type Config struct {
+	// Stay is how long a stopping node goes on taking calls; 0 is as long as they
+	// come.
+	Stay time.Duration
+}
 
 // NewSystem returns the system.
-func NewSystem() *System {
-	return &System{}
+func NewSystem(c Config) *System {
+	return &System{config: c}
 }
 
 // Run takes in what has come for calls.
 func (s *System) Run(w *carobworld.World, now carobinstant.Instant) {
+	if w.Stopping && s.until == carobinstant.Never && s.config.Stay > 0 {
+		s.until = now.Add(s.config.Stay)
+	}
 	for _, ar := range w.Inbox.Arrivals {
+		if s.until.Reached(now) {
+			refuse(w, ar.Call, carobkind.Leaving)
+			continue
+		}
 		arrive(w, now, ar)
 	}
 	for _, rp := range w.Inbox.Replies {
--- a/pkg/carobgate/gate.go
+++ b/pkg/carobgate/gate.go
@@ -23,6 +23,10 @@
 	Queued int
 	// Latency is the estimated time that the target takes over a call.
 	Latency time.Duration
+	// Slowness is how much longer than usual work takes on the VM, by the target's
+	// newest word, which is of Told; 1 is as usual.
+	Slowness float64
+	Told     carobinstant.Instant
 	// Changed says that the newest report of the target's load is out of date.
 	Changed bool
 	// Learned is when the newest call that Latency is made of started; Never before
--- a/pkg/carobrouting/candidate.go
+++ b/pkg/carobrouting/candidate.go
@@ -21,6 +21,8 @@
 	slots int
 	// near says that the target is in this node's data centre.
 	near bool
+	// distance is what the way to the target costs, in calls for each of its slots.
+	distance float64
 	// reported is the calls at the target by the newest report, queued ones
 	// included, and the own attempts made since.
 	reported float64
--- a/pkg/carobrouting/policies.go
+++ b/pkg/carobrouting/policies.go
@@ -16,6 +16,7 @@
 var policies = map[carobword.Word]policy{
 	"expected":   expected{},
 	"leastown":   leastOwn{},
+	"local":      local{},
 	"prequal":    prequal{},
 	"random":     random{},
 	"roundrobin": roundRobin{},
--- a/pkg/carobrouting/system.go
+++ b/pkg/carobrouting/system.go
@@ -13,6 +13,7 @@
 	"github.com/carobknot/carobknot/pkg/carobreadiness"
 	"github.com/carobknot/carobknot/pkg/carobsend"
 	"github.com/carobknot/carobknot/pkg/carobservice"
+	"github.com/carobknot/carobknot/pkg/carobsize"
 	"github.com/carobknot/carobknot/pkg/carobstage"
 	"github.com/carobknot/carobknot/pkg/carobtarget"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
@@ -69,7 +70,9 @@
 		return
 	}
 	age(s.candidates)
-	s.candidates = nearest(s.candidates, float64(cl.Profile.Near))
+	if cl.Profile.Near > 0 {
+		s.candidates = nearest(s.candidates, float64(cl.Profile.Near))
+	}
 	chosen := policyOf(cl.Profile.Policy).pick(w.Random, s.candidates)
 	s.send(w, now, cl, s.candidates[chosen])
 }
@@ -106,7 +109,7 @@
 		for _, again := range []bool{false, true} {
 			for _, id := range ids {
 				if tried(cl, id) == again {
-					s.consider(w, now, id)
+					s.consider(w, now, cl, id)
 				}
 			}
 			if len(s.candidates) > 0 {
@@ -116,7 +119,7 @@
 	}
 }
 
-func (s *System) consider(w *carobworld.World, now carobinstant.Instant, id carobtargetid.ID) {
+func (s *System) consider(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call, id carobtargetid.ID) {
 	tg := w.Targets.Get(id)
 	if tg == nil || tg.State != carobreadiness.Ready || w.Stopping && w.Owns(tg) {
 		return
@@ -129,6 +132,7 @@
 		}
 		cd.peer, cd.incarnation = pr.Member.Peer, pr.Member.Incarnation
 		cd.near = pr.Member.Centre == w.Self.Centre
+		cd.distance = distance(cd.near, cl.Arrival.Size)
 	}
 	if cd.load = load(w, id); cd.load == nil || out(cd.load) {
 		return
@@ -138,6 +142,20 @@
 	s.candidates = append(s.candidates, cd)
 }
 
+// distance returns what the way to a target on another VM costs.
+func distance(near bool, size carobsize.Size) float64 {
+	const (
+		hop    = 0.1
+		centre = 1.25
+		// perByte is for bodies, which only other data centres make dear.
+		perByte = 1.0 / (32 << 10)
+	)
+	if near {
+		return hop
+	}
+	return centre + perByte*float64(size)
+}
+
 // out reports whether a target is ejected, or on trial with a call under way.
 func out(ld *carobload.Load) bool {
 	return ld.Ejected != carobinstant.Never || ld.Trial && ld.Open > 0
