Serve at once after a restart

Cause: after kill_all at Lechfeld every call was turned away for four seconds, with all services known: a node that has just heard of others waits for the log's newest profiles, which this platform does not have. The log showed it: 'entry: call turned away', outcome not-ready, services 3.

Decisions on requests and changes of beliefs are logged as lines of JSON by one goroutine, bounded, with a count of what was left out (carobdecision, carobeventlog).

--- a/internal/carobnode/node.go
+++ b/internal/carobnode/node.go
@@ -16,6 +16,7 @@
 	"github.com/carobknot/carobknot/internal/carobcontrol"
 	"github.com/carobknot/carobknot/internal/carobcourier"
 	"github.com/carobknot/carobknot/internal/carobenroller"
+	"github.com/carobknot/carobknot/internal/carobeventlog"
 	"github.com/carobknot/carobknot/internal/carobfollower"
 	"github.com/carobknot/carobknot/internal/carobmailbox"
 	"github.com/carobknot/carobknot/internal/carobmeter"
@@ -87,6 +88,8 @@
 }
 
 const (
+	// failureLines is how many lines a second are logged of calls that failed.
+	failureLines = 200
 	logPatience  = 2 * time.Second
 	sortPatience = 5 * time.Second
 	// goodbye is how long the last messages to other nodes have to leave.
@@ -188,6 +191,7 @@
 	control.Attach(do.MustInvoke[front](n.injector))
 	control.Attach(do.MustInvoke[*carobcourier.Courier](n.injector))
 	control.Attach(do.MustInvoke[*carobmeter.Meter](n.injector))
+	control.Attach(do.MustInvoke[*carobeventlog.EventLog](n.injector))
 	if n.config.Store != nil {
 		control.Attach(do.MustInvoke[*carobenroller.Enroller](n.injector))
 		control.Attach(do.MustInvoke[*carobfollower.Follower](n.injector))
@@ -213,6 +217,7 @@
 	go do.MustInvoke[*carobtimer.Timer](n.injector).Run(cx)
 	go do.MustInvoke[*carobcontrol.Control](n.injector).Run(cx)
 	go do.MustInvoke[*carobsplitter.Splitter](n.injector).Run(cx)
+	go do.MustInvoke[*carobeventlog.EventLog](n.injector).Run(cx)
 	if n.config.Store != nil {
 		go do.MustInvoke[*carobenroller.Enroller](n.injector).Run(cx)
 		go do.MustInvoke[*carobfollower.Follower](n.injector).Run(cx)
--- a/internal/carobnode/wire.go
+++ b/internal/carobnode/wire.go
@@ -10,6 +10,7 @@
 	"github.com/carobknot/carobknot/internal/carobcodec"
 	"github.com/carobknot/carobknot/internal/carobcontrol"
 	"github.com/carobknot/carobknot/internal/carobcourier"
+	"github.com/carobknot/carobknot/internal/carobeventlog"
 	"github.com/carobknot/carobknot/internal/carobmailbox"
 	"github.com/carobknot/carobknot/internal/carobmeter"
 	"github.com/carobknot/carobknot/internal/carobplatform"
@@ -44,6 +45,11 @@
 			Stay: st.Stay.Duration(),
 		}), nil
 	})
+	do.Provide(i, func(i do.Injector) (*carobeventlog.EventLog, error) {
+		return carobeventlog.NewEventLog(carobeventlog.Config{
+			Logger: n.config.Logger, Timer: do.MustInvoke[*carobtimer.Timer](i), Usual: st.Lines, Failures: failureLines,
+		}), nil
+	})
 	do.Provide(i, func(i do.Injector) (*carobcontrol.Control, error) {
 		return carobcontrol.NewControl(carobcontrol.Config{
 			Core: do.MustInvoke[*carobcore.Core](i), Mailbox: do.MustInvoke[*carobmailbox.Mailbox](i),
--- a/internal/carobsettings/settings.go
+++ b/internal/carobsettings/settings.go
@@ -47,6 +47,8 @@
 	// how long it goes on taking calls at least: callers may not know yet.
 	Grace carobspan.Span `json:"grace"`
 	Stay  carobspan.Span `json:"stay"`
+	// Lines is how many lines a second are logged of decisions that went well.
+	Lines int `json:"lines"`
 	// Profiles are in force without having been published. May be empty.
 	Profiles []carobprofile.Profile `json:"profiles"`
 	Limits   caroblimits.Limits     `json:"limits"`
--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -6,9 +6,11 @@
 	"math"
 	"time"
 
+	"github.com/carobknot/carobknot/pkg/carobdecision"
 	"github.com/carobknot/carobknot/pkg/carobfencing"
 	"github.com/carobknot/carobknot/pkg/carobfinish"
 	"github.com/carobknot/carobknot/pkg/carobgate"
+	"github.com/carobknot/carobknot/pkg/carobinput"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobjob"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
@@ -68,12 +70,12 @@
 	}
 	tg := w.Targets.Get(of.Target)
 	if kind := objection(w, tg, of); kind != carobkind.None {
-		refuse(w, of.Job, kind)
+		refuse(w, of, kind)
 		return
 	}
 	gt := w.Gates.Get(of.Target)
 	if gt == nil || w.Jobs.Full() {
-		refuse(w, of.Job, carobkind.Busy)
+		refuse(w, of, carobkind.Busy)
 		return
 	}
 	jb := w.Jobs.Put(of.Job, carobjob.Job{Offer: of, Came: now, Deadline: now.Add(of.Patience)})
@@ -85,7 +87,12 @@
 	}
 	gt.Queued++
 	if gt.Queued > queueLimit(w, tg) {
-		carobfencing.Withdraw(w, leastUrgent(w, now, of.Target), carobkind.Busy)
+		jb := leastUrgent(w, now, of.Target)
+		w.Decide(carobdecision.Decision{
+			Part: "admit", Text: "queue full", Request: jb.Offer.Wish.Request, Call: jb.Offer.Job.Call,
+			Attempt: jb.Offer.Job.Attempt, Target: of.Target, Kind: carobkind.Busy, Inputs: inputs(gt, now, jb.Came),
+		})
+		carobfencing.Withdraw(w, jb, carobkind.Busy)
 	}
 }
 
@@ -126,6 +133,10 @@
 func start(w *carobworld.World, now carobinstant.Instant, jb *carobjob.Job, tg *carobtarget.Target, gt *carobgate.Gate) {
 	jb.Started = now
 	gt.Running++
+	w.Decide(carobdecision.Decision{
+		Part: "admit", Text: "job started", Request: jb.Offer.Wish.Request, Call: jb.Offer.Job.Call,
+		Attempt: jb.Offer.Job.Attempt, Target: jb.Offer.Target, Inputs: inputs(gt, now, jb.Came),
+	})
 	w.Outbox.Starts = append(w.Outbox.Starts, carobstart.Start{
 		Job: jb.Offer.Job, Address: tg.Address, Patience: jb.Deadline.Sub(now),
 		Once: jb.Offer.Wish.Once,
@@ -216,8 +227,24 @@
 	}
 }
 
-func refuse(w *carobworld.World, job carobjobid.ID, kind carobkind.Kind) {
-	w.Outbox.Refusals = append(w.Outbox.Refusals, carobrefusal.Refusal{Job: job, Kind: kind})
+func refuse(w *carobworld.World, of caroboffer.Offer, kind carobkind.Kind) {
+	w.Outbox.Refusals = append(w.Outbox.Refusals, carobrefusal.Refusal{Job: of.Job, Kind: kind})
+	w.Decide(carobdecision.Decision{
+		Part: "admit", Text: "job refused", Request: of.Wish.Request, Call: of.Job.Call,
+		Attempt: of.Job.Attempt, Target: of.Target, Kind: kind,
+	})
+}
+
+// inputs are the figures that admission goes by.
+func inputs(gt *carobgate.Gate, now, came carobinstant.Instant) []carobinput.Input {
+	return []carobinput.Input{
+		{Name: "running", Value: float64(gt.Running)},
+		{Name: "queued", Value: float64(gt.Queued)},
+		{Name: "limit", Value: float64(gt.Limit)},
+		{Name: "slowness", Value: gt.Slowness},
+		{Name: "toldms", Value: float64(now.Sub(gt.Told).Milliseconds())},
+		{Name: "waitedms", Value: float64(now.Sub(came).Milliseconds())},
+	}
 }
 
 // report publishes the load of the targets whose load changed.
--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -10,9 +10,10 @@
 
 	"github.com/carobknot/carobknot/pkg/carobarrival"
 	"github.com/carobknot/carobknot/pkg/carobcall"
-	"github.com/carobknot/carobknot/pkg/carobcallid"
 	"github.com/carobknot/carobknot/pkg/carobconclusion"
+	"github.com/carobknot/carobknot/pkg/carobdecision"
 	"github.com/carobknot/carobknot/pkg/carobdelivery"
+	"github.com/carobknot/carobknot/pkg/carobinput"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
 	"github.com/carobknot/carobknot/pkg/carobkey"
@@ -65,7 +66,7 @@
 	}
 	for _, ar := range w.Inbox.Arrivals {
 		if s.until.Reached(now) {
-			refuse(w, ar.Call, carobkind.Leaving)
+			refuse(w, ar, carobkind.Leaving)
 			continue
 		}
 		arrive(w, now, ar)
@@ -104,13 +105,13 @@
 	var rt *carobroute.Route
 	if ar.Service == "" {
 		if rt = lookUp(w, &ar); rt == nil {
-			refuse(w, ar.Call, unrouted(w))
+			refuse(w, ar, unrouted(w))
 			return
 		}
 	}
 	kind := objection(w, ar)
 	if kind != carobkind.None {
-		refuse(w, ar.Call, kind)
+		refuse(w, ar, kind)
 		return
 	}
 	w.EarnRetry(ar.Service)
@@ -189,7 +190,7 @@
 		return
 	}
 	if rp.Kind == carobkind.None {
-		answer(w, cl, rp.Job.Attempt)
+		answer(w, now, cl, rp.Job.Attempt)
 		return
 	}
 	cl.Last = rp.Kind
@@ -265,8 +266,9 @@
 }
 
 // answer picks the attempt whose answer the caller gets.
-func answer(w *carobworld.World, cl *carobcall.Call, attempt int) {
+func answer(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call, attempt int) {
 	cl.Stage = carobstage.Delivering
+	tell(w, now, cl, "answer passed on", carobkind.None, 0)
 	cancelOthers(w, cl, attempt)
 	w.Outbox.Conclusions = append(w.Outbox.Conclusions, carobconclusion.Conclusion{
 		Call: cl.Arrival.Call, Attempt: attempt,
@@ -309,9 +311,11 @@
 		unsettle(w, now, cl, kind, nil)
 	}
 	cancelOthers(w, cl, 0)
+	after := comeBack(w, cl, kind)
 	w.Outbox.Conclusions = append(w.Outbox.Conclusions, carobconclusion.Conclusion{
-		Call: cl.Arrival.Call, Kind: kind, After: comeBack(w, cl, kind),
+		Call: cl.Arrival.Call, Kind: kind, After: after,
 	})
+	tell(w, now, cl, "call ended without an answer", kind, after)
 	w.Calls.Delete(cl.Arrival.Call)
 }
 
@@ -342,6 +346,13 @@
 	}
 }
 
-func refuse(w *carobworld.World, call carobcallid.ID, kind carobkind.Kind) {
-	w.Outbox.Conclusions = append(w.Outbox.Conclusions, carobconclusion.Conclusion{Call: call, Kind: kind})
+// refuse turns away a call that was not taken in.
+func refuse(w *carobworld.World, ar carobarrival.Arrival, kind carobkind.Kind) {
+	w.Outbox.Conclusions = append(w.Outbox.Conclusions, carobconclusion.Conclusion{Call: ar.Call, Kind: kind})
+	w.Decide(carobdecision.Decision{
+		Part: "entry", Text: "call turned away", Request: ar.Request, Call: ar.Call, Kind: kind,
+		Inputs: []carobinput.Input{
+			{Name: "routes", Value: float64(w.RoutesVersion())}, {Name: "services", Value: float64(w.Groups.Len())},
+		},
+	})
 }
--- a/pkg/caroboutbox/outbox.go
+++ b/pkg/caroboutbox/outbox.go
@@ -6,6 +6,7 @@
 	"github.com/carobknot/carobknot/pkg/carobaudit"
 	"github.com/carobknot/carobknot/pkg/carobcommit"
 	"github.com/carobknot/carobknot/pkg/carobconclusion"
+	"github.com/carobknot/carobknot/pkg/carobdecision"
 	"github.com/carobknot/carobknot/pkg/carobfollow"
 	"github.com/carobknot/carobknot/pkg/carobhop"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
@@ -53,6 +54,7 @@
 
 	// What on call and auditors see.
 
-	Audits []carobaudit.Audit
-	Hops   []carobhop.Hop
+	Audits    []carobaudit.Audit
+	Decisions []carobdecision.Decision
+	Hops      []carobhop.Hop
 }
--- a/pkg/carobrouting/system.go
+++ b/pkg/carobrouting/system.go
@@ -2,10 +2,13 @@
 package carobrouting
 
 import (
+	"math"
 	"time"
 
 	"github.com/carobknot/carobknot/pkg/carobattempt"
 	"github.com/carobknot/carobknot/pkg/carobcall"
+	"github.com/carobknot/carobknot/pkg/carobdecision"
+	"github.com/carobknot/carobknot/pkg/carobinput"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
 	"github.com/carobknot/carobknot/pkg/carobkind"
@@ -192,6 +195,17 @@
 	cd.load.Sent++
 	cd.load.Open++
 	cd.load.Turn = s.turn
+	w.Decide(carobdecision.Decision{
+		Part: "route", Text: "attempt sent", Request: cl.Arrival.Request, Call: cl.Arrival.Call,
+		Attempt: len(cl.Attempts), Target: cd.target,
+		Inputs: []carobinput.Input{
+			{Name: "candidates", Value: float64(len(s.candidates))},
+			{Name: "flight", Value: math.Round(cd.flight*10) / 10},
+			{Name: "slots", Value: float64(cd.slots)},
+			{Name: "distance", Value: cd.distance},
+			{Name: "reportms", Value: float64(cd.age.Milliseconds())},
+		},
+	})
 	w.Outbox.Sends = append(w.Outbox.Sends, carobsend.Send{
 		Job:    carobjobid.ID{Call: cl.Arrival.Call, Attempt: len(cl.Attempts)},
 		Target: cd.target, Peer: cd.peer, Incarnation: cd.incarnation, Patience: cl.Deadline.Sub(now),
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -11,6 +11,7 @@
 	"github.com/carobknot/carobknot/pkg/carobbudget"
 	"github.com/carobknot/carobknot/pkg/carobcall"
 	"github.com/carobknot/carobknot/pkg/carobcallid"
+	"github.com/carobknot/carobknot/pkg/carobdecision"
 	"github.com/carobknot/carobknot/pkg/carobfinish"
 	"github.com/carobknot/carobknot/pkg/carobgate"
 	"github.com/carobknot/carobknot/pkg/carobgroup"
@@ -243,14 +244,15 @@
 }
 
 // ProfileOf returns the profile in force for a service, or nil if its targets
-// or the profile that they picked are not known.
+// or the profile that they picked are not known. Those that stand in the settings
+// do not wait for the log.
 func (w *World) ProfileOf(service carobservice.Service) *carobprofile.Profile {
 	gp := w.Groups.Get(service)
 	if gp == nil {
 		return nil
 	}
 	rv := w.Profiles.Get(gp.Profile)
-	if rv == nil || w.Behind {
+	if rv == nil || w.Behind && rv.Offset != caroboffset.None {
 		return nil
 	}
 	return &rv.Change.Profile
@@ -313,6 +315,11 @@
 	w.Outbox.Messages = append(w.Outbox.Messages, ms)
 }
 
+// Decide adds a decision to what those on call can look up.
+func (w *World) Decide(dc carobdecision.Decision) {
+	w.Outbox.Decisions = append(w.Outbox.Decisions, dc)
+}
+
 // Note adds an entry to the audit trail: a part of the system saw that something
 // changed, and by whom.
 func (w *World) Note(part, who, what, from, to string) {
