--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -18,6 +18,7 @@
 	"github.com/carobknot/carobknot/pkg/carobjobid"
 	"github.com/carobknot/carobknot/pkg/carobkey"
 	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/carobmessage"
 	"github.com/carobknot/carobknot/pkg/carobonce"
 	"github.com/carobknot/carobknot/pkg/carobprofile"
 	"github.com/carobknot/carobknot/pkg/carobreadiness"
@@ -61,29 +62,12 @@
 
 // Run takes in what has come for calls.
 func (s *System) Run(w *carobworld.World, now carobinstant.Instant) {
-	if w.Stopping && s.until == carobinstant.Never && s.config.Stay > 0 {
-		s.until = now.Add(s.config.Stay)
-	}
-	for _, ar := range w.Inbox.Arrivals {
-		if s.until.Reached(now) {
-			refuse(w, ar, carobkind.Leaving)
-			continue
-		}
-		arrive(w, now, ar)
-	}
+	s.take(w, now)
 	for _, rp := range w.Inbox.Replies {
 		reply(w, now, rp)
 	}
-	for _, ms := range w.Inbox.Messages {
-		if ms.Judgment != nil {
-			hear(w, now, ms.Judgment)
-		}
-		if ms.ClaimReply != nil {
-			claimed(w, now, ms.ClaimReply)
-		}
-		if ms.Settled != nil {
-			w.Unsettled.Delete(*ms.Settled)
-		}
+	for i := range w.Inbox.Messages {
+		listen(w, now, &w.Inbox.Messages[i])
 	}
 	for _, dl := range w.Inbox.Deliveries {
 		deliver(w, now, dl)
@@ -101,6 +85,33 @@
 	}
 }
 
+// take takes calls in, unless the node stops and callers have had time to notice.
+func (s *System) take(w *carobworld.World, now carobinstant.Instant) {
+	if w.Stopping && s.until == carobinstant.Never && s.config.Stay > 0 {
+		s.until = now.Add(s.config.Stay)
+	}
+	for _, ar := range w.Inbox.Arrivals {
+		if s.until.Reached(now) {
+			refuse(w, ar, carobkind.Leaving)
+			continue
+		}
+		arrive(w, now, ar)
+	}
+}
+
+// listen takes in what other nodes tell of calls.
+func listen(w *carobworld.World, now carobinstant.Instant, ms *carobmessage.Message) {
+	if ms.Judgment != nil {
+		hear(w, now, ms.Judgment)
+	}
+	if ms.ClaimReply != nil {
+		claimed(w, now, ms.ClaimReply)
+	}
+	if ms.Settled != nil {
+		w.Unsettled.Delete(*ms.Settled)
+	}
+}
+
 func arrive(w *carobworld.World, now carobinstant.Instant, ar carobarrival.Arrival) {
 	var rt *carobroute.Route
 	if ar.Service == "" {
@@ -226,13 +237,18 @@
 		cl.Stage = carobstage.Waiting
 	case cl.Last == carobkind.Busy && cl.NotRun() && len(cl.Attempts) < mostRefusals && mayRest(now, cl):
 		rest(w, now, cl)
-	case left && (cl.NotRun() || mayRepeat(cl)) && w.BudgetOf(cl.Arrival.Service).Spend():
+	case left && mayGoOn(cl) && w.BudgetOf(cl.Arrival.Service).Spend():
 		cl.Stage = carobstage.Waiting
 	default:
 		fence(w, now, cl)
 	}
 }
 
+// mayGoOn reports whether a call may be sent again at the budget's expense.
+func mayGoOn(cl *carobcall.Call) bool {
+	return cl.NotRun() || mayRepeat(cl)
+}
+
 // moves reports whether another attempt at a call costs nothing: none has run,
 // and the last one reached no target.
 func moves(cl *carobcall.Call) bool {
