Give every call its last answer before a node ends

Besides, a node that was idle once while it stopped took itself for done, and gave calls that came later half a second.

Change: when the grace time ends, each call gets its last answer (may have run, or not), so that those behind it are delivered; the front end is closed when its calls are answered, not when the node was once idle.

Ruled out: to end earlier calls sooner, since a server at work is no reason to.

--- a/internal/carobnode/node.go
+++ b/internal/carobnode/node.go
@@ -247,10 +247,11 @@
 	return failed
 }
 
-// shutDown ends the node gracefully. Callers can open no more connections; what
-// they have sent is still answered. Other nodes are told, and get refusals for
-// what they send all the same, until none has sent an attempt for a while: one
-// that met a closed connection instead could not be told from one that ran.
+// shutDown ends the node gracefully. Callers that may not know yet are served for
+// a while; then they can open no more connections, and what they have sent is
+// still answered. Other nodes are told, and get refusals for what they send all
+// the same, until none has sent an attempt for a while: one that met a closed
+// connection instead could not be told from one that ran.
 func (n *Node) shutDown(cx context.Context) {
 	logger := n.config.Logger.WithField("node", n.config.Settings.Name)
 	logger.Info("node: shutting down")
@@ -260,21 +261,21 @@
 	defer done()
 	callers := do.MustInvoke[front](n.injector)
 	callers.Drain()
-	if stay := n.config.Settings.Stay.Duration(); stay > 0 {
-		_ = do.MustInvoke[*carobtimer.Timer](n.injector).Wait(last, stay)
-	} else {
-		_ = callers.Shutdown(last)
-	}
+	_ = do.MustInvoke[*carobtimer.Timer](n.injector).Wait(last, n.config.Settings.Stay.Duration())
+	_ = callers.Shutdown(last)
 	select {
 	case <-n.stopped:
 	case <-last.Done():
-		logger.Warn("node: calls still in flight are cut")
 	}
-	_ = callers.Shutdown(last)
-	_ = do.MustInvoke[*carobtimer.Timer](n.injector).Wait(last, goodbye)
 	const part = 10
 	closing, closed := context.WithTimeout(cx, min(closePatience, n.config.Settings.Grace.Duration()/part))
 	defer closed()
+	if last.Err() != nil {
+		logger.Warn("node: calls still in flight get their last answer")
+		mailbox.Post(func(in *carobinbox.Inbox) { in.End = true })
+		_ = callers.Shutdown(closing)
+	}
+	_ = do.MustInvoke[*carobtimer.Timer](n.injector).Wait(last, goodbye)
 	if n.config.Store == nil {
 		do.MustInvoke[*carobscribe.Scribe](n.injector).Flush(closing)
 	}
--- a/pkg/carobentry/route_test.go
+++ b/pkg/carobentry/route_test.go
@@ -154,3 +154,26 @@
 	require.NotEmpty(t, r.world.Outbox.Conclusions)
 	require.Equal(t, carobkind.Leaving, r.world.Outbox.Conclusions[0].Kind)
 }
+
+func TestEndingNodeTellsWhatItKnows(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		reply carobkind.Kind
+		want  carobkind.Kind
+	}{
+		{"may have run", carobkind.None, carobkind.Cut},
+		{"has not run", carobkind.Busy, carobkind.Leaving},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, carobonce.Call)
+			r.routed(carobonce.Call)
+			r.call1("/one/x")
+			for attempt := 1; c.reply != carobkind.None && len(r.world.Outbox.Sends) > 0; attempt++ {
+				r.reply(attempt, c.reply)
+			}
+			r.step(carobinbox.Inbox{End: true})
+			require.Len(t, r.world.Outbox.Conclusions, 1)
+			require.Equal(t, c.want, r.world.Outbox.Conclusions[0].Kind)
+		})
+	}
+}
--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -78,6 +78,10 @@
 		}
 	}
 	for _, cl := range w.Calls.All() {
+		if w.Inbox.End {
+			end(w, now, cl)
+			continue
+		}
 		watch(w, now, cl)
 	}
 	for _, us := range w.Unsettled.All() {
@@ -319,6 +323,18 @@
 	}
 }
 
+// end tells a caller what is known of its call when the node ends. An answer that
+// waits on the connection behind it can then still be delivered.
+func end(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call) {
+	switch {
+	case cl.Stage == carobstage.Delivering:
+	case cl.NotRun():
+		conclude(w, now, cl, carobkind.Leaving)
+	default:
+		conclude(w, now, cl, carobkind.Cut)
+	}
+}
+
 // conclude tells the caller an error and forgets the call.
 func conclude(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call, kind carobkind.Kind) {
 	if cl.NotRun() {
--- a/pkg/carobinbox/inbox.go
+++ b/pkg/carobinbox/inbox.go
@@ -35,6 +35,8 @@
 	Blind []bool
 	// Stop asks the node to shut down gracefully.
 	Stop bool
+	// End gives the calls under way their last answer: the node ends now.
+	End bool
 
 	// Admission and claims.
 
--- a/pkg/carobregistry/system_test.go
+++ b/pkg/carobregistry/system_test.go
@@ -64,24 +64,51 @@
 		words []carobannouncement.Announcement
 		want  map[carobword.Word]carobreadiness.Readiness
 	}{
-		{"older sequence", []carobannouncement.Announcement{word("a", 5, 4, leaving), word("a", 5, 3, ready)},
-			map[carobword.Word]carobreadiness.Readiness{"a": leaving}},
-		{"newer sequence", []carobannouncement.Announcement{word("a", 5, 4, leaving), word("a", 5, 5, ready)},
-			map[carobword.Word]carobreadiness.Readiness{"a": ready}},
-		{"earlier life of another target at the address", []carobannouncement.Announcement{word("b", 7, 1, ready), word("a", 5, 9, ready)},
-			map[carobword.Word]carobreadiness.Readiness{"a": "", "b": ready}},
-		{"later life of another target at the address", []carobannouncement.Announcement{word("a", 5, 9, ready), word("b", 7, 1, ready)},
-			map[carobword.Word]carobreadiness.Readiness{"a": "", "b": ready}},
-		{"same name, later life, counts anew", []carobannouncement.Announcement{word("a", 5, 9, leaving), word("a", 7, 1, ready)},
-			map[carobword.Word]carobreadiness.Readiness{"a": ready}},
-		{"word after its leave", []carobannouncement.Announcement{word("a", 5, 1, ready), leave("a", 0), word("a", 5, 2, ready)},
-			map[carobword.Word]carobreadiness.Readiness{"a": ""}},
-		{"leave of an earlier life", []carobannouncement.Announcement{word("a", 7, 1, ready), leave("a", 5)},
-			map[carobword.Word]carobreadiness.Readiness{"a": ready}},
-		{"target that tells no life", []carobannouncement.Announcement{word("a", 0, 0, leaving), word("a", 0, 0, ready)},
-			map[carobword.Word]carobreadiness.Readiness{"a": ready}},
-		{"what a health path said goes behind a heartbeat", []carobannouncement.Announcement{word("a", 5, 1, leaving), word("a", 0, 0, ready)},
-			map[carobword.Word]carobreadiness.Readiness{"a": leaving}},
+		{
+			"older sequence",
+			[]carobannouncement.Announcement{word("a", 5, 4, leaving), word("a", 5, 3, ready)},
+			map[carobword.Word]carobreadiness.Readiness{"a": leaving},
+		},
+		{
+			"newer sequence",
+			[]carobannouncement.Announcement{word("a", 5, 4, leaving), word("a", 5, 5, ready)},
+			map[carobword.Word]carobreadiness.Readiness{"a": ready},
+		},
+		{
+			"earlier life of another target at the address",
+			[]carobannouncement.Announcement{word("b", 7, 1, ready), word("a", 5, 9, ready)},
+			map[carobword.Word]carobreadiness.Readiness{"a": "", "b": ready},
+		},
+		{
+			"later life of another target at the address",
+			[]carobannouncement.Announcement{word("a", 5, 9, ready), word("b", 7, 1, ready)},
+			map[carobword.Word]carobreadiness.Readiness{"a": "", "b": ready},
+		},
+		{
+			"same name, later life, counts anew",
+			[]carobannouncement.Announcement{word("a", 5, 9, leaving), word("a", 7, 1, ready)},
+			map[carobword.Word]carobreadiness.Readiness{"a": ready},
+		},
+		{
+			"word after its leave",
+			[]carobannouncement.Announcement{word("a", 5, 1, ready), leave("a", 0), word("a", 5, 2, ready)},
+			map[carobword.Word]carobreadiness.Readiness{"a": ""},
+		},
+		{
+			"leave of an earlier life",
+			[]carobannouncement.Announcement{word("a", 7, 1, ready), leave("a", 5)},
+			map[carobword.Word]carobreadiness.Readiness{"a": ready},
+		},
+		{
+			"target that tells no life",
+			[]carobannouncement.Announcement{word("a", 0, 0, leaving), word("a", 0, 0, ready)},
+			map[carobword.Word]carobreadiness.Readiness{"a": ready},
+		},
+		{
+			"what a health path said goes behind a heartbeat",
+			[]carobannouncement.Announcement{word("a", 5, 1, leaving), word("a", 0, 0, ready)},
+			map[carobword.Word]carobreadiness.Readiness{"a": leaving},
+		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := newRig()
