--- a/internal/carobadmitter/serve.go
+++ b/internal/carobadmitter/serve.go
@@ -2,15 +2,10 @@
 
 import (
 	"context"
-	"strconv"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/carobknot/carobknot/internal/carobheader"
-	"github.com/carobknot/carobknot/pkg/carobcallid"
-	"github.com/carobknot/carobknot/pkg/carobincarnation"
-	"github.com/carobknot/carobknot/pkg/carobjobid"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroboffer"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
@@ -88,32 +83,7 @@
 }
 
 func parseOffer(hd *fasthttp.RequestHeader) (caroboffer.Offer, error) {
-	const base, bits = 10, 64
-	var of caroboffer.Offer
-	call, err := carobcallid.Parse(string(hd.Peek(carobheader.Call)))
-	if err != nil {
-		return of, err
-	}
-	attempt, err := strconv.Atoi(string(hd.Peek(carobheader.Attempt)))
-	if err != nil || attempt < 1 {
-		return of, carobkind.New(carobkind.Invalid, "attempt is not a number above 0")
-	}
-	incarnation, err := strconv.ParseUint(string(hd.Peek(carobheader.Incarnation)), base, bits)
-	if err != nil {
-		return of, carobkind.New(carobkind.Invalid, "incarnation is not a number")
-	}
-	patience, err := strconv.ParseInt(string(hd.Peek(carobheader.Patience)), base, bits)
-	if err != nil {
-		return of, carobkind.New(carobkind.Invalid, "patience is not a number")
-	}
-	var target carobtargetid.ID
-	if err := target.UnmarshalText(hd.Peek(carobheader.Target)); err != nil {
-		return of, err
-	}
-	return caroboffer.Offer{
-		Job: carobjobid.ID{Call: call, Attempt: attempt}, Target: target,
-		Incarnation: carobincarnation.Incarnation(incarnation), Patience: time.Duration(patience),
-		Wish: carobheader.ParseWish(string(hd.Peek(carobheader.Wish))),
-		Key:  string(hd.Peek(carobheader.Key)), Trace: string(hd.Peek(carobheader.Trace)),
-	}, nil
+	of, err := carobheader.ParseOffer(string(hd.Peek(carobheader.Offer)))
+	of.Key, of.Trace = string(hd.Peek(carobheader.Key)), string(hd.Peek(carobheader.Trace))
+	return of, err
 }
--- a/internal/carobheader/header.go
+++ b/internal/carobheader/header.go
@@ -20,16 +20,8 @@
 
 // Headers between nodes only. Callers can not set them.
 const (
-	// Attempt counts the attempts at a call.
-	Attempt = "Carobknot-Attempt"
-	// Target is the target that an attempt is meant for.
-	Target = "Carobknot-Target"
-	// Incarnation is the node's life that an attempt is meant for.
-	Incarnation = "Carobknot-Incarnation"
-	// Patience is the time left, in nanoseconds.
-	Patience = "Carobknot-Patience"
-	// Wish is what the caller wants of the call.
-	Wish = "Carobknot-Wish"
+	// Offer is what a target's node needs to know of an attempt.
+	Offer = "Carobknot-Offer"
 	// Report is the load of the target.
 	Report = "Carobknot-Report"
 )
--- /dev/null
+++ b/internal/carobheader/offer_test.go
@@ -0,0 +1,53 @@
+package carobheader_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobknot/carobknot/internal/carobheader"
+	"github.com/carobknot/carobknot/pkg/carobcallid"
+	"github.com/carobknot/carobknot/pkg/carobjobid"
+	"github.com/carobknot/carobknot/pkg/carobonce"
+	"github.com/carobknot/carobknot/pkg/carobrequestid"
+	"github.com/carobknot/carobknot/pkg/carobsend"
+	"github.com/carobknot/carobknot/pkg/carobtargetid"
+	"github.com/carobknot/carobknot/pkg/carobwish"
+)
+
+func sample(request carobrequestid.ID) carobsend.Send {
+	return carobsend.Send{
+		Job:    carobjobid.ID{Call: carobcallid.ID{Node: "there", Incarnation: 1 << 60, Sequence: 77}, Attempt: 3},
+		Target: carobtargetid.ID{Service: "lookups", Name: "i-1"}, Incarnation: 1 << 61, Patience: 1500 * time.Millisecond,
+		Wish: carobwish.Wish{
+			Rank: 2, Slo: -3 * time.Millisecond, Whole: 400 * time.Millisecond, Once: carobonce.No, Request: request,
+		},
+	}
+}
+
+func TestOfferSurvivesTheWire(t *testing.T) {
+	for _, request := range []carobrequestid.ID{"", "r1", "with some spaces"} {
+		sd := sample(request)
+		of, err := carobheader.ParseOffer(carobheader.FormatOffer(sd))
+		require.NoError(t, err)
+		require.Equal(t, sd.Job, of.Job)
+		require.Equal(t, sd.Target, of.Target)
+		require.Equal(t, sd.Incarnation, of.Incarnation)
+		require.Equal(t, sd.Patience, of.Patience)
+		require.Equal(t, sd.Wish, of.Wish)
+	}
+}
+
+func FuzzOffer(f *testing.F) {
+	f.Add(carobheader.FormatOffer(sample("r1")))
+	f.Add("x 1 a/b 1 1 1 1 1 no r")
+	f.Fuzz(func(t *testing.T, text string) {
+		of, err := carobheader.ParseOffer(text)
+		if err != nil {
+			return
+		}
+		require.Positive(t, of.Job.Attempt)
+		require.NoError(t, of.Target.Service.Check())
+	})
+}
--- a/internal/carobnode/node.go
+++ b/internal/carobnode/node.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/do/v2"
@@ -83,6 +84,8 @@
 	peer     net.Listener
 	admin    net.Listener
 	injector do.Injector
+	// leaving says that a graceful shutdown has begun.
+	leaving atomic.Bool
 	// stopped is closed when a graceful shutdown is complete.
 	stopped chan struct{}
 }
@@ -160,7 +163,7 @@
 func (n *Node) Ready(cx context.Context) bool {
 	ready := false
 	err := do.MustInvoke[*carobcontrol.Control](n.injector).Ask(cx, func(w *carobworld.World) {
-		ready = w.Routes != nil && !w.Stopping
+		ready = w.Routes != nil && !n.leaving.Load()
 	})
 	return err == nil && ready
 }
@@ -248,20 +251,21 @@
 }
 
 // shutDown ends the node gracefully. Callers that may not know yet are served for
-// a while; then they can open no more connections, and what they have sent is
-// still answered. Other nodes are told, and get refusals for what they send all
+// a while, and so are the nodes that call its target; then callers can open no more
+// connections, and what they have sent is still answered. Other nodes are told, and get refusals for what they send all
 // the same, until none has sent an attempt for a while: one that met a closed
 // connection instead could not be told from one that ran.
 func (n *Node) shutDown(cx context.Context) {
 	logger := n.config.Logger.WithField("node", n.config.Settings.Name)
 	logger.Info("node: shutting down")
+	n.leaving.Store(true)
 	mailbox := do.MustInvoke[*carobmailbox.Mailbox](n.injector)
-	mailbox.Post(func(in *carobinbox.Inbox) { in.Stop = true })
 	last, done := context.WithTimeout(cx, n.config.Settings.Grace.Duration())
 	defer done()
 	callers := do.MustInvoke[front](n.injector)
 	callers.Drain()
 	_ = do.MustInvoke[*carobtimer.Timer](n.injector).Wait(last, n.config.Settings.Stay.Duration())
+	mailbox.Post(func(in *carobinbox.Inbox) { in.Stop = true })
 	_ = callers.Shutdown(last)
 	select {
 	case <-n.stopped:
--- a/internal/carobnode/wire.go
+++ b/internal/carobnode/wire.go
@@ -42,7 +42,7 @@
 		return carobcore.NewCore(carobcore.Config{
 			World: carobworld.Config{Self: self, Limits: st.Limits, Measure: st.Measure, Retries: st.Retries, Seed: uint64(self.Incarnation)},
 			Seeds: st.Seeds, Profiles: st.Profiles, Silence: st.Silence.Duration(),
-			Stay: st.Stay.Duration(),
+			Untraced: n.config.Dialect != nil,
 		}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*carobeventlog.EventLog, error) {
--- a/internal/carobrelay/relay.go
+++ b/internal/carobrelay/relay.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"strconv"
 
 	"github.com/valyala/fasthttp"
 
@@ -56,13 +55,7 @@
 	if sd.Peer == "" {
 		return r.own(cx, sd, rq)
 	}
-	const base = 10
-	rq.Header.Set(carobheader.Call, sd.Job.Call.String())
-	rq.Header.Set(carobheader.Attempt, strconv.Itoa(sd.Job.Attempt))
-	rq.Header.Set(carobheader.Target, sd.Target.String())
-	rq.Header.Set(carobheader.Incarnation, strconv.FormatUint(uint64(sd.Incarnation), base))
-	rq.Header.Set(carobheader.Patience, strconv.FormatInt(int64(sd.Patience), base))
-	rq.Header.Set(carobheader.Wish, carobheader.FormatWish(sd.Wish))
+	rq.Header.Set(carobheader.Offer, carobheader.FormatOffer(sd))
 	an, err := r.config.Peers.Do(cx, sd.Peer, rq, sd.Once != carobonce.No)
 	if err != nil {
 		return nil, nil, err
--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -59,9 +59,8 @@
 	// Silence is how long a target may go without an announcement; 0 is the
 	// default.
 	Silence time.Duration
-	// Stay is how long a stopping node goes on taking calls; 0 is as long as they
-	// come.
-	Stay time.Duration
+	// Untraced says that no trace context is handed on.
+	Untraced bool
 }
 
 // Core is the decisions of one node.
@@ -113,12 +112,12 @@
 			carobclaiming.NewSystem(carobclaiming.Config{
 				Gap: claimGap, Lull: claimLull, Patience: claimPatience, Pause: claimPause, Keys: claimKeys, Kept: claimKept,
 			}),
-			carobentry.NewSystem(carobentry.Config{Stay: c.Stay}),
+			carobentry.NewSystem(),
 			carobprobing.NewSystem(),
 			carobrouting.NewSystem(),
 			carobejection.NewSystem(),
 			carobhedging.NewSystem(),
-			carobtracing.NewSystem(carobtracing.Config{Seed: c.World.Seed}),
+			carobtracing.NewSystem(carobtracing.Config{Seed: c.World.Seed, Alone: c.Untraced}),
 			carobshutdown.NewSystem(carobshutdown.Config{Patience: lastPatience, Linger: lastLinger}),
 			carobdissemination.NewSystem(),
 		},
--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -42,27 +42,18 @@
 )
 
 // System takes calls in, follows their attempts and settles them.
-type System struct {
-	config Config
-	// until is when a stopping node takes its last call; Never while it does not stop.
-	until carobinstant.Instant
-}
-
-// Config is how the system is made.
-type Config struct {
-	// Stay is how long a stopping node goes on taking calls; 0 is as long as they
-	// come.
-	Stay time.Duration
-}
+type System struct{}
 
 // NewSystem returns the system.
-func NewSystem(c Config) *System {
-	return &System{config: c}
+func NewSystem() *System {
+	return &System{}
 }
 
 // Run takes in what has come for calls.
 func (s *System) Run(w *carobworld.World, now carobinstant.Instant) {
-	s.take(w, now)
+	for _, ar := range w.Inbox.Arrivals {
+		arrive(w, now, ar)
+	}
 	for _, rp := range w.Inbox.Replies {
 		reply(w, now, rp)
 	}
@@ -89,20 +80,6 @@
 	}
 }
 
-// take takes calls in, unless the node stops and callers have had time to notice.
-func (s *System) take(w *carobworld.World, now carobinstant.Instant) {
-	if w.Stopping && s.until == carobinstant.Never && s.config.Stay > 0 {
-		s.until = now.Add(s.config.Stay)
-	}
-	for _, ar := range w.Inbox.Arrivals {
-		if s.until.Reached(now) {
-			refuse(w, ar, carobkind.Leaving)
-			continue
-		}
-		arrive(w, now, ar)
-	}
-}
-
 // listen takes in what other nodes tell of calls.
 func listen(w *carobworld.World, now carobinstant.Instant, ms *carobmessage.Message) {
 	if ms.Judgment != nil {
--- a/pkg/carobtracing/system.go
+++ b/pkg/carobtracing/system.go
@@ -23,6 +23,9 @@
 type Config struct {
 	// Seed is what all span ids follow from.
 	Seed uint64
+	// Alone says that hops are recorded without being handed on: nobody reads them
+	// together, and a trace context costs bytes on each hop.
+	Alone bool
 }
 
 // System reads what the other systems of the tick took in and ordered, so that
@@ -30,6 +33,7 @@
 type System struct {
 	// random is apart from the world's, so that tracing changes no decision.
 	random *rand.Rand
+	alone  bool
 }
 
 // Roles of hops.
@@ -41,13 +45,13 @@
 // NewSystem returns the system.
 func NewSystem(c Config) *System {
 	const stream = 2
-	return &System{random: rand.New(rand.NewPCG(c.Seed, stream))} //nolint:gosec // span ids are no secret
+	return &System{alone: c.Alone, random: rand.New(rand.NewPCG(c.Seed, stream))} //nolint:gosec // span ids are no secret
 }
 
 // Run opens, hands on and closes the hops of the tick.
 func (s *System) Run(w *carobworld.World, now carobinstant.Instant) {
 	s.open(w, now)
-	handOn(w)
+	handOn(w, s.alone)
 	closeCalls(w, now)
 	closeJobs(w, now)
 }
@@ -74,17 +78,19 @@
 }
 
 // handOn gives the context to the attempts and jobs that go out.
-func handOn(w *carobworld.World) {
+func handOn(w *carobworld.World, alone bool) {
 	for i := range w.Outbox.Sends {
 		sd := &w.Outbox.Sends[i]
 		if tr := w.CallTraces.Get(sd.Job.Call); tr != nil {
 			tr.Targets = append(tr.Targets, sd.Target)
-			sd.Trace = tr.Own.String()
+			if !alone {
+				sd.Trace = tr.Own.String()
+			}
 		}
 	}
 	for i := range w.Outbox.Starts {
 		st := &w.Outbox.Starts[i]
-		if tr := w.JobTraces.Get(st.Job); tr != nil {
+		if tr := w.JobTraces.Get(st.Job); tr != nil && !alone {
 			st.Trace = tr.Own.String()
 		}
 	}
