--- a/pkg/carobcall/call.go
+++ b/pkg/carobcall/call.go
@@ -39,6 +39,9 @@
 	Stage carobstage.Stage
 	// Extra says that a second attempt is wanted beside the one under way.
 	Extra bool
+	// Starved says that no target was found for the call when one was last looked
+	// for.
+	Starved bool
 	// Rest is until when a call waits that all its tries were refused for want of
 	// room; Never if it need not.
 	Rest carobinstant.Instant
--- a/pkg/carobentry/route_test.go
+++ b/pkg/carobentry/route_test.go
@@ -12,6 +12,7 @@
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobonce"
 	"github.com/carobknot/carobknot/pkg/carobpart"
+	"github.com/carobknot/carobknot/pkg/carobreadiness"
 	"github.com/carobknot/carobknot/pkg/carobreply"
 	"github.com/carobknot/carobknot/pkg/carobroute"
 	"github.com/carobknot/carobknot/pkg/carobroutes"
@@ -161,3 +162,18 @@
 		})
 	}
 }
+
+func TestCallWithoutATargetIsRefusedEarly(t *testing.T) {
+	r := newRig(t, carobonce.Call)
+	r.routed(carobonce.Call)
+	for _, tg := range r.world.Targets.All() {
+		tg.State = carobreadiness.Leaving
+	}
+	r.call1("/one/x")
+	came := r.now
+	r.open()
+	r.rest(time.Second)
+	require.Len(t, r.world.Outbox.Conclusions, 1)
+	require.Equal(t, carobkind.NoTarget, r.world.Outbox.Conclusions[0].Kind)
+	require.Less(t, r.now.Sub(came), slo/2)
+}
--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -288,6 +288,10 @@
 		claim(w, now, cl)
 		return
 	}
+	if cl.Stage == carobstage.Waiting && cl.Starved && cl.Slo != carobinstant.Never && !mayRest(now, cl) {
+		starve(w, now, cl)
+		return
+	}
 	if !cl.Deadline.Reached(now) {
 		w.WakeAt(cl.Deadline)
 	} else if cl.Grace == carobinstant.Never {
@@ -300,6 +304,16 @@
 	}
 }
 
+// starve ends a call that no target can take. Whoever waits for an answer until
+// its deadline learns no more than now, and comes back later.
+func starve(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call) {
+	if cl.NotRun() {
+		conclude(w, now, cl, carobkind.NoTarget)
+		return
+	}
+	conclude(w, now, cl, verdict(cl))
+}
+
 // end tells a caller what is known of its call when the node ends. An answer that
 // waits on the connection behind it can then still be delivered.
 func end(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call) {
--- a/pkg/carobrouting/system.go
+++ b/pkg/carobrouting/system.go
@@ -64,10 +64,12 @@
 		return
 	}
 	if _, ok := s.empty[cl.Arrival.Service]; ok {
+		cl.Starved = true
 		return
 	}
 	s.collect(w, now, cl)
-	if len(s.candidates) == 0 {
+	cl.Starved = len(s.candidates) == 0
+	if cl.Starved {
 		s.empty[cl.Arrival.Service] = struct{}{}
 		w.WakeAt(now.Add(pause))
 		return
