--- a/scripts/one_exported_type.sh
+++ b/scripts/one_exported_type.sh
@@ -3,7 +3,7 @@
 # beside it.
 set -eu
 bad=0
-for folder in $(find pkg internal -type d); do
+for folder in $(find pkg internal platform -type d); do
 	files=$(find "$folder" -maxdepth 1 -name '*.go' ! -name '*_test.go')
 	[ -n "$files" ] || continue
 	# shellcheck disable=SC2086
