Look for nodes that said goodbye while they may be coming back

Change: a node that said goodbye is probed for 20 s like an unreachable one, three at a time; the probe brings both to compare what they know.

Ruled out: longer answers to callers, since they have other nodes to go to.

--- a/pkg/carobdetection/system.go
+++ b/pkg/carobdetection/system.go
@@ -33,6 +33,11 @@
 	relays = 3
 	// revisit is the time between two probes of unreachable nodes.
 	revisit = 2 * time.Second
+	// revisits is how many of them are probed at once: in a rolling restart several
+	// are expected back.
+	revisits = 3
+	// restart is how long after its goodbye a node may be expected back.
+	restart = 20 * time.Second
 	// pause is the time without a tick after which this node was stopped for a
 	// while, so that others seem silent and are not.
 	pause = 2 * time.Second
@@ -203,18 +208,32 @@
 	s.ask(w, pr.Member)
 }
 
-// revisit asks one of the unreachable nodes.
+// revisit asks some of the nodes that count as lost.
 func (s *System) revisit(w *carobworld.World, now carobinstant.Instant) {
 	if s.again != carobinstant.Never && !s.again.Reached(now) {
 		return
 	}
 	s.again = now.Add(revisit)
-	for _, pr := range w.SomePeers(1, func(pr *carobpeer.Peer) bool { return pr.Member.Standing == carobstanding.Unreachable }) {
+	for _, pr := range w.SomePeers(revisits, func(pr *carobpeer.Peer) bool { return mayBeBack(now, pr) }) {
 		s.number++
 		s.ask(w, pr.Member)
 	}
 }
 
+// mayBeBack reports whether a node is to be probed that counts as lost. One that
+// said goodbye may be starting again at its address, and know nobody if it cannot
+// read where the others are.
+func mayBeBack(now carobinstant.Instant, pr *carobpeer.Peer) bool {
+	switch pr.Member.Standing {
+	case carobstanding.Unreachable:
+		return true
+	case carobstanding.Gone:
+		return now.Sub(pr.Since) < restart
+	default:
+		return false
+	}
+}
+
 func (s *System) ask(w *carobworld.World, mb carobmember.Member) {
 	w.Tell(carobmessage.Message{To: mb.Peer, Probe: &carobprobe.Probe{
 		Number: s.number, Node: mb.Node, Sums: w.Sums(), Read: w.ProfilesRead,
