Log -1 for the age of what never came

Cause: the log of the incidents showed ages of 56 years where no report or word of slowness had come yet. Change: one function makes ages of inputs, and tells -1 then.

--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -242,8 +242,7 @@
 		{Name: "queued", Value: float64(gt.Queued)},
 		{Name: "limit", Value: float64(gt.Limit)},
 		{Name: "slowness", Value: gt.Slowness},
-		{Name: "toldms", Value: float64(now.Sub(gt.Told).Milliseconds())},
-		{Name: "waitedms", Value: float64(now.Sub(came).Milliseconds())},
+		carobinput.Age("toldms", now, gt.Told), carobinput.Age("waitedms", now, came),
 	}
 }
 
--- a/pkg/carobentry/tell.go
+++ b/pkg/carobentry/tell.go
@@ -18,9 +18,9 @@
 		Attempt: len(cl.Attempts),
 		Inputs: []carobinput.Input{
 			{Name: "routes", Value: float64(w.RoutesVersion())},
-			{Name: "agems", Value: ms(now.Sub(cl.Came))},
-			{Name: "leftms", Value: ms(cl.Deadline.Sub(now))},
-			{Name: "afterms", Value: ms(after)},
+			carobinput.Age("agems", now, cl.Came),
+			{Name: "leftms", Value: carobinput.Ms(cl.Deadline.Sub(now))},
+			{Name: "afterms", Value: carobinput.Ms(after)},
 		},
 	}
 	if n := len(cl.Attempts); n > 0 {
@@ -28,7 +28,3 @@
 	}
 	w.Decide(dc)
 }
-
-func ms(d time.Duration) float64 {
-	return float64(d.Round(10*time.Microsecond)) / float64(time.Millisecond)
-}
--- a/pkg/carobrouting/candidate.go
+++ b/pkg/carobrouting/candidate.go
@@ -5,6 +5,7 @@
 
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobload"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
@@ -30,6 +31,8 @@
 	flight float64
 	// latency estimates the time that the target takes over a call; 0 if unknown.
 	latency time.Duration
+	// heard is when the report came; Never if none did.
+	heard carobinstant.Instant
 	// age is that of the report; 0 for an own target.
 	age time.Duration
 	// load is the row in the table of loads.
--- a/pkg/carobrouting/system.go
+++ b/pkg/carobrouting/system.go
@@ -143,6 +143,7 @@
 		return
 	}
 	cd.load.Looked = now
+	cd.heard = cd.load.At
 	weigh(w, now, tg, &cd)
 	s.candidates = append(s.candidates, cd)
 }
@@ -170,7 +171,7 @@
 // is that of the newest report, and the own attempts made since.
 func weigh(w *carobworld.World, now carobinstant.Instant, tg *carobtarget.Target, cd *candidate) {
 	if gt := w.Gates.Get(tg.ID); gt != nil && w.Owns(tg) {
-		cd.reported, cd.latency = float64(gt.Running+gt.Queued), gt.Latency
+		cd.reported, cd.latency, cd.heard = float64(gt.Running+gt.Queued), gt.Latency, now
 		return
 	}
 	rp := &cd.load.Report
@@ -205,7 +206,7 @@
 			{Name: "flight", Value: math.Round(cd.flight*10) / 10},
 			{Name: "slots", Value: float64(cd.slots)},
 			{Name: "distance", Value: cd.distance},
-			{Name: "reportms", Value: float64(cd.age.Milliseconds())},
+			carobinput.Age("reportms", now, cd.heard),
 		},
 	})
 	w.Outbox.Sends = append(w.Outbox.Sends, carobsend.Send{
