Name the transport, the dispatcher and the bounded listener by their terms

Cause: courier, desk and door were metaphors that need explaining. Change: carobtransport, carobdispatcher and boundedListener; names only.

--- a/internal/carobadmitter/admitter.go
+++ b/internal/carobadmitter/admitter.go
@@ -12,7 +12,7 @@
 
 	"github.com/carobknot/carobknot/internal/carobanswer"
 	"github.com/carobknot/carobknot/internal/carobbody"
-	"github.com/carobknot/carobknot/internal/carobdesk"
+	"github.com/carobknot/carobknot/internal/carobdispatcher"
 	"github.com/carobknot/carobknot/internal/carobheader"
 	"github.com/carobknot/carobknot/internal/carobmailbox"
 	"github.com/carobknot/carobknot/internal/carobtimer"
@@ -65,8 +65,8 @@
 
 // Admitter carries jobs to the node's own targets.
 type Admitter struct {
-	config Config
-	desk   *carobdesk.Desk[carobjobid.ID, order]
+	config     Config
+	dispatcher *carobdispatcher.Dispatcher[carobjobid.ID, order]
 	// reports has the newest report of each target.
 	reports sync.Map
 }
@@ -84,7 +84,7 @@
 	if c.Dialect == nil {
 		c.Dialect = native{}
 	}
-	return &Admitter{config: c, desk: carobdesk.NewDesk[carobjobid.ID, order]()}
+	return &Admitter{config: c, dispatcher: carobdispatcher.NewDispatcher[carobjobid.ID, order]()}
 }
 
 // Carry passes on what the control goroutine decided.
@@ -93,10 +93,10 @@
 		a.reports.Store(rp.Target, &rp)
 	}
 	for _, rf := range out.Refusals {
-		a.desk.Give(rf.Job, order{kind: rf.Kind})
+		a.dispatcher.Give(rf.Job, order{kind: rf.Kind})
 	}
 	for _, st := range out.Starts {
-		a.desk.Give(st.Job, order{start: &st})
+		a.dispatcher.Give(st.Job, order{start: &st})
 	}
 }
 
@@ -112,8 +112,8 @@
 
 // admit offers a job and waits until it is started or refused.
 func (a *Admitter) admit(cx context.Context, of caroboffer.Offer) (*carobstart.Start, error) {
-	orders := a.desk.Open(of.Job)
-	defer a.desk.Close(of.Job)
+	orders := a.dispatcher.Open(of.Job)
+	defer a.dispatcher.Close(of.Job)
 	a.config.Mailbox.Post(func(in *carobinbox.Inbox) { in.Offers = append(in.Offers, of) })
 	select {
 	case <-cx.Done():
--- a/internal/carobdesk/desk.go
+++ b/internal/carobdispatcher/dispatcher.go
@@ -1,6 +1,6 @@
-// Package carobdesk hands orders of the control goroutine to the traffic
+// Package carobdispatcher hands orders of the control goroutine to the traffic
 // goroutines that wait for them.
-package carobdesk
+package carobdispatcher
 
 import "sync"
 
@@ -8,19 +8,19 @@
 // gets more orders than this while its goroutine does not listen.
 const depth = 32
 
-// Desk has a queue of orders for each call or job in traffic.
-type Desk[K comparable, V any] struct {
+// Dispatcher has a queue of orders for each call or job in traffic.
+type Dispatcher[K comparable, V any] struct {
 	mutex  sync.Mutex
 	queues map[K]chan V
 }
 
-// NewDesk returns an empty desk.
-func NewDesk[K comparable, V any]() *Desk[K, V] {
-	return &Desk[K, V]{queues: map[K]chan V{}}
+// NewDispatcher returns an empty dispatcher.
+func NewDispatcher[K comparable, V any]() *Dispatcher[K, V] {
+	return &Dispatcher[K, V]{queues: map[K]chan V{}}
 }
 
 // Open makes the queue of a key.
-func (d *Desk[K, V]) Open(key K) <-chan V {
+func (d *Dispatcher[K, V]) Open(key K) <-chan V {
 	queue := make(chan V, depth)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -29,14 +29,14 @@
 }
 
 // Close takes the queue of a key away.
-func (d *Desk[K, V]) Close(key K) {
+func (d *Dispatcher[K, V]) Close(key K) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	delete(d.queues, key)
 }
 
 // Give queues an order. It never blocks and drops orders that nobody waits for.
-func (d *Desk[K, V]) Give(key K, order V) {
+func (d *Dispatcher[K, V]) Give(key K, order V) {
 	d.mutex.Lock()
 	queue, ok := d.queues[key]
 	d.mutex.Unlock()
--- a/internal/carobentrance/entrance.go
+++ b/internal/carobentrance/entrance.go
@@ -89,7 +89,7 @@
 
 // Serve answers calls until Shutdown.
 func (e *Entrance) Serve(ls net.Listener) error {
-	return e.server.Serve(&door{Listener: ls, timer: e.config.Timer, limit: int64(e.config.Limits.Conns)})
+	return e.server.Serve(&boundedListener{Listener: ls, timer: e.config.Timer, limit: int64(e.config.Limits.Conns)})
 }
 
 // Drain does nothing: Shutdown closes each connection behind its answer.
--- a/internal/carobentrance/door.go
+++ b/internal/carobentrance/listener.go
@@ -19,8 +19,8 @@
 // not make the kernel throw the refusal away before the caller has it.
 const lingering = 2 * time.Second
 
-// door accepts callers' connections and refuses those above the limit.
-type door struct {
+// boundedListener accepts callers' connections and refuses those above the limit.
+type boundedListener struct {
 	net.Listener
 	timer *carobtimer.Timer
 	limit int64
@@ -28,13 +28,13 @@
 }
 
 // Accept waits for the next connection below the limit.
-func (d *door) Accept() (net.Conn, error) {
+func (d *boundedListener) Accept() (net.Conn, error) {
 	for {
 		cn, err := d.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
-		c := &callerConn{Conn: cn, door: d}
+		c := &callerConn{Conn: cn, listener: d}
 		if d.open.Add(1) <= d.limit {
 			return c, nil
 		}
@@ -45,7 +45,7 @@
 // callerConn is a caller's connection.
 type callerConn struct {
 	net.Conn
-	door *door
+	listener *boundedListener
 	// linger says that bytes of a refused call may still be coming.
 	linger atomic.Bool
 	once   sync.Once
@@ -75,7 +75,7 @@
 
 func (c *callerConn) shut() {
 	_ = c.Conn.Close()
-	c.door.open.Add(-1)
+	c.listener.open.Add(-1)
 }
 
 func (c *callerConn) drain() {
@@ -84,19 +84,19 @@
 	if !ok || tc.CloseWrite() != nil {
 		return
 	}
-	_ = tc.SetReadDeadline(c.door.timer.Wall().Add(lingering))
+	_ = tc.SetReadDeadline(c.listener.timer.Wall().Add(lingering))
 	_, _ = io.Copy(io.Discard, tc)
 }
 
 // turnAway refuses a connection above the limit.
 func (c *callerConn) turnAway() {
 	kind := carobkind.Busy
-	text := fmt.Sprintf("%s: the limit of %d connections is reached\n", kind, c.door.limit)
+	text := fmt.Sprintf("%s: the limit of %d connections is reached\n", kind, c.listener.limit)
 	answer := fmt.Sprintf("HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Type: text/plain; charset=utf-8\r\n"+
 		"%s: %s\r\n%s: %s\r\nRetry-After: %d\r\nContent-Length: %d\r\n\r\n%s",
 		kind.Status(), http.StatusText(kind.Status()), carobheader.Outcome, kind.Outcome(), carobheader.Kind, kind,
 		int(kind.Retry()/time.Second), len(text), text)
-	_ = c.SetWriteDeadline(c.door.timer.Wall().Add(lingering))
+	_ = c.SetWriteDeadline(c.listener.timer.Wall().Add(lingering))
 	_, _ = io.WriteString(c.Conn, answer)
 	c.linger.Store(true)
 	_ = c.Close()
--- a/internal/carobexchange/exchanges.go
+++ b/internal/carobexchange/exchanges.go
@@ -10,7 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/carobknot/carobknot/internal/carobanswer"
-	"github.com/carobknot/carobknot/internal/carobdesk"
+	"github.com/carobknot/carobknot/internal/carobdispatcher"
 	"github.com/carobknot/carobknot/internal/carobmailbox"
 	"github.com/carobknot/carobknot/internal/carobupload"
 	"github.com/carobknot/carobknot/pkg/carobarrival"
@@ -52,8 +52,8 @@
 
 // Exchanges are the calls in traffic.
 type Exchanges struct {
-	config Config
-	desk   *carobdesk.Desk[carobcallid.ID, order]
+	config     Config
+	dispatcher *carobdispatcher.Dispatcher[carobcallid.ID, order]
 }
 
 // order is what the control goroutine decided on a call. One field is set.
@@ -66,27 +66,27 @@
 
 // NewExchanges returns exchanges without calls.
 func NewExchanges(c Config) *Exchanges {
-	return &Exchanges{config: c, desk: carobdesk.NewDesk[carobcallid.ID, order]()}
+	return &Exchanges{config: c, dispatcher: carobdispatcher.NewDispatcher[carobcallid.ID, order]()}
 }
 
 // Carry passes on what the control goroutine decided.
 func (e *Exchanges) Carry(out *caroboutbox.Outbox) {
 	for _, sd := range out.Sends {
-		e.desk.Give(sd.Job.Call, order{send: &sd})
+		e.dispatcher.Give(sd.Job.Call, order{send: &sd})
 	}
 	for _, job := range out.Cancels {
-		e.desk.Give(job.Call, order{cancel: job.Attempt})
+		e.dispatcher.Give(job.Call, order{cancel: job.Attempt})
 	}
 	for _, cn := range out.Conclusions {
-		e.desk.Give(cn.Call, order{conclusion: &cn})
+		e.dispatcher.Give(cn.Call, order{conclusion: &cn})
 	}
 }
 
 // Run takes a call through to its end. The request's header goes with every
 // attempt, and the upload is its body.
 func (e *Exchanges) Run(ar carobarrival.Arrival, rq *fasthttp.Request, upload *carobupload.Upload, cr caller) {
-	orders := e.desk.Open(ar.Call)
-	defer e.desk.Close(ar.Call)
+	orders := e.dispatcher.Open(ar.Call)
+	defer e.dispatcher.Close(ar.Call)
 	e.config.Mailbox.Post(func(in *carobinbox.Inbox) { in.Arrivals = append(in.Arrivals, ar) })
 	x := &exchange{
 		exchanges: e, call: ar.Call, request: rq, upload: upload, caller: cr, attempts: map[int]*attempt{},
--- a/internal/carobnode/node.go
+++ b/internal/carobnode/node.go
@@ -15,7 +15,6 @@
 	"github.com/carobknot/carobknot/internal/carobadmitter"
 	"github.com/carobknot/carobknot/internal/carobclaimlog"
 	"github.com/carobknot/carobknot/internal/carobcontrol"
-	"github.com/carobknot/carobknot/internal/carobcourier"
 	"github.com/carobknot/carobknot/internal/carobenroller"
 	"github.com/carobknot/carobknot/internal/carobeventlog"
 	"github.com/carobknot/carobknot/internal/carobfollower"
@@ -27,6 +26,7 @@
 	"github.com/carobknot/carobknot/internal/carobsplitter"
 	"github.com/carobknot/carobknot/internal/carobtail"
 	"github.com/carobknot/carobknot/internal/carobtimer"
+	"github.com/carobknot/carobknot/internal/carobtransport"
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobannouncement"
 	"github.com/carobknot/carobknot/pkg/carobarrival"
@@ -192,7 +192,7 @@
 	control := do.MustInvoke[*carobcontrol.Control](n.injector)
 	control.Attach(do.MustInvoke[*carobadmitter.Admitter](n.injector))
 	control.Attach(do.MustInvoke[front](n.injector))
-	control.Attach(do.MustInvoke[*carobcourier.Courier](n.injector))
+	control.Attach(do.MustInvoke[*carobtransport.Transport](n.injector))
 	control.Attach(do.MustInvoke[*carobmeter.Meter](n.injector))
 	control.Attach(do.MustInvoke[*carobeventlog.EventLog](n.injector))
 	if n.config.Store != nil {
@@ -245,7 +245,7 @@
 	}
 	go start("calls", do.MustInvoke[front](n.injector).Serve, n.call)
 	go start("attempts", do.MustInvoke[*attemptServer](n.injector).Serve, splitter.Calls)
-	go start("control messages", do.MustInvoke[*carobcourier.Courier](n.injector).Serve, splitter.Control)
+	go start("control messages", do.MustInvoke[*carobtransport.Transport](n.injector).Serve, splitter.Control)
 	go start("admin", do.MustInvoke[*carobadmin.Admin](n.injector).Serve, n.admin)
 	return failed
 }
@@ -284,7 +284,7 @@
 		do.MustInvoke[*carobscribe.Scribe](n.injector).Flush(closing)
 	}
 	_ = do.MustInvoke[*attemptServer](n.injector).ShutdownWithContext(closing)
-	_ = do.MustInvoke[*carobcourier.Courier](n.injector).Shutdown(closing)
+	_ = do.MustInvoke[*carobtransport.Transport](n.injector).Shutdown(closing)
 	_ = do.MustInvoke[*carobadmin.Admin](n.injector).Shutdown(closing)
 	logger.Info("node: stopped")
 }
--- a/internal/carobnode/wire.go
+++ b/internal/carobnode/wire.go
@@ -9,7 +9,6 @@
 	"github.com/carobknot/carobknot/internal/carobadmin"
 	"github.com/carobknot/carobknot/internal/carobcodec"
 	"github.com/carobknot/carobknot/internal/carobcontrol"
-	"github.com/carobknot/carobknot/internal/carobcourier"
 	"github.com/carobknot/carobknot/internal/carobeventlog"
 	"github.com/carobknot/carobknot/internal/carobmailbox"
 	"github.com/carobknot/carobknot/internal/carobmeter"
@@ -17,6 +16,7 @@
 	"github.com/carobknot/carobknot/internal/carobscribe"
 	"github.com/carobknot/carobknot/internal/carobsplitter"
 	"github.com/carobknot/carobknot/internal/carobtimer"
+	"github.com/carobknot/carobknot/internal/carobtransport"
 	"github.com/carobknot/carobknot/pkg/carobcore"
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
 	"github.com/carobknot/carobknot/pkg/carobmember"
@@ -60,12 +60,12 @@
 	if n.config.Store != nil {
 		n.wireStore(i)
 	}
-	do.Provide(i, func(i do.Injector) (*carobcourier.Courier, error) {
+	do.Provide(i, func(i do.Injector) (*carobtransport.Transport, error) {
 		codec, err := carobcodec.NewCodec()
 		if err != nil {
 			return nil, err
 		}
-		return carobcourier.NewCourier(carobcourier.Config{
+		return carobtransport.NewTransport(carobtransport.Config{
 			Mailbox: do.MustInvoke[*carobmailbox.Mailbox](i), Codec: codec,
 		}), nil
 	})
--- a/internal/carobcourier/cost_test.go
+++ b/internal/carobtransport/cost_test.go
@@ -1,4 +1,4 @@
-package carobcourier
+package carobtransport
 
 import (
 	"context"
@@ -58,7 +58,7 @@
 	require.NoError(t, err)
 	var bytes atomic.Int64
 	mailbox := carobmailbox.NewMailbox()
-	r := NewCourier(Config{Mailbox: mailbox, Codec: codec})
+	r := NewTransport(Config{Mailbox: mailbox, Codec: codec})
 	go func() { _ = r.Serve(counted{Listener: ls, bytes: &bytes}) }()
 	t.Cleanup(func() { require.NoError(t, r.Shutdown(context.Background())) })
 
--- a/internal/carobcourier/courier_test.go
+++ b/internal/carobtransport/messages_test.go
@@ -1,4 +1,4 @@
-package carobcourier_test
+package carobtransport_test
 
 import (
 	"bytes"
@@ -12,8 +12,8 @@
 
 	"github.com/carobknot/carobknot/internal/carobbatch"
 	"github.com/carobknot/carobknot/internal/carobcodec"
-	"github.com/carobknot/carobknot/internal/carobcourier"
 	"github.com/carobknot/carobknot/internal/carobmailbox"
+	"github.com/carobknot/carobknot/internal/carobtransport"
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobfetch"
 	"github.com/carobknot/carobknot/pkg/carobgossip"
@@ -23,9 +23,9 @@
 )
 
 type end struct {
-	courier *carobcourier.Courier
-	mailbox *carobmailbox.Mailbox
-	address carobaddress.Address
+	transport *carobtransport.Transport
+	mailbox   *carobmailbox.Mailbox
+	address   carobaddress.Address
 }
 
 func newEnd(t *testing.T) *end {
@@ -36,9 +36,9 @@
 	require.NoError(t, err)
 	mailbox := carobmailbox.NewMailbox()
 	e := &end{mailbox: mailbox, address: carobaddress.Address(ls.Addr().String())}
-	e.courier = carobcourier.NewCourier(carobcourier.Config{Mailbox: mailbox, Codec: codec})
-	go func() { _ = e.courier.Serve(ls) }()
-	t.Cleanup(func() { _ = e.courier.Shutdown(context.Background()) })
+	e.transport = carobtransport.NewTransport(carobtransport.Config{Mailbox: mailbox, Codec: codec})
+	go func() { _ = e.transport.Serve(ls) }()
+	t.Cleanup(func() { _ = e.transport.Shutdown(context.Background()) })
 	return e
 }
 
@@ -58,7 +58,7 @@
 
 func TestMessagesArrive(t *testing.T) {
 	a, b := newEnd(t), newEnd(t)
-	a.courier.Carry(&caroboutbox.Outbox{Messages: []carobmessage.Message{fetch(a, b.address), fetch(a, b.address)}})
+	a.transport.Carry(&caroboutbox.Outbox{Messages: []carobmessage.Message{fetch(a, b.address), fetch(a, b.address)}})
 	got := b.take(t)
 	require.Len(t, got, 2)
 	require.EqualValues(t, 3, got[0].Fetch.From)
@@ -67,8 +67,8 @@
 
 func TestShutdownSendsWhatIsLeft(t *testing.T) {
 	a, b := newEnd(t), newEnd(t)
-	a.courier.Carry(&caroboutbox.Outbox{Messages: []carobmessage.Message{fetch(a, b.address)}})
-	require.NoError(t, a.courier.Shutdown(t.Context()))
+	a.transport.Carry(&caroboutbox.Outbox{Messages: []carobmessage.Message{fetch(a, b.address)}})
+	require.NoError(t, a.transport.Shutdown(t.Context()))
 	require.Len(t, b.take(t), 1)
 }
 
@@ -80,12 +80,12 @@
 	unnamed.Back = ""
 	crowd := fetch(a, b.address)
 	crowd.Gossip = &carobgossip.Gossip{Members: make([]carobmember.Member, carobgossip.Most+1)}
-	a.courier.Carry(&caroboutbox.Outbox{Messages: []carobmessage.Message{bad, fetch(a, b.address)}})
+	a.transport.Carry(&caroboutbox.Outbox{Messages: []carobmessage.Message{bad, fetch(a, b.address)}})
 	require.Len(t, b.take(t), 1, "the good one gets through")
-	require.EqualValues(t, 1, b.courier.Broken())
-	a.courier.Carry(&caroboutbox.Outbox{Messages: []carobmessage.Message{crowd}})
-	a.courier.Carry(&caroboutbox.Outbox{Messages: []carobmessage.Message{unnamed, fetch(a, b.address)}})
-	require.Eventually(t, func() bool { return b.courier.Broken() == 3 }, 10*time.Second, time.Millisecond)
+	require.EqualValues(t, 1, b.transport.Broken())
+	a.transport.Carry(&caroboutbox.Outbox{Messages: []carobmessage.Message{crowd}})
+	a.transport.Carry(&caroboutbox.Outbox{Messages: []carobmessage.Message{unnamed, fetch(a, b.address)}})
+	require.Eventually(t, func() bool { return b.transport.Broken() == 3 }, 10*time.Second, time.Millisecond)
 }
 
 func TestGarbageIsRefused(t *testing.T) {
@@ -102,7 +102,7 @@
 		require.NoError(t, rs.Body.Close())
 		require.Equal(t, http.StatusBadRequest, rs.StatusCode)
 	}
-	require.EqualValues(t, 4, e.courier.Broken())
+	require.EqualValues(t, 4, e.transport.Broken())
 }
 
 // A node that does not answer costs a bounded number of requests on their way.
@@ -113,9 +113,9 @@
 	defer func() { _ = ls.Close() }()
 	silent := carobaddress.Address(ls.Addr().String())
 	for range 100 {
-		a.courier.Carry(&caroboutbox.Outbox{Messages: []carobmessage.Message{fetch(a, silent)}})
+		a.transport.Carry(&caroboutbox.Outbox{Messages: []carobmessage.Message{fetch(a, silent)}})
 	}
-	require.EqualValues(t, 100-64, a.courier.Dropped())
+	require.EqualValues(t, 100-64, a.transport.Dropped())
 }
 
 func FuzzUnmarshal(f *testing.F) {
--- a/internal/carobcourier/courier.go
+++ b/internal/carobtransport/transport.go
@@ -1,5 +1,5 @@
-// Package carobcourier carries control messages between nodes.
-package carobcourier
+// Package carobtransport carries control messages between nodes.
+package carobtransport
 
 import (
 	"context"
@@ -35,14 +35,14 @@
 	longest = 4 << 20
 )
 
-// Config is how a courier is made.
+// Config is how a transport is made.
 type Config struct {
 	Mailbox *carobmailbox.Mailbox
 	Codec   *carobcodec.Codec
 }
 
-// Courier sends and takes control messages.
-type Courier struct {
+// Transport sends and takes control messages.
+type Transport struct {
 	config Config
 	client *http.Client
 	server *http.Server
@@ -61,12 +61,12 @@
 // empty answers requests.
 type empty struct{}
 
-// NewCourier returns a courier that does not listen yet.
-func NewCourier(c Config) *Courier {
+// NewTransport returns a transport that does not listen yet.
+func NewTransport(c Config) *Transport {
 	protocols := &http.Protocols{}
 	protocols.SetUnencryptedHTTP2(true)
 	http2 := &http.HTTP2Config{SendPingTimeout: silence, PingTimeout: silence}
-	r := &Courier{
+	r := &Transport{
 		config:  c,
 		client:  &http.Client{Transport: &http.Transport{Protocols: protocols, HTTP2: http2, IdleConnTimeout: idle}},
 		flying:  map[carobaddress.Address]int{},
@@ -80,19 +80,19 @@
 }
 
 // Serve takes messages until Shutdown.
-func (r *Courier) Serve(ls net.Listener) error {
+func (r *Transport) Serve(ls net.Listener) error {
 	return r.server.Serve(ls)
 }
 
 // Dropped returns how many messages were not sent.
-func (r *Courier) Dropped() uint64 { return r.dropped.Load() }
+func (r *Transport) Dropped() uint64 { return r.dropped.Load() }
 
 // Broken returns how many messages were refused that came.
-func (r *Courier) Broken() uint64 { return r.broken.Load() + r.config.Codec.Broken() }
+func (r *Transport) Broken() uint64 { return r.broken.Load() + r.config.Codec.Broken() }
 
 // Shutdown waits until what was to be sent is sent, stops taking messages and
 // closes all connections.
-func (r *Courier) Shutdown(cx context.Context) error {
+func (r *Transport) Shutdown(cx context.Context) error {
 	sent := make(chan struct{})
 	go func() {
 		r.sends.Wait()
@@ -107,7 +107,7 @@
 }
 
 // Carry sends the messages of a tick, those to one address together.
-func (r *Courier) Carry(out *caroboutbox.Outbox) {
+func (r *Transport) Carry(out *caroboutbox.Outbox) {
 	if len(out.Messages) == 0 {
 		return
 	}
@@ -130,7 +130,7 @@
 }
 
 // enter counts a request to an address, unless there are too many on their way.
-func (r *Courier) enter(ad carobaddress.Address) bool {
+func (r *Transport) enter(ad carobaddress.Address) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.flying[ad] >= inFlight {
@@ -141,7 +141,7 @@
 	return true
 }
 
-func (r *Courier) leave(ad carobaddress.Address) {
+func (r *Transport) leave(ad carobaddress.Address) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.flying[ad]--
@@ -153,14 +153,14 @@
 
 // send tells one node. Messages may get lost; the systems that send them say
 // them again where that matters.
-func (r *Courier) send(ad carobaddress.Address, bt *carobbatch.Batch) {
+func (r *Transport) send(ad carobaddress.Address, bt *carobbatch.Batch) {
 	defer r.leave(ad)
 	cx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	_, _ = r.clientOf(ad).CallUnary(cx, connect.NewRequest(bt))
 }
 
-func (r *Courier) clientOf(ad carobaddress.Address) *connect.Client[carobbatch.Batch, empty] {
+func (r *Transport) clientOf(ad carobaddress.Address) *connect.Client[carobbatch.Batch, empty] {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	cl, ok := r.clients[ad]
@@ -175,7 +175,7 @@
 }
 
 // take passes on the messages of a request that keep their own rules.
-func (r *Courier) take(_ context.Context, rq *connect.Request[carobbatch.Batch]) (*connect.Response[empty], error) {
+func (r *Transport) take(_ context.Context, rq *connect.Request[carobbatch.Batch]) (*connect.Response[empty], error) {
 	good := rq.Msg.Messages[:0]
 	for i := range rq.Msg.Messages {
 		if rq.Msg.Messages[i].Check() != nil {
--- a/internal/carobcourier/transport_test.go
+++ b/internal/carobtransport/transport_test.go
@@ -1,4 +1,4 @@
-package carobcourier
+package carobtransport
 
 import (
 	"bytes"
--- a/test/capacity/cluster_test.go
+++ b/test/capacity/cluster_test.go
@@ -201,7 +201,7 @@
 	}
 }
 
-// carry sends a batch through the codec, as the courier does.
+// carry sends a batch through the codec, as the transport does.
 func (c *cluster) carry(from *node, to carobaddress.Address, bt *carobbatch.Batch) {
 	data, err := c.codec.Marshal(bt)
 	require.NoError(c.t, err)
