Send offers without a caller's name whole

Cause: the header that says what a hop needs ended in a space when the caller gave no name, which no header's value keeps; the target's node then found nine fields and refused every attempt as invalid. Only the product's own interface has such calls.

Change: the name is left out when there is none; the test sends what a header keeps. The product's nodes no longer write the audit trail twice.

--- a/internal/carobeventlog/log.go
+++ b/internal/carobeventlog/log.go
@@ -29,6 +29,8 @@
 	// Usual is how many lines a second are written of what went well, and Failures
 	// of what did not.
 	Usual, Failures int
+	// Audits says that the audit trail is written too, since nothing else does.
+	Audits bool
 }
 
 // depth is how many lines wait to be written at most.
@@ -72,6 +74,9 @@
 		l.since, l.left = now, [2]int{l.config.Usual, l.config.Failures}
 	}
 	for i := range out.Audits {
+		if !l.config.Audits {
+			break
+		}
 		l.put(failure, line{audit: &out.Audits[i]})
 	}
 	for i := range out.Decisions {
--- a/internal/carobheader/offer.go
+++ b/internal/carobheader/offer.go
@@ -19,9 +19,9 @@
 const (
 	base, bits = 36, 64
 	// offerFields is how many there are: call, attempt, target, incarnation,
-	// patience, rank, SLO and the whole of it, how often the call may run, and the
-	// caller's name for it, which may be empty.
-	offerFields = 10
+	// patience, rank, SLO and the whole of it, how often the call may run. The caller's
+	// name for it comes behind them if there is one.
+	offerFields = 9
 )
 
 // FormatOffer writes what a target's node needs to know of an attempt. All stands
@@ -29,19 +29,23 @@
 // and times in microseconds.
 func FormatOffer(sd carobsend.Send) string {
 	number := func(n int64) string { return strconv.FormatInt(n, base) }
-	return strings.Join([]string{
+	text := strings.Join([]string{
 		sd.Job.Call.String(), number(int64(sd.Job.Attempt)), sd.Target.String(),
 		strconv.FormatUint(uint64(sd.Incarnation), base), number(sd.Patience.Microseconds()),
 		number(int64(sd.Wish.Rank)), number(sd.Wish.Slo.Microseconds()), number(sd.Wish.Whole.Microseconds()),
-		string(sd.Wish.Once), string(sd.Wish.Request),
+		string(sd.Wish.Once),
 	}, " ")
+	if sd.Wish.Request == "" {
+		return text
+	}
+	return text + " " + string(sd.Wish.Request)
 }
 
 // ParseOffer reads what FormatOffer writes.
 func ParseOffer(text string) (caroboffer.Offer, error) {
 	var of caroboffer.Offer
-	fields := strings.SplitN(text, " ", offerFields)
-	if len(fields) != offerFields {
+	fields := strings.SplitN(text, " ", offerFields+1)
+	if len(fields) < offerFields {
 		return of, carobkind.New(carobkind.Invalid, "offer: %d fields instead of %d", len(fields), offerFields)
 	}
 	call, err := carobcallid.Parse(fields[0])
@@ -69,7 +73,10 @@
 	of.Patience = micros(numbers[1])
 	of.Wish = carobwish.Wish{
 		Rank: int(numbers[2]), Slo: micros(numbers[3]), Whole: micros(numbers[4]),
-		Once: carobonce.Once(fields[8]), Request: carobrequestid.ID(fields[9]),
+		Once: carobonce.Once(fields[8]),
+	}
+	if len(fields) > offerFields {
+		of.Wish.Request = carobrequestid.ID(fields[offerFields])
 	}
 	return of, nil
 }
--- a/internal/carobheader/offer_test.go
+++ b/internal/carobheader/offer_test.go
@@ -1,6 +1,7 @@
 package carobheader_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -29,7 +30,10 @@
 func TestOfferSurvivesTheWire(t *testing.T) {
 	for _, request := range []carobrequestid.ID{"", "r1", "with some spaces"} {
 		sd := sample(request)
-		of, err := carobheader.ParseOffer(carobheader.FormatOffer(sd))
+		// Spaces at the ends of a header's value do not arrive.
+		text := carobheader.FormatOffer(sd)
+		require.Equal(t, strings.TrimSpace(text), text)
+		of, err := carobheader.ParseOffer(text)
 		require.NoError(t, err)
 		require.Equal(t, sd.Job, of.Job)
 		require.Equal(t, sd.Target, of.Target)
--- a/internal/carobnode/wire.go
+++ b/internal/carobnode/wire.go
@@ -48,6 +48,7 @@
 	do.Provide(i, func(i do.Injector) (*carobeventlog.EventLog, error) {
 		return carobeventlog.NewEventLog(carobeventlog.Config{
 			Logger: n.config.Logger, Timer: do.MustInvoke[*carobtimer.Timer](i), Usual: st.Lines, Failures: failureLines,
+			Audits: n.config.Store != nil,
 		}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*carobcontrol.Control, error) {
