Refuse after an eighth of the SLO, and give a slow VM four tenths of its slots

Cause: a call without room waited a quarter of its SLO before its caller learned so, and came back with half of it gone; a VM that is five times slower was given six tenths of the usual.

Change: an eighth, and four tenths.

--- a/pkg/carobadmission/limit.go
+++ b/pkg/carobadmission/limit.go
@@ -13,7 +13,7 @@
 	// slow is the slowness from which on a target gets fewer jobs at once, and slowPart
 	// the part of the usual limit that it gets then.
 	slow     = 2
-	slowPart = 0.6
+	slowPart = 0.4
 	// fresh is how long a target's word of its slowness counts.
 	fresh = 300 * time.Millisecond
 	// fill is the part of its slots that a target is given at most.
--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -36,7 +36,7 @@
 	// mostDoublings bounds the waits.
 	mostDoublings = 4
 	// restPart is the part of its SLO that a call waits for room at most.
-	restPart = 4
+	restPart = 8
 	// mostRefusals is how many attempts a call has at most.
 	mostRefusals = 100
 )
