--- /dev/null
+++ b/internal/carobeventlog/log_test.go
@@ -0,0 +1,50 @@
+package carobeventlog_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobknot/carobknot/internal/carobeventlog"
+	"github.com/carobknot/carobknot/internal/carobtimer"
+	"github.com/carobknot/carobknot/pkg/carobdecision"
+	"github.com/carobknot/carobknot/pkg/carobinput"
+	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/caroboutbox"
+)
+
+func TestVolumeIsBoundedAndWhatIsLeftOutIsCounted(t *testing.T) {
+	logger, lines := test.NewNullLogger()
+	l := carobeventlog.NewEventLog(carobeventlog.Config{
+		Logger: logger, Timer: carobtimer.NewTimer(), Usual: 2, Failures: 5,
+	})
+	out := &caroboutbox.Outbox{}
+	for range 10 {
+		out.Decisions = append(out.Decisions, carobdecision.Decision{Part: "route", Text: "attempt sent", Request: "r1"})
+	}
+	for range 3 {
+		out.Decisions = append(out.Decisions, carobdecision.Decision{
+			Part: "entry", Text: "call ended", Request: "r2", Kind: carobkind.Busy,
+			Inputs: []carobinput.Input{{Name: "agems", Value: 12.5}},
+		})
+	}
+	// Nobody writes yet: taking lines in blocks on nothing.
+	l.Carry(out)
+	require.EqualValues(t, 8, l.Dropped())
+	cx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go l.Run(cx)
+	require.Eventually(t, func() bool { return len(lines.AllEntries()) == 5 }, 10*time.Second, time.Millisecond)
+	first, last := lines.AllEntries()[0], lines.AllEntries()[4]
+	require.Equal(t, "route: attempt sent", first.Message)
+	require.EqualValues(t, 8, first.Data["dropped"])
+	require.Equal(t, "done", first.Data["outcome"])
+	require.Equal(t, "entry: call ended", last.Message)
+	require.Equal(t, "busy", last.Data["outcome"])
+	require.Equal(t, "r2", last.Data["id"])
+	require.InDelta(t, 12.5, last.Data["agems"], 0.001)
+	require.Zero(t, l.Dropped())
+}
--- a/internal/carobpool/pool.go
+++ b/internal/carobpool/pool.go
@@ -259,7 +259,8 @@
 // other end says, if it says so.
 func (p *Pool) idleOf(rs *fasthttp.Response) time.Duration {
 	_, text, found := strings.Cut(string(rs.Header.Peek("Keep-Alive")), "timeout=")
-	seconds, err := strconv.Atoi(strings.TrimFunc(text, func(r rune) bool { return r < '0' || r > '9' }))
+	text, _, _ = strings.Cut(text, ",")
+	seconds, err := strconv.Atoi(strings.TrimSpace(text))
 	if !found || err != nil {
 		return p.config.Idle
 	}
--- a/internal/carobserver/conn.go
+++ b/internal/carobserver/conn.go
@@ -176,7 +176,7 @@
 		return nil
 	}
 	v := carobvisit.NewVisit(carobvisit.Config{
-		Request: rq, Link: c, Writer: c.writer, Turn: c.last, Came: c.server.config.Timer.Wall(),
+		Request: rq, Link: c, Writer: c.writer, Turn: c.last,
 	})
 	c.coming = false
 	c.last = v.Done()
--- a/internal/carobvisit/visit.go
+++ b/internal/carobvisit/visit.go
@@ -5,7 +5,6 @@
 	"bufio"
 	"io"
 	"sync"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -32,8 +31,6 @@
 	Writer  *bufio.Writer
 	// Turn is closed once the visits before have been answered.
 	Turn <-chan struct{}
-	// Came is when the request was read, by the time of day.
-	Came time.Time
 }
 
 // Visit is a request and the place of its answer in the order of its connection.
--- a/pkg/carobadmission/limit.go
+++ b/pkg/carobadmission/limit.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// shortSlo is that of calls which other calls wait for.
-	shortSlo = 200 * time.Millisecond
 	// slow is the slowness from which on a target gets fewer jobs at once, and slowPart
 	// the part of the usual limit that it gets then.
 	slow     = 2
--- a/pkg/carobadmission/urgency.go
+++ b/pkg/carobadmission/urgency.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"time"
 
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobjob"
@@ -9,6 +10,9 @@
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
+// shortSlo is the longest SLO of calls which other calls wait for.
+const shortSlo = 200 * time.Millisecond
+
 // mostUrgent returns the queued job of a target that is started next, or nil.
 func mostUrgent(w *carobworld.World, now carobinstant.Instant, id carobtargetid.ID) *carobjob.Job {
 	return extreme(w, id, func(a, b *carobjob.Job) bool { return compare(now, a, b) < 0 })
--- a/pkg/carobgate/gate.go
+++ b/pkg/carobgate/gate.go
@@ -15,8 +15,6 @@
 	Limit int
 	// Slots is the number of jobs that the target says it runs at once.
 	Slots int
-	// Cold is until when the target is slow after its start; Never if it is not.
-	Cold carobinstant.Instant
 	// Running is the number of started jobs that have not ended.
 	Running int
 	// Queued is the number of jobs that wait for a slot.
--- a/pkg/carobregistry/system.go
+++ b/pkg/carobregistry/system.go
@@ -123,7 +123,6 @@
 		gt = w.Gates.Put(an.Target, carobgate.Gate{Since: now})
 	}
 	gt.Slots, gt.Limit = an.Slots, an.Slots
-	gt.Cold = now.Add(an.Cold.Duration())
 	if !changed {
 		return
 	}
