Name what closes a connection, and what is sent again, by what they do

Cause: Part, Parts, again5xx and done needed explaining when the diff was read. Change: CloseAfter, ClosesAfter, repeatFailed, atOnce; names only. Measured: the packages' tests with the race detector, and the linter.

--- a/internal/carobserver/conn.go
+++ b/internal/carobserver/conn.go
@@ -42,8 +42,8 @@
 	freed chan struct{}
 }
 
-// done is the turn of the first visit.
-var done = func() chan struct{} {
+// atOnce is the turn of the first visit.
+var atOnce = func() chan struct{} {
 	c := make(chan struct{})
 	close(c)
 	return c
@@ -51,7 +51,7 @@
 
 func newConn(s *Server, nc net.Conn) *conn {
 	return &conn{
-		Conn: nc, server: s, last: done, freed: make(chan struct{}, 1),
+		Conn: nc, server: s, last: atOnce, freed: make(chan struct{}, 1),
 		reader: bufio.NewReaderSize(nc, int(s.config.Header)), writer: bufio.NewWriterSize(nc, writeBuffer),
 	}
 }
@@ -95,7 +95,7 @@
 		return false
 	}
 	go config.Handler.Handle(v)
-	if v.Parts() {
+	if v.ClosesAfter() {
 		// Nothing more is taken, but the caller may still hang up.
 		c.await()
 		return false
@@ -196,7 +196,7 @@
 	}
 	rs := &fasthttp.Response{}
 	c.server.config.Handler.Reject(rs, err)
-	v.Part()
+	v.CloseAfter()
 	v.Reply(rs)
 }
 
@@ -206,7 +206,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	alone := len(c.open) == 1 && !c.coming
-	if v.Parts() || draining && alone {
+	if v.ClosesAfter() || draining && alone {
 		c.closing = true
 	}
 	return c.closing
--- a/internal/carobvisit/visit.go
+++ b/internal/carobvisit/visit.go
@@ -40,8 +40,8 @@
 	// gone is called once the caller is gone; nil if nobody wants to know.
 	gone func()
 	left bool
-	// part says that the connection closes behind the answer.
-	part bool
+	// closing says that the connection closes behind the answer.
+	closing bool
 	done chan struct{}
 }
 
@@ -56,11 +56,11 @@
 // Done is closed once the visit was answered or its connection broke.
 func (v *Visit) Done() <-chan struct{} { return v.done }
 
-// Part has the connection closed behind the answer.
-func (v *Visit) Part() { v.part = true }
+// CloseAfter has the connection closed behind the answer.
+func (v *Visit) CloseAfter() { v.closing = true }
 
-// Parts reports whether the answer asks for the connection to be closed.
-func (v *Visit) Parts() bool { return v.part || v.config.Request.ConnectionClose() }
+// ClosesAfter reports whether the answer asks for the connection to be closed.
+func (v *Visit) ClosesAfter() bool { return v.closing || v.config.Request.ConnectionClose() }
 
 // Notify has call run once if the caller is found to be gone, at once if it is
 // already. nil stops that.
--- a/pkg/carobentry/route_test.go
+++ b/pkg/carobentry/route_test.go
@@ -35,7 +35,7 @@
 	r.world.Routes = rs
 }
 
-func (r *rig) call1(path string) {
+func (r *rig) callOn(path string) {
 	r.step(carobinbox.Inbox{Arrivals: []carobarrival.Arrival{
 		{Call: r.call, Request: "req", Host: "a.example", Path: path, Patience: patience},
 	}})
@@ -47,19 +47,19 @@
 
 func TestRouteIsNotFoundOnlyByATable(t *testing.T) {
 	r := newRig(t, carobonce.Call)
-	r.call1("/one/x")
+	r.callOn("/one/x")
 	r.concluded(carobkind.NotReady)
 	r.routed(carobonce.No)
-	r.call1("/two/x")
+	r.callOn("/two/x")
 	r.concluded(carobkind.NoRoute)
-	r.call1("/one/x")
+	r.callOn("/one/x")
 	r.sent(1)
 }
 
 func TestRouteShortensTheCallersPatience(t *testing.T) {
 	r := newRig(t, carobonce.Call)
 	r.routed(carobonce.Call)
-	r.call1("/one/x")
+	r.callOn("/one/x")
 	require.Equal(t, 400*time.Millisecond, r.world.Outbox.Sends[0].Patience)
 	require.Equal(t, carobonce.Call, r.world.Outbox.Sends[0].Once)
 	require.Equal(t, slo, r.world.Outbox.Sends[0].Wish.Slo)
@@ -85,7 +85,7 @@
 	r := newRig(t, carobonce.Call)
 	r.routed(carobonce.Call)
 	r.world.BudgetOf(service).Tokens = 1
-	r.call1("/one/x")
+	r.callOn("/one/x")
 	r.reply(1, carobkind.Shed)
 	r.sent(2)
 	require.Less(t, r.world.BudgetOf(service).Tokens, 1.0)
@@ -108,7 +108,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			r := newRig(t, carobonce.Call)
 			r.routed(c.once)
-			r.call1("/one/x")
+			r.callOn("/one/x")
 			r.world.BudgetOf(service).Tokens = c.tokens
 			r.status(1, 500)
 			if c.again {
@@ -124,7 +124,7 @@
 func TestCallerIsRefusedWhileItCanStillBeInTime(t *testing.T) {
 	r := newRig(t, carobonce.Call)
 	r.routed(carobonce.Call)
-	r.call1("/one/x")
+	r.callOn("/one/x")
 	came := r.now
 	for attempt := 1; len(r.world.Outbox.Conclusions) == 0; attempt++ {
 		r.reply(attempt, carobkind.Busy)
@@ -152,7 +152,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			r := newRig(t, carobonce.Call)
 			r.routed(carobonce.Call)
-			r.call1("/one/x")
+			r.callOn("/one/x")
 			for attempt := 1; c.reply != carobkind.None && len(r.world.Outbox.Sends) > 0; attempt++ {
 				r.reply(attempt, c.reply)
 			}
@@ -169,7 +169,7 @@
 	for _, tg := range r.world.Targets.All() {
 		tg.State = carobreadiness.Leaving
 	}
-	r.call1("/one/x")
+	r.callOn("/one/x")
 	came := r.now
 	r.open()
 	r.rest(time.Second)
--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -178,7 +178,7 @@
 	if cl.Stage != carobstage.Placed && cl.Stage != carobstage.Fencing {
 		return
 	}
-	if rp.Kind == carobkind.None && again5xx(w, now, cl, rp) {
+	if rp.Kind == carobkind.None && repeatFailed(w, now, cl, rp) {
 		return
 	}
 	if rp.Kind == carobkind.None {
@@ -197,10 +197,10 @@
 	return rp.Kind == carobkind.None && cl.Profile.Refuse && rp.Status == http.StatusServiceUnavailable
 }
 
-// again5xx sends a call that may run again once more if its target answered
+// repeatFailed sends a call that may run again once more if its target answered
 // that it failed, and reports whether it did. Without budget or time for that,
 // the caller gets the target's answer.
-func again5xx(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call, rp carobreply.Reply) bool {
+func repeatFailed(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call, rp carobreply.Reply) bool {
 	if rp.Status < http.StatusInternalServerError || cl.Route == nil || !mayRepeat(cl) || cl.Open() > 0 ||
 		cl.Runs() >= cl.Profile.Tries || cl.Slo.Reached(now) || !w.BudgetOf(cl.Arrival.Service).Spend() {
 		return false
