--- a/internal/carobvisit/visit.go
+++ b/internal/carobvisit/visit.go
@@ -42,7 +42,7 @@
 	left bool
 	// closing says that the connection closes behind the answer.
 	closing bool
-	done chan struct{}
+	done    chan struct{}
 }
 
 // NewVisit returns a visit that waits for its answer.
