Take only calls that end before the node

A stopping node took any call for 2.5 s, also one whose route's timeout (5 s) lies behind its own end. Change: the node knows when it ends; its entry refuses at once, with a time to come back within the SLO, what could still be open then, and its admission does so for calls that must not run twice, which moves them to another target at no cost. Ruled out: beginning the grace time anew at a second SIGTERM (tried, reverted).

--- a/internal/carobnode/node.go
+++ b/internal/carobnode/node.go
@@ -263,6 +263,8 @@
 	last, done := context.WithTimeout(cx, n.config.Settings.Grace.Duration())
 	defer done()
 	callers := do.MustInvoke[front](n.injector)
+	ending := do.MustInvoke[*carobtimer.Timer](n.injector).Now().Add(n.config.Settings.Grace.Duration())
+	mailbox.Post(func(in *carobinbox.Inbox) { in.Ending = ending })
 	callers.Drain()
 	_ = do.MustInvoke[*carobtimer.Timer](n.injector).Wait(last, n.config.Settings.Stay.Duration())
 	mailbox.Post(func(in *carobinbox.Inbox) { in.Stop = true })
--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -16,6 +16,7 @@
 	"github.com/carobknot/carobknot/pkg/carobjobid"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroboffer"
+	"github.com/carobknot/carobknot/pkg/carobonce"
 	"github.com/carobknot/carobknot/pkg/carobreadiness"
 	"github.com/carobknot/carobknot/pkg/carobrefusal"
 	"github.com/carobknot/carobknot/pkg/carobreport"
@@ -69,7 +70,7 @@
 		return
 	}
 	tg := w.Targets.Get(of.Target)
-	if kind := objection(w, tg, of); kind != carobkind.None {
+	if kind := objection(w, now, tg, of); kind != carobkind.None {
 		refuse(w, of, kind)
 		return
 	}
@@ -107,7 +108,7 @@
 }
 
 // objection returns why an offer cannot be taken at all, or None.
-func objection(w *carobworld.World, tg *carobtarget.Target, of caroboffer.Offer) carobkind.Kind {
+func objection(w *carobworld.World, now carobinstant.Instant, tg *carobtarget.Target, of caroboffer.Offer) carobkind.Kind {
 	switch {
 	case of.Incarnation != w.Self.Incarnation, tg == nil, !w.Owns(tg):
 		return carobkind.Stale
@@ -117,6 +118,9 @@
 		return carobkind.Leaving
 	case of.Patience <= 0:
 		return carobkind.Late
+	case of.Wish.Once != carobonce.No && w.Ending.Before(now.Add(of.Patience)):
+		// If the node ends before its answer, nobody can tell whether it ran.
+		return carobkind.Leaving
 	default:
 		return carobkind.None
 	}
--- a/pkg/carobadmission/urgency_test.go
+++ b/pkg/carobadmission/urgency_test.go
@@ -18,6 +18,7 @@
 	"github.com/carobknot/carobknot/pkg/caroblimits"
 	"github.com/carobknot/carobknot/pkg/carobmember"
 	"github.com/carobknot/carobknot/pkg/caroboffer"
+	"github.com/carobknot/carobknot/pkg/carobonce"
 	"github.com/carobknot/carobknot/pkg/carobpressure"
 	"github.com/carobknot/carobknot/pkg/carobprofile"
 	"github.com/carobknot/carobknot/pkg/carobreadiness"
@@ -132,3 +133,28 @@
 	r.step(time.Second, carobinbox.Inbox{})
 	require.Len(t, r.finish(jobs[2], 1), 2, "as fast as usual again")
 }
+
+func TestEndingNodeStartsNothingThatItWouldCut(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		once  carobonce.Once
+		left  time.Duration
+		taken bool
+	}{
+		{"ends behind the deadline", carobonce.Call, 11 * time.Second, true},
+		{"ends before it", carobonce.Call, 9 * time.Second, false},
+		{"ends before it, but may run again elsewhere", carobonce.No, 9 * time.Second, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(1, 4)
+			r.step(0, carobinbox.Inbox{Ending: r.now.Add(c.left)})
+			r.offer(carobwish.Wish{Once: c.once})
+			if c.taken {
+				require.Len(t, r.world.Outbox.Starts, 1)
+				return
+			}
+			require.Len(t, r.world.Outbox.Refusals, 1)
+			require.Equal(t, carobkind.Leaving, r.world.Outbox.Refusals[0].Kind)
+		})
+	}
+}
--- a/pkg/carobentry/route_test.go
+++ b/pkg/carobentry/route_test.go
@@ -177,3 +177,30 @@
 	require.Equal(t, carobkind.NoTarget, r.world.Outbox.Conclusions[0].Kind)
 	require.Less(t, r.now.Sub(came), slo/2)
 }
+
+func TestEndingNodeTakesOnlyWhatItCanFinish(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		left  time.Duration
+		taken bool
+	}{
+		{"ends behind the route's timeout", 420 * time.Millisecond, true},
+		{"ends before it", 380 * time.Millisecond, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, carobonce.Call)
+			r.routed(carobonce.No)
+			r.step(carobinbox.Inbox{Ending: r.now.Add(c.left)})
+			r.callOn("/one/x")
+			if c.taken {
+				r.sent(1)
+				return
+			}
+			require.Len(t, r.world.Outbox.Conclusions, 1)
+			cn := r.world.Outbox.Conclusions[0]
+			require.Equal(t, carobkind.Leaving, cn.Kind)
+			require.Positive(t, cn.After)
+			require.Less(t, cn.After, slo/2, "another node serves it in time")
+		})
+	}
+}
--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -97,29 +97,41 @@
 	var rt *carobroute.Route
 	if ar.Service == "" {
 		if rt = lookUp(w, &ar); rt == nil {
-			refuse(w, ar, unrouted(w))
+			refuse(w, ar, unrouted(w), 0)
 			return
 		}
 	}
 	kind := objection(w, ar)
 	if kind != carobkind.None {
-		refuse(w, ar, kind)
+		refuse(w, ar, kind, 0)
+		return
+	}
+	cl := newCall(w, now, ar, rt)
+	if w.Ending.Before(cl.Deadline) {
+		// It may not have its answer when the node ends, and elsewhere it will.
+		refuse(w, ar, carobkind.Leaving, comeBack(w, &cl, carobkind.Leaving))
 		return
 	}
 	w.EarnRetry(ar.Service)
+	w.Calls.Put(ar.Call, cl)
+}
+
+// newCall returns the row of a call that can be taken in.
+func newCall(w *carobworld.World, now carobinstant.Instant, ar carobarrival.Arrival, rt *carobroute.Route) carobcall.Call {
 	pf := *w.ProfileOf(ar.Service)
 	if rt != nil {
 		pf = rt.Apply(pf)
 	}
-	cl := w.Calls.Put(ar.Call, carobcall.Call{
+	cl := carobcall.Call{
 		Arrival: ar, Profile: pf, Route: rt, Came: now, Deadline: now.Add(patience(ar, pf, rt)), Last: carobkind.NoTarget,
-	})
+	}
 	if rt != nil && rt.Slo > 0 {
 		cl.Slo = now.Add(rt.Slo.Duration())
 	}
 	if cl.Key() != (carobkey.Key{}) {
 		cl.Stage = carobstage.Claiming
 	}
+	return cl
 }
 
 // patience returns how long a call may take. What an operator says of a route
@@ -369,9 +381,10 @@
 	}
 }
 
-// refuse turns away a call that was not taken in.
-func refuse(w *carobworld.World, ar carobarrival.Arrival, kind carobkind.Kind) {
-	w.Outbox.Conclusions = append(w.Outbox.Conclusions, carobconclusion.Conclusion{Call: ar.Call, Kind: kind})
+// refuse turns away a call that was not taken in. After is when it may come back; 0
+// is what the kind says.
+func refuse(w *carobworld.World, ar carobarrival.Arrival, kind carobkind.Kind, after time.Duration) {
+	w.Outbox.Conclusions = append(w.Outbox.Conclusions, carobconclusion.Conclusion{Call: ar.Call, Kind: kind, After: after})
 	w.Decide(carobdecision.Decision{
 		Part: "entry", Text: "call turned away", Request: ar.Request, Call: ar.Call, Kind: kind,
 		Inputs: []carobinput.Input{
--- a/pkg/carobinbox/inbox.go
+++ b/pkg/carobinbox/inbox.go
@@ -8,6 +8,7 @@
 	"github.com/carobknot/carobknot/pkg/carobcommitted"
 	"github.com/carobknot/carobknot/pkg/carobdelivery"
 	"github.com/carobknot/carobknot/pkg/carobfinish"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobmark"
 	"github.com/carobknot/carobknot/pkg/carobmessage"
 	"github.com/carobknot/carobknot/pkg/caroboffer"
@@ -35,6 +36,8 @@
 	Blind []bool
 	// Stop asks the node to shut down gracefully.
 	Stop bool
+	// Ending is when the node ends at the latest, if that is known since this tick.
+	Ending carobinstant.Instant
 	// End gives the calls under way their last answer: the node ends now.
 	End bool
 
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -75,6 +75,8 @@
 	Random *rand.Rand
 	// Stopping says that the node is shutting down.
 	Stopping bool
+	// Ending is when the node ends at the latest; Never while it is to stay.
+	Ending carobinstant.Instant
 
 	// Membership and targets.
 
@@ -237,6 +239,9 @@
 	w.Inbox = in
 	w.Outbox = caroboutbox.Outbox{}
 	w.wake = carobinstant.Never
+	if in.Ending != carobinstant.Never {
+		w.Ending = in.Ending
+	}
 	if in.Stop && !w.Stopping {
 		w.Stopping = true
 		w.Self.Beat++
