Start no job while its VM is slow

The word of its slowness that a node had was too old to tell: with words older than 150 ms there is no difference. Slowness that lasts 250 ms becomes usual. What cannot be known holds nothing up.

--- a/internal/carobadmitter/admitter.go
+++ b/internal/carobadmitter/admitter.go
@@ -41,6 +41,8 @@
 type dialect interface {
 	// Ask readies a request for its target.
 	Ask(rq *fasthttp.Request, st *carobstart.Start, target carobtargetid.ID)
+	// Check fills in a request that asks the target at an address how it is.
+	Check(rq *fasthttp.Request, address carobaddress.Address)
 	// Judge reads what an answer says besides: None if it is the target's answer to
 	// the call, or why it is not; and the target's load, or nil.
 	Judge(rs *fasthttp.Response) (carobkind.Kind, *carobpressure.Pressure)
@@ -92,6 +94,9 @@
 	for _, rp := range out.Reports {
 		a.reports.Store(rp.Target, &rp)
 	}
+	for _, ck := range out.Checks {
+		go a.check(ck)
+	}
 	for _, rf := range out.Refusals {
 		a.dispatcher.Give(rf.Job, order{kind: rf.Kind})
 	}
--- /dev/null
+++ b/internal/carobadmitter/check.go
@@ -0,0 +1,44 @@
+package carobadmitter
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/carobknot/carobknot/pkg/carobcheck"
+	"github.com/carobknot/carobknot/pkg/carobhealth"
+	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobpressure"
+)
+
+const (
+	// checkPatience is how long a target may take to answer a health check.
+	checkPatience = 100 * time.Millisecond
+	// checkBody is the longest body of such an answer.
+	checkBody = 4096
+)
+
+// check asks a target how it is, and tells what came of it.
+func (a *Admitter) check(ck carobcheck.Check) {
+	hl := carobhealth.Health{Target: ck.Target, Pressure: a.ask(ck)}
+	a.config.Mailbox.Post(func(in *carobinbox.Inbox) { in.Healths = append(in.Healths, hl) })
+}
+
+// ask returns what the target tells of its load, or nil.
+func (a *Admitter) ask(ck carobcheck.Check) *carobpressure.Pressure {
+	cx, cancel := context.WithTimeout(context.Background(), checkPatience)
+	defer cancel()
+	rq := &fasthttp.Request{}
+	a.config.Dialect.Check(rq, ck.Address)
+	an, err := a.config.Targets.Do(cx, ck.Address, rq, false)
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = an.Body.Close() }()
+	if an.Gather(checkBody) != nil {
+		return nil
+	}
+	_, pressure := a.config.Dialect.Judge(an.Response)
+	return pressure
+}
--- a/internal/carobadmitter/native.go
+++ b/internal/carobadmitter/native.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/carobknot/carobknot/internal/carobheader"
+	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobpressure"
 	"github.com/carobknot/carobknot/pkg/carobstart"
@@ -26,6 +27,9 @@
 	}
 }
 
+// Check asks nothing: targets do not tell how slow their VMs are.
+func (native) Check(*fasthttp.Request, carobaddress.Address) {}
+
 // Judge takes every answer for the call's.
 func (native) Judge(*fasthttp.Response) (carobkind.Kind, *carobpressure.Pressure) {
 	return carobkind.None, nil
--- a/internal/carobnode/node.go
+++ b/internal/carobnode/node.go
@@ -58,6 +58,7 @@
 	Arrival(rq *fasthttp.Request) (carobarrival.Arrival, error)
 	Refuse(rs *fasthttp.Response, rq *fasthttp.Request, kind carobkind.Kind, after time.Duration, detail string)
 	Ask(rq *fasthttp.Request, st *carobstart.Start, target carobtargetid.ID)
+	Check(rq *fasthttp.Request, address carobaddress.Address)
 	Mine(rq *fasthttp.Request, rs *fasthttp.Response) bool
 	Judge(rs *fasthttp.Response) (carobkind.Kind, *carobpressure.Pressure)
 }
--- a/internal/carobsettings/settings.go
+++ b/internal/carobsettings/settings.go
@@ -105,5 +105,8 @@
 	if at, err := url.Parse(s.Log); err != nil || at.Scheme != "http" && at.Scheme != "https" || at.Host == "" {
 		return carobkind.New(carobkind.Invalid, "log: %q is not a URL such as \"http://127.0.0.1:7100\"", s.Log)
 	}
+	if s.Measure.Checks < 0 {
+		return carobkind.New(carobkind.Invalid, "measure: checks: %d is below 0", s.Measure.Checks)
+	}
 	return s.Limits.Check()
 }
--- /dev/null
+++ b/pkg/carobadmission/slowness.go
@@ -0,0 +1,106 @@
+package carobadmission
+
+import (
+	"time"
+
+	"github.com/carobknot/carobknot/pkg/carobcheck"
+	"github.com/carobknot/carobknot/pkg/carobgate"
+	"github.com/carobknot/carobknot/pkg/carobhealth"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/carobtarget"
+	"github.com/carobknot/carobknot/pkg/carobworld"
+)
+
+// A VM whose neighbours take its processor for a moment is several times slower,
+// and a job that starts then stays slow to its end, long after the moment is over.
+// So a target whose VM is slow starts nothing, and its jobs wait until the moment is
+// over, which costs them less. The target's word of it is soon out of date, and is
+// asked for anew before a job starts.
+//
+// A VM that stays slow is another matter: to wait for it helps nobody. Slowness that
+// lasts becomes what is usual for the target.
+
+const (
+	// wordAge is how long a target's word that it is as fast as usual holds for a
+	// start, and slowWordAge one that it is not.
+	wordAge     = 10 * time.Millisecond
+	slowWordAge = 20 * time.Millisecond
+	// lasting is how long a VM is slow without a break until that is usual for it.
+	lasting = 250 * time.Millisecond
+	// gap is the longest time between two words that tell of the time between them.
+	gap = 100 * time.Millisecond
+	// checkPatience is how long a job waits for the answer to a health check.
+	checkPatience = 25 * time.Millisecond
+	// muteFor is how long a target is not asked that did not answer.
+	muteFor = 200 * time.Millisecond
+	// burst is the part of a second's checks that may come at once.
+	burst = 0.25
+)
+
+// hear takes in what came of a health check.
+func hear(w *carobworld.World, now carobinstant.Instant, hl carobhealth.Health) {
+	gt := w.Gates.Get(hl.Target)
+	if gt == nil {
+		return
+	}
+	gt.Asked = carobinstant.Never
+	if hl.Pressure == nil {
+		gt.Mute = now.Add(muteFor)
+		return
+	}
+	tell(gt, now, hl.Pressure.Slowness)
+	gt.Limit = limit(gt, now)
+	gt.Changed = true
+}
+
+// tell takes in a target's word of how slow its VM is.
+func tell(gt *carobgate.Gate, now carobinstant.Instant, slowness float64) {
+	before := gt.Told
+	gt.Slowness, gt.Told = slowness, now
+	switch {
+	case !slower(gt):
+		gt.Usual, gt.SlowSince = max(1, slowness), carobinstant.Never
+	case gt.SlowSince == carobinstant.Never || now.Sub(before) > gap:
+		gt.SlowSince, gt.SlowLeast = now, slowness
+	default:
+		gt.SlowLeast = min(gt.SlowLeast, slowness)
+		if gt.SlowSince.Add(lasting).Reached(now) {
+			gt.Usual, gt.SlowSince = gt.SlowLeast, carobinstant.Never
+		}
+	}
+}
+
+// slower reports whether the newest word is of a VM that is slower than usual.
+func slower(gt *carobgate.Gate) bool {
+	return gt.Slowness > slow*max(1, gt.Usual)
+}
+
+// mayStart reports whether a target may start a job by how slow its VM is, and has
+// it asked if that is not known. What cannot be known holds nothing up.
+func mayStart(w *carobworld.World, now carobinstant.Instant, tg *carobtarget.Target, gt *carobgate.Gate) bool {
+	rate := float64(w.Measure.Checks)
+	if rate == 0 || gt.Slowness == 0 || now.Before(gt.Mute) && gt.Mute != carobinstant.Never {
+		return true
+	}
+	if !slower(gt) && now.Sub(gt.Told) < wordAge {
+		return true
+	}
+	if until := gt.Told.Add(slowWordAge); slower(gt) && !until.Reached(now) {
+		w.WakeAt(until)
+		return false
+	}
+	if gt.Asked != carobinstant.Never {
+		due := gt.Asked.Add(checkPatience)
+		w.WakeAt(due)
+		return due.Reached(now)
+	}
+	gt.Checks.Fill(now, rate, burst*rate)
+	if !gt.Checks.Spend(1) {
+		w.WakeAt(now.Add(slowWordAge))
+		return !slower(gt) || now.Sub(gt.Told) >= gap
+	}
+	gt.Asked = now
+	w.Outbox.Checks = append(w.Outbox.Checks, carobcheck.Check{Target: tg.ID, Address: tg.Address})
+	w.WakeAt(now.Add(checkPatience))
+	return false
+}
--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -40,6 +40,9 @@
 	if w.Paused {
 		withdrawAll(w)
 	}
+	for _, hl := range w.Inbox.Healths {
+		hear(w, now, hl)
+	}
 	for _, of := range w.Inbox.Offers {
 		offer(w, now, of)
 	}
@@ -82,12 +85,12 @@
 	jb := w.Jobs.Put(of.Job, carobjob.Job{Offer: of, Came: now, Deadline: now.Add(of.Patience)})
 	gt.Changed = true
 	gt.Limit = limit(gt, now)
-	if gt.Running < gt.Limit && gt.Queued == 0 {
+	if gt.Running < gt.Limit && gt.Queued == 0 && mayStart(w, now, tg, gt) {
 		start(w, now, jb, tg, gt)
 		return
 	}
 	gt.Queued++
-	if gt.Queued > queueLimit(w, tg) {
+	if gt.Queued > queueLimit(w, tg)+max(0, gt.Limit-gt.Running) {
 		jb := leastUrgent(w, now, of.Target)
 		w.Decide(carobdecision.Decision{
 			Part: "admit", Text: "queue full", Request: jb.Offer.Wish.Request, Call: jb.Offer.Job.Call,
@@ -160,7 +163,7 @@
 	gt.Running--
 	gt.Changed = true
 	if ps := fn.Pressure; ps != nil {
-		gt.Slowness, gt.Told = ps.Slowness, now
+		tell(gt, now, ps.Slowness)
 	}
 	gt.Limit = limit(gt, now)
 	learn(gt, jb.Started, now)
@@ -220,7 +223,7 @@
 // drain starts queued jobs, the most urgent first, while slots are free.
 func drain(w *carobworld.World, now carobinstant.Instant, id carobtargetid.ID, gt *carobgate.Gate) {
 	tg := w.Targets.Get(id)
-	for tg != nil && gt.Queued > 0 && gt.Running < gt.Limit {
+	for tg != nil && gt.Queued > 0 && gt.Running < gt.Limit && mayStart(w, now, tg, gt) {
 		jb := mostUrgent(w, now, id)
 		if jb == nil {
 			return
--- a/pkg/carobgate/gate.go
+++ b/pkg/carobgate/gate.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/carobknot/carobknot/pkg/carobbucket"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 )
 
@@ -25,6 +26,18 @@
 	// newest word, which is of Told; 1 is as usual.
 	Slowness float64
 	Told     carobinstant.Instant
+	// Usual is the Slowness that lasts; 0 is that of a VM as usual.
+	Usual float64
+	// SlowSince is since when all words were of more than that, and SlowLeast the
+	// least of them; Never if the newest was not.
+	SlowSince carobinstant.Instant
+	SlowLeast float64
+	// Asked is when the health check was ordered that is under way; Never if none is.
+	Asked carobinstant.Instant
+	// Mute is until when the target is not asked, since it did not answer.
+	Mute carobinstant.Instant
+	// Checks is the budget of health checks.
+	Checks carobbucket.Bucket
 	// Changed says that the newest report of the target's load is out of date.
 	Changed bool
 	// Learned is when the newest call that Latency is made of started; Never before
--- a/pkg/carobinbox/inbox.go
+++ b/pkg/carobinbox/inbox.go
@@ -8,6 +8,7 @@
 	"github.com/carobknot/carobknot/pkg/carobcommitted"
 	"github.com/carobknot/carobknot/pkg/carobdelivery"
 	"github.com/carobknot/carobknot/pkg/carobfinish"
+	"github.com/carobknot/carobknot/pkg/carobhealth"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobmark"
 	"github.com/carobknot/carobknot/pkg/carobmessage"
@@ -45,6 +46,8 @@
 
 	Offers   []caroboffer.Offer
 	Finishes []carobfinish.Finish
+	// Healths are what came of health checks.
+	Healths []carobhealth.Health
 	// Committed has how appends of claims went.
 	Committed []carobcommitted.Committed
 
--- a/pkg/carobmeasure/measure.go
+++ b/pkg/carobmeasure/measure.go
@@ -8,12 +8,15 @@
 )
 
 // Measure is what operators let a node spend on measuring load and latency.
-// Both are hard caps.
+// All are hard caps.
 type Measure struct {
 	// Rate is the most bytes a second that measuring sends.
 	Rate carobrate.Rate `json:"rate"`
 	// Share is the most of one processor core that measuring uses.
 	Share carobshare.Share `json:"share"`
+	// Checks is the most health checks a second of each own target that tells how
+	// slow its VM is; 0 is none.
+	Checks int `json:"checks"`
 }
 
 // NewMeasure returns the defaults.
--- a/pkg/caroboutbox/outbox.go
+++ b/pkg/caroboutbox/outbox.go
@@ -4,6 +4,7 @@
 import (
 	"github.com/carobknot/carobknot/pkg/carobappend"
 	"github.com/carobknot/carobknot/pkg/carobaudit"
+	"github.com/carobknot/carobknot/pkg/carobcheck"
 	"github.com/carobknot/carobknot/pkg/carobcommit"
 	"github.com/carobknot/carobknot/pkg/carobconclusion"
 	"github.com/carobknot/carobknot/pkg/carobdecision"
@@ -42,6 +43,8 @@
 	Commits []carobcommit.Commit
 	// Follows are the streams to follow from now on, or not any more.
 	Follows []carobfollow.Follow
+	// Checks are health checks of own targets.
+	Checks []carobcheck.Check
 	// Reports are what answers and refusals carry from now on.
 	Reports []carobreport.Report
 
