Ask a target before its first job, and give a cold one all its slots

A node that had just started had no word of its target and filled all slots blindly. Tests: TestColdTargetKeepsItsSlots, TestTargetIsAskedBeforeItsFirstJob.

--- a/internal/carobadmitter/check.go
+++ b/internal/carobadmitter/check.go
@@ -25,7 +25,7 @@
 	a.config.Mailbox.Post(func(in *carobinbox.Inbox) { in.Healths = append(in.Healths, hl) })
 }
 
-// ask returns what the target tells of its load, or nil.
+// ask returns what the target tells of its load, or nil if it does not answer.
 func (a *Admitter) ask(ck carobcheck.Check) *carobpressure.Pressure {
 	cx, cancel := context.WithTimeout(context.Background(), checkPatience)
 	defer cancel()
@@ -39,6 +39,8 @@
 	if an.Gather(checkBody) != nil {
 		return nil
 	}
-	_, pressure := a.config.Dialect.Judge(an.Response)
-	return pressure
+	if _, pressure := a.config.Dialect.Judge(an.Response); pressure != nil {
+		return pressure
+	}
+	return &carobpressure.Pressure{}
 }
--- a/pkg/carobadmission/slowness.go
+++ b/pkg/carobadmission/slowness.go
@@ -31,8 +31,10 @@
 	gap = 100 * time.Millisecond
 	// checkPatience is how long a job waits for the answer to a health check.
 	checkPatience = 25 * time.Millisecond
-	// muteFor is how long a target is not asked that did not answer.
-	muteFor = 200 * time.Millisecond
+	// muteFor is how long a target is not asked that did not answer, and quietFor one
+	// that answered and did not tell.
+	muteFor  = 200 * time.Millisecond
+	quietFor = 10 * time.Second
 	// burst is the part of a second's checks that may come at once.
 	burst = 0.25
 )
@@ -44,9 +46,13 @@
 		return
 	}
 	gt.Asked = carobinstant.Never
-	if hl.Pressure == nil {
+	switch {
+	case hl.Pressure == nil:
 		gt.Mute = now.Add(muteFor)
 		return
+	case hl.Pressure.Slowness == 0:
+		gt.Mute = now.Add(quietFor)
+		return
 	}
 	tell(gt, now, hl.Pressure.Slowness)
 	gt.Limit = limit(gt, now)
@@ -79,10 +85,10 @@
 // it asked if that is not known. What cannot be known holds nothing up.
 func mayStart(w *carobworld.World, now carobinstant.Instant, tg *carobtarget.Target, gt *carobgate.Gate) bool {
 	rate := float64(w.Measure.Checks)
-	if rate == 0 || gt.Slowness == 0 || now.Before(gt.Mute) && gt.Mute != carobinstant.Never {
+	if rate == 0 || now.Before(gt.Mute) && gt.Mute != carobinstant.Never {
 		return true
 	}
-	if !slower(gt) && now.Sub(gt.Told) < wordAge {
+	if gt.Told != carobinstant.Never && !slower(gt) && now.Sub(gt.Told) < wordAge {
 		return true
 	}
 	if until := gt.Told.Add(slowWordAge); slower(gt) && !until.Reached(now) {
--- a/pkg/carobadmission/slowness_test.go
+++ b/pkg/carobadmission/slowness_test.go
@@ -92,8 +92,11 @@
 			r.offer(wish(1, usualSlo))
 		}},
 		{"the target does not tell", func(_ *testing.T, r *rig) {
-			r.world.Gates.Get(target).Slowness = 0
 			r.offer(wish(1, usualSlo))
+			require.Equal(t, 1, r.health(0))
+			r.step(time.Second, carobinbox.Inbox{})
+			r.offer(wish(1, usualSlo))
+			require.Empty(t, r.world.Outbox.Checks, "and is not asked again so soon")
 		}},
 		{"the check fails", func(_ *testing.T, r *rig) {
 			r.offer(wish(1, usualSlo))
@@ -113,6 +116,23 @@
 	}
 }
 
+func TestTargetIsAskedBeforeItsFirstJob(t *testing.T) {
+	r := newRig(4, 4)
+	r.world.Measure.Checks = 40
+	r.offer(wish(1, usualSlo))
+	require.Empty(t, r.world.Outbox.Starts)
+	require.Equal(t, 1, r.health(1))
+}
+
+// All targets are cold after a data centre came back, when most calls wait.
+func TestColdTargetKeepsItsSlots(t *testing.T) {
+	r := newCheckedRig(10, 20)
+	for range 10 {
+		r.offer(wish(1, usualSlo))
+	}
+	require.Equal(t, 10, r.health(2))
+}
+
 func TestChecksKeepToTheirRate(t *testing.T) {
 	r := newCheckedRig(1000, 4)
 	checks, start := 0, r.now
--- a/pkg/carobhealth/health.go
+++ b/pkg/carobhealth/health.go
@@ -9,7 +9,6 @@
 // Health is what came of a health check.
 type Health struct {
 	Target carobtargetid.ID
-	// Pressure is what the target tells of its load; nil if it did not answer, or
-	// does not tell.
+	// Pressure is what the target tells of its load; nil if it did not answer.
 	Pressure *carobpressure.Pressure
 }
