Send a small call elsewhere rather than have it wait for a slow VM

Change: the entry says in the offer whether a call may move: its first attempt, another candidate, a body of 8 KiB at most. The target's node refuses such a job, queued or new, while its VM is slow by a word of the last 20 ms; the second target keeps it. Tests: TestMovableJobLeavesATargetWhoseVMIsSlow, TestSmallCallMayMoveOnce.

--- a/internal/carobheader/offer.go
+++ b/internal/carobheader/offer.go
@@ -19,9 +19,9 @@
 const (
 	base, bits = 36, 64
 	// offerFields is how many there are: call, attempt, target, incarnation,
-	// patience, rank, SLO and the whole of it, how often the call may run. The caller's
-	// name for it comes behind them if there is one.
-	offerFields = 9
+	// patience, rank, SLO and the whole of it, how often the call may run, whether it
+	// may move. The caller's name for it comes behind them if there is one.
+	offerFields = 10
 )
 
 // FormatOffer writes what a target's node needs to know of an attempt. All stands
@@ -33,7 +33,7 @@
 		sd.Job.Call.String(), number(int64(sd.Job.Attempt)), sd.Target.String(),
 		strconv.FormatUint(uint64(sd.Incarnation), base), number(sd.Patience.Microseconds()),
 		number(int64(sd.Wish.Rank)), number(sd.Wish.Slo.Microseconds()), number(sd.Wish.Whole.Microseconds()),
-		string(sd.Wish.Once),
+		string(sd.Wish.Once), strconv.FormatBool(sd.Wish.Movable)[:1],
 	}, " ")
 	if sd.Wish.Request == "" {
 		return text
@@ -68,12 +68,16 @@
 	if numbers[0] < 1 {
 		return of, carobkind.New(carobkind.Invalid, "offer: attempt is not above 0")
 	}
+	movable, err := strconv.ParseBool(fields[9])
+	if err != nil {
+		return of, carobkind.New(carobkind.Invalid, "offer: %q is not a truth value", fields[9])
+	}
 	of.Job = carobjobid.ID{Call: call, Attempt: int(numbers[0])}
 	of.Incarnation = carobincarnation.Incarnation(incarnation)
 	of.Patience = micros(numbers[1])
 	of.Wish = carobwish.Wish{
 		Rank: int(numbers[2]), Slo: micros(numbers[3]), Whole: micros(numbers[4]),
-		Once: carobonce.Once(fields[8]),
+		Once: carobonce.Once(fields[8]), Movable: movable,
 	}
 	if len(fields) > offerFields {
 		of.Wish.Request = carobrequestid.ID(fields[offerFields])
--- a/internal/carobheader/offer_test.go
+++ b/internal/carobheader/offer_test.go
@@ -22,7 +22,7 @@
 		Job:    carobjobid.ID{Call: carobcallid.ID{Node: "there", Incarnation: 1 << 60, Sequence: 77}, Attempt: 3},
 		Target: carobtargetid.ID{Service: "lookups", Name: "i-1"}, Incarnation: 1 << 61, Patience: 1500 * time.Millisecond,
 		Wish: carobwish.Wish{
-			Rank: 2, Slo: -3 * time.Millisecond, Whole: 400 * time.Millisecond, Once: carobonce.No, Request: request,
+			Rank: 2, Slo: -3 * time.Millisecond, Whole: 400 * time.Millisecond, Once: carobonce.No, Movable: true, Request: request,
 		},
 	}
 }
@@ -46,6 +46,7 @@
 func FuzzOffer(f *testing.F) {
 	f.Add(carobheader.FormatOffer(sample("r1")))
 	f.Add("x 1 a/b 1 1 1 1 1 no r")
+	f.Add("x 1 a/b 1 1 1 1 1 no t r")
 	f.Fuzz(func(t *testing.T, text string) {
 		of, err := carobheader.ParseOffer(text)
 		if err != nil {
--- a/pkg/carobadmission/slowness.go
+++ b/pkg/carobadmission/slowness.go
@@ -8,6 +8,7 @@
 	"github.com/carobknot/carobknot/pkg/carobhealth"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobtarget"
+	"github.com/carobknot/carobknot/pkg/carobtargetid"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
@@ -110,3 +111,16 @@
 	w.WakeAt(now.Add(checkPatience))
 	return false
 }
+
+// moveOn refuses the queued jobs that another target may run sooner than one whose VM
+// is slow now.
+func moveOn(w *carobworld.World, now carobinstant.Instant, id carobtargetid.ID, gt *carobgate.Gate) {
+	if w.Measure.Checks == 0 || !slower(gt) || now.Sub(gt.Told) > slowWordAge {
+		return
+	}
+	for _, jb := range w.Jobs.All() {
+		if jb.Offer.Target == id && jb.Started == carobinstant.Never && jb.Offer.Wish.Movable {
+			giveWay(w, now, jb, gt, "VM is slow")
+		}
+	}
+}
--- a/pkg/carobadmission/slowness_test.go
+++ b/pkg/carobadmission/slowness_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/carobknot/carobknot/pkg/carobhealth"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobpressure"
 )
 
@@ -147,3 +148,20 @@
 	require.LessOrEqual(t, checks, 40*10+10)
 	require.Greater(t, checks, 40*9)
 }
+
+func TestMovableJobLeavesATargetWhoseVMIsSlow(t *testing.T) {
+	r := newCheckedRig(4, 4)
+	movable, other := wish(1, usualSlo), wish(1, usualSlo)
+	movable.Movable = true
+	gone := r.offer(movable)
+	r.offer(other)
+	require.Empty(t, r.world.Outbox.Refusals, "nothing is known yet")
+	require.Zero(t, r.health(5))
+	require.Len(t, r.world.Outbox.Refusals, 1)
+	require.Equal(t, gone, r.world.Outbox.Refusals[0].Job)
+	require.Equal(t, carobkind.Busy, r.world.Outbox.Refusals[0].Kind)
+	r.offer(movable)
+	require.Len(t, r.world.Outbox.Refusals, 1, "refused at once while the word is new")
+	r.wake(t)
+	require.Equal(t, 1, r.health(1), "the one that stayed")
+}
--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -52,6 +52,7 @@
 	expire(w, now)
 	for id, gt := range w.Gates.All() {
 		if gt.Queued > 0 {
+			moveOn(w, now, id, gt)
 			drain(w, now, id, gt)
 		}
 	}
@@ -92,14 +93,19 @@
 	gt.Queued++
 	if gt.Queued > queueLimit(w, tg)+max(0, gt.Limit-gt.Running) {
 		jb := leastUrgent(w, now, of.Target)
-		w.Decide(carobdecision.Decision{
-			Part: "admit", Text: "queue full", Request: jb.Offer.Wish.Request, Call: jb.Offer.Job.Call,
-			Attempt: jb.Offer.Job.Attempt, Target: of.Target, Kind: carobkind.Busy, Inputs: inputs(gt, now, jb.Came),
-		})
-		carobfencing.Withdraw(w, jb, carobkind.Busy)
+		giveWay(w, now, jb, gt, "queue full")
 	}
 }
 
+// giveWay refuses a queued job that there is no room for.
+func giveWay(w *carobworld.World, now carobinstant.Instant, jb *carobjob.Job, gt *carobgate.Gate, why string) {
+	w.Decide(carobdecision.Decision{
+		Part: "admit", Text: why, Request: jb.Offer.Wish.Request, Call: jb.Offer.Job.Call,
+		Attempt: jb.Offer.Job.Attempt, Target: jb.Offer.Target, Kind: carobkind.Busy, Inputs: inputs(gt, now, jb.Came),
+	})
+	carobfencing.Withdraw(w, jb, carobkind.Busy)
+}
+
 // known reports whether the offer of a job came before, so that this one is a
 // copy. A copy gets no refusal, which would say that the job did not run.
 func known(w *carobworld.World, job carobjobid.ID) bool {
--- a/pkg/carobrouting/system.go
+++ b/pkg/carobrouting/system.go
@@ -148,6 +148,10 @@
 	s.candidates = append(s.candidates, cd)
 }
 
+// mostMoved is the longest body that is sent a second time rather than held up by a
+// target that is slow.
+const mostMoved = 8 * carobsize.KiB
+
 // distance returns what the way to a target on another VM costs.
 func distance(near bool, size carobsize.Size) float64 {
 	const (
@@ -209,9 +213,11 @@
 			carobinput.Age("reportms", now, cd.heard),
 		},
 	})
+	wish := cl.Wish(now)
+	wish.Movable = len(cl.Attempts) == 1 && len(s.candidates) > 1 && cl.Arrival.Size <= mostMoved
 	w.Outbox.Sends = append(w.Outbox.Sends, carobsend.Send{
 		Job:    carobjobid.ID{Call: cl.Arrival.Call, Attempt: len(cl.Attempts)},
 		Target: cd.target, Peer: cd.peer, Incarnation: cd.incarnation, Patience: cl.Deadline.Sub(now),
-		Once: cl.Profile.Once, Wish: cl.Wish(now),
+		Once: cl.Profile.Once, Wish: wish,
 	})
 }
--- a/pkg/carobrouting/waiting_test.go
+++ b/pkg/carobrouting/waiting_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/carobknot/carobknot/pkg/carobarrival"
+	"github.com/carobknot/carobknot/pkg/carobattempt"
 	"github.com/carobknot/carobknot/pkg/carobcall"
 	"github.com/carobknot/carobknot/pkg/carobcallid"
 	"github.com/carobknot/carobknot/pkg/carobgroup"
@@ -14,6 +15,7 @@
 	"github.com/carobknot/carobknot/pkg/carobmember"
 	"github.com/carobknot/carobknot/pkg/carobprofile"
 	"github.com/carobknot/carobknot/pkg/carobreadiness"
+	"github.com/carobknot/carobknot/pkg/carobsize"
 	"github.com/carobknot/carobknot/pkg/carobtarget"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 	"github.com/carobknot/carobknot/pkg/carobword"
@@ -60,3 +62,28 @@
 		s.Run(w, 1)
 	}
 }
+
+func TestSmallCallMayMoveOnce(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		targets  int
+		size     carobsize.Size
+		attempts int
+		movable  bool
+	}{
+		{"first attempt", 2, 0, 0, true},
+		{"second attempt", 2, 0, 1, false},
+		{"no other target", 1, 0, 0, false},
+		{"long body", 2, 64 * carobsize.KiB, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := crowd(1, c.targets, carobreadiness.Ready)
+			for _, cl := range w.Calls.All() {
+				cl.Arrival.Size, cl.Attempts = c.size, make([]carobattempt.Attempt, c.attempts)
+			}
+			w.Begin(carobinbox.Inbox{})
+			NewSystem().Run(w, 1)
+			require.Equal(t, c.movable, w.Outbox.Sends[0].Wish.Movable)
+		})
+	}
+}
--- a/pkg/carobwish/wish.go
+++ b/pkg/carobwish/wish.go
@@ -23,4 +23,7 @@
 	Whole time.Duration
 	// Once says how often the call may run.
 	Once carobonce.Once
+	// Movable says that the call has another target at little cost, and need not wait
+	// for one that is slow.
+	Movable bool
 }
