Emulate the nodes' decisions in virtual time

Cause: decisions on queueing and placing could be tried on the users' bench only, or on loopback with real processes, where the machine's own load hides what is looked for. Change: carobknot emulate plays a scenario (JSON with comments) in virtual time with the real cores: callers with deadlines and retries, calls that targets make, slots, VMs that are slow for moments. On the way: settings with two profiles were refused ('the key stands twice'), since keys of objects in a list shared one place; found with the first scenario, mended with a test.

--- a/internal/carobcommand/command.go
+++ b/internal/carobcommand/command.go
@@ -57,6 +57,7 @@
 		targetCommand(),
 		loadCommand(),
 		benchCommand(),
+		emulateCommand(),
 	}
 }
 
--- /dev/null
+++ b/internal/carobcommand/emulate.go
@@ -0,0 +1,58 @@
+package carobcommand
+
+import (
+	"context"
+	"flag"
+	"time"
+
+	"github.com/carobknot/carobknot/internal/carobemulator"
+	"github.com/carobknot/carobknot/internal/carobscenario"
+	"github.com/carobknot/carobknot/internal/carobsummary"
+	"github.com/carobknot/carobknot/pkg/carobword"
+)
+
+func emulateCommand() Command {
+	return Command{
+		name:    "emulate",
+		summary: "Play a scenario in virtual time, with the nodes' own decisions",
+		examples: "  carobknot emulate -scenario examples/emulate/noisy.json -duration 60s\n" +
+			"  carobknot emulate -scenario examples/emulate/noisy.json -checks 0 -seed 7\n",
+		parse: parseEmulate,
+	}
+}
+
+func parseEmulate(flags *flag.FlagSet) runner {
+	file := flags.String("scenario", "", "`FILE` of the scenario, JSON with comments")
+	duration := flags.Duration("duration", 20*time.Second, "virtual `TIME` that is played")
+	seed := flags.Uint64("seed", 1, "`SEED` of load and noise")
+	policy := flags.String("policy", "", "`NAME` of the routing policy, in place of the scenario's")
+	checks := flags.Int("checks", -1, "health checks a second, in place of the scenario's")
+	queue := flags.Int("queue", -1, "length of targets' queues, in place of the scenario's")
+	return func(_ context.Context, sd *streams, args []string) error {
+		if *file == "" || *duration <= 0 || len(args) > 0 {
+			return errUsage("-scenario FILE and a -duration above 0 are needed, and no operands")
+		}
+		sc, err := carobscenario.Load(*file)
+		if err != nil {
+			return err
+		}
+		if *policy != "" {
+			sc.Profile.Policy = carobword.Word(*policy)
+		}
+		if *checks >= 0 {
+			sc.Measure.Checks = *checks
+		}
+		if *queue >= 0 {
+			sc.Profile.Queue = *queue
+		}
+		if err := sc.Check(); err != nil {
+			return err
+		}
+		em, err := carobemulator.NewEmulator(carobemulator.Config{Scenario: sc, Seed: *seed})
+		if err != nil {
+			return err
+		}
+		carobsummary.Table(sd.out, em.Run(*duration)...)
+		return nil
+	}
+}
--- a/internal/carobdocument/walk.go
+++ b/internal/carobdocument/walk.go
@@ -3,6 +3,7 @@
 import (
 	"encoding"
 	"encoding/json"
+	"fmt"
 	"reflect"
 	"strings"
 
@@ -18,7 +19,7 @@
 	if literal, ok := value.Value.(hujson.Literal); ok && literal.Kind() == 'n' {
 		return d.refuseAt(value.StartOffset, "%sa null does not fit", prefix(path))
 	}
-	if typ.Kind() == reflect.Struct && !reflect.PointerTo(typ).Implements(textType) {
+	if isObject(typ) {
 		return d.walkObject(value, path, typ)
 	}
 	if typ.Kind() == reflect.Slice {
@@ -62,13 +63,22 @@
 		return d.refuseAt(value.StartOffset, "%sa list is needed", prefix(path))
 	}
 	for i := range array.Elements {
-		if err := d.walk(&array.Elements[i], path, element); err != nil {
+		place := path
+		if isObject(element) {
+			place = fmt.Sprintf("%s[%d]", path, i)
+		}
+		if err := d.walk(&array.Elements[i], place, element); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// isObject reports whether a type's keys are checked one by one.
+func isObject(typ reflect.Type) bool {
+	return typ.Kind() == reflect.Struct && !reflect.PointerTo(typ).Implements(textType)
+}
+
 var textType = reflect.TypeFor[encoding.TextUnmarshaler]()
 
 // fieldOf returns the type of the field that a key is decoded into, or nil.
--- a/internal/carobsettings/settings_test.go
+++ b/internal/carobsettings/settings_test.go
@@ -41,6 +41,13 @@
 	require.NoError(t, err)
 }
 
+func TestParseTakesSeveralProfiles(t *testing.T) {
+	const two = `"centre": "west", "profiles": [{"name": "one"}, {"name": "two"}],`
+	st, err := carobsettings.Parse("node.json", []byte(strings.Replace(good, `"centre": "west",`, two, 1)))
+	require.NoError(t, err)
+	require.Len(t, st.Profiles, 2)
+}
+
 func TestParseRefuses(t *testing.T) {
 	for _, c := range []struct{ name, old, new, want string }{
 		{"unknown key", `"centre"`, `"center"`, `node.json:5:3: center: there is no such key`},
@@ -56,6 +63,8 @@
 		{"limit", `10}`, `0}`, `node.json:12:23: limits.calls: must be at least 1`},
 		{"missing", "\"name\": \"first\",\n  \"region\": \"bavaria\",", ``, `node.json: missing keys: name, region`},
 		{"twice", `"centre": "west",`, `"centre": "west", "centre": "east",`, `node.json:5:21: centre: the key stands twice`},
+		{"negative checks", `{"rate": "1KiB/s"}`, `{"checks": -1}`, `node.json:11:14: measure: checks: -1 is below 0`},
+		{"second profile", `"centre": "west",`, `"centre": "west", "profiles": [{"name": "one"}, {"nam": "two"}],`, `node.json:5:52: profiles[1].nam: there is no such key`},
 		{"cut", `"limits": {"calls": 10},`, ``, ``},
 	} {
 		t.Run(c.name, func(t *testing.T) {
