Let the product meet a target that runs already

Cause: the adapter decided that and when a node asks the server beside it who it is, with an HTTP client of its own: a second way to the same health path that admission asks now. Ruled out: nothing.

--- a/internal/carobadmitter/admitter.go
+++ b/internal/carobadmitter/admitter.go
@@ -30,6 +30,7 @@
 	"github.com/carobknot/carobknot/pkg/carobsize"
 	"github.com/carobknot/carobknot/pkg/carobstart"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
+	"github.com/carobknot/carobknot/pkg/carobword"
 )
 
 // exchanger sends a request to a target and returns the head of its answer.
@@ -43,6 +44,8 @@
 	Ask(rq *fasthttp.Request, st *carobstart.Start, target carobtargetid.ID)
 	// Check fills in a request that asks the target at an address how it is.
 	Check(rq *fasthttp.Request, address carobaddress.Address)
+	// Identity reads which target answered such a request, and how many slots it has.
+	Identity(rs *fasthttp.Response) (carobword.Word, int)
 	// Judge reads what an answer says besides: None if it is the target's answer to
 	// the call, or why it is not; and the target's load, or nil.
 	Judge(rs *fasthttp.Response) (carobkind.Kind, *carobpressure.Pressure)
--- a/internal/carobadmitter/check.go
+++ b/internal/carobadmitter/check.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/carobknot/carobknot/pkg/carobcheck"
 	"github.com/carobknot/carobknot/pkg/carobhealth"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
@@ -27,18 +25,10 @@
 
 // ask returns what the target tells of its load, or nil if it does not answer.
 func (a *Admitter) ask(ck carobcheck.Check) *carobpressure.Pressure {
-	cx, cancel := context.WithTimeout(context.Background(), checkPatience)
-	defer cancel()
-	rq := &fasthttp.Request{}
-	a.config.Dialect.Check(rq, ck.Address)
-	an, err := a.config.Targets.Do(cx, ck.Address, rq, false)
+	an, err := a.health(context.Background(), ck.Address, checkPatience)
 	if err != nil {
 		return nil
 	}
-	defer func() { _ = an.Body.Close() }()
-	if an.Gather(checkBody) != nil {
-		return nil
-	}
 	if _, pressure := a.config.Dialect.Judge(an.Response); pressure != nil {
 		return pressure
 	}
--- a/internal/carobadmitter/native.go
+++ b/internal/carobadmitter/native.go
@@ -12,6 +12,7 @@
 	"github.com/carobknot/carobknot/pkg/carobpressure"
 	"github.com/carobknot/carobknot/pkg/carobstart"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
+	"github.com/carobknot/carobknot/pkg/carobword"
 )
 
 // native is the system's own way to speak to targets.
@@ -30,6 +31,9 @@
 // Check asks nothing: targets do not tell how slow their VMs are.
 func (native) Check(*fasthttp.Request, carobaddress.Address) {}
 
+// Identity reads nothing.
+func (native) Identity(*fasthttp.Response) (carobword.Word, int) { return "", 0 }
+
 // Judge takes every answer for the call's.
 func (native) Judge(*fasthttp.Response) (carobkind.Kind, *carobpressure.Pressure) {
 	return carobkind.None, nil
--- a/internal/carobnode/node.go
+++ b/internal/carobnode/node.go
@@ -40,6 +40,7 @@
 	"github.com/carobknot/carobknot/pkg/carobstart"
 	"github.com/carobknot/carobknot/pkg/carobstream"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
+	"github.com/carobknot/carobknot/pkg/carobword"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
@@ -51,6 +52,9 @@
 	// interface and log.
 	Dialect dialect
 	Store   store
+	// Beside is a target that may run on the VM already; its name and slots are asked
+	// for. Without an address nothing is asked.
+	Beside carobannouncement.Announcement
 }
 
 // dialect is how a platform's callers and targets are spoken to.
@@ -59,6 +63,7 @@
 	Refuse(rs *fasthttp.Response, rq *fasthttp.Request, kind carobkind.Kind, after time.Duration, detail string)
 	Ask(rq *fasthttp.Request, st *carobstart.Start, target carobtargetid.ID)
 	Check(rq *fasthttp.Request, address carobaddress.Address)
+	Identity(rs *fasthttp.Response) (carobword.Word, int)
 	Mine(rq *fasthttp.Request, rs *fasthttp.Response) bool
 	Judge(rs *fasthttp.Response) (carobkind.Kind, *carobpressure.Pressure)
 }
@@ -176,6 +181,9 @@
 	n.attach(inner)
 	n.start(inner)
 	failed := n.serve(inner)
+	if n.config.Beside.Address != "" {
+		go n.meet(inner)
+	}
 	n.config.Logger.WithFields(logrus.Fields{
 		"node": n.config.Settings.Name, "call": n.Call(), "peer": n.Peer(), "admin": n.Admin(),
 	}).Info("node: started")
@@ -188,6 +196,13 @@
 	return nil
 }
 
+// meet announces the target that may run on the VM already.
+func (n *Node) meet(cx context.Context) {
+	if err := do.MustInvoke[*carobadmitter.Admitter](n.injector).Meet(cx, n.config.Beside); err != nil {
+		n.config.Logger.WithError(err).Info("target: not met before its announcement")
+	}
+}
+
 // attach connects the control goroutine with the parts that carry its effects out.
 func (n *Node) attach(cx context.Context) {
 	control := do.MustInvoke[*carobcontrol.Control](n.injector)
