Keep room for calls that other calls wait for, and never put them last

Past their own SLO of 150 ms they counted as late and gave way first, though their callers were in time; and payouts held all slots of the target while they waited for calls of their own. Change: such calls are never late in the order, and a sixth of a target's slots takes nothing else within 2 s of the newest of them. Tests: TestRoomIsKeptForCallsThatOthersWaitFor, a row of TestMostUrgentJobStartsFirst.

--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -86,7 +86,10 @@
 	jb := w.Jobs.Put(of.Job, carobjob.Job{Offer: of, Came: now, Deadline: now.Add(of.Patience)})
 	gt.Changed = true
 	gt.Limit = limit(gt, now)
-	if gt.Running < gt.Limit && gt.Queued == 0 && mayStart(w, now, tg, gt) {
+	if short(jb) {
+		gt.Awaited = now
+	}
+	if gt.Running < room(gt, now, jb) && gt.Queued == 0 && mayStart(w, now, tg, gt) {
 		start(w, now, jb, tg, gt)
 		return
 	}
@@ -231,7 +234,7 @@
 	tg := w.Targets.Get(id)
 	for tg != nil && gt.Queued > 0 && gt.Running < gt.Limit && mayStart(w, now, tg, gt) {
 		jb := mostUrgent(w, now, id)
-		if jb == nil {
+		if jb == nil || gt.Running >= room(gt, now, jb) {
 			return
 		}
 		gt.Queued--
--- a/pkg/carobadmission/urgency.go
+++ b/pkg/carobadmission/urgency.go
@@ -41,7 +41,8 @@
 //
 //   - calls that can still be in time go before those that cannot;
 //   - calls that are wanted soon were made by another call, which holds a slot until
-//     they are answered, and go before those that begin something new;
+//     they are answered, and go before those that begin something new. They are never
+//     late: to lose one loses the other call too, which may still be in time;
 //   - then rank decides, and then who is wanted first.
 func compare(now carobinstant.Instant, a, b *carobjob.Job) int {
 	return cmp.Or(
@@ -54,7 +55,7 @@
 }
 
 func late(now carobinstant.Instant, jb *carobjob.Job) bool {
-	return jb.Offer.Wish.Whole > 0 && wanted(jb).Reached(now)
+	return jb.Offer.Wish.Whole > 0 && !short(jb) && wanted(jb).Reached(now)
 }
 
 // wanted returns when the answer is wanted: at the deadline if nobody said.
@@ -65,6 +66,8 @@
 	return jb.Came.Add(jb.Offer.Wish.Slo)
 }
 
+// short reports whether another call waits for this one, which is wanted sooner than
+// callers outside want any.
 func short(jb *carobjob.Job) bool {
 	return jb.Offer.Wish.Whole > 0 && jb.Offer.Wish.Whole <= shortSlo
 }
--- a/pkg/carobadmission/urgency_test.go
+++ b/pkg/carobadmission/urgency_test.go
@@ -92,6 +92,7 @@
 		{"rank, in the order of coming", wish(1, usual), wish(2, usual), false},
 		{"call that another call waits for", wish(1, usual), wish(2, 120*time.Millisecond), true},
 		{"wanted sooner", wish(1, time.Second), wish(1, usual), true},
+		{"call that another call waits for, late", wish(1, usual), carobwish.Wish{Rank: 2, Slo: -1, Whole: 120 * time.Millisecond}, true},
 		{"late already", carobwish.Wish{Rank: 1, Slo: -1, Whole: usual}, wish(2, usual), true},
 		{"equal", wish(1, usual), wish(1, usual), false},
 	} {
@@ -158,3 +159,24 @@
 		})
 	}
 }
+
+// Jobs that make calls hold their slots until the calls are answered. If they held all
+// of them on all targets, no call would be.
+func TestRoomIsKeptForCallsThatOthersWaitFor(t *testing.T) {
+	const usual, soon = 500 * time.Millisecond, 120 * time.Millisecond
+	r := newRig(12, 4)
+	r.offer(wish(1, soon))
+	require.Len(t, r.world.Outbox.Starts, 1)
+	for range 9 {
+		r.offer(wish(1, usual))
+		require.Len(t, r.world.Outbox.Starts, 1)
+	}
+	r.offer(wish(1, usual))
+	require.Empty(t, r.world.Outbox.Starts, "two slots are kept")
+	for range 2 {
+		r.offer(wish(1, soon))
+		require.Len(t, r.world.Outbox.Starts, 1)
+	}
+	r.offer(wish(1, soon))
+	require.Empty(t, r.world.Outbox.Starts, "and are taken now")
+}
--- a/pkg/carobgate/gate.go
+++ b/pkg/carobgate/gate.go
@@ -38,6 +38,9 @@
 	Mute carobinstant.Instant
 	// Checks is the budget of health checks.
 	Checks carobbucket.Bucket
+	// Awaited is when the newest job came that another call waits for; Never before the
+	// first.
+	Awaited carobinstant.Instant
 	// Changed says that the newest report of the target's load is out of date.
 	Changed bool
 	// Learned is when the newest call that Latency is made of started; Never before
