--- a/internal/carobcommand/load.go
+++ b/internal/carobcommand/load.go
@@ -88,11 +88,11 @@
 	if err := writeReport(file, summaries); err != nil {
 		return err
 	}
-	return verdict(summaries)
+	return checkAnswers(summaries)
 }
 
-// verdict is an error if an answer was cut or not the call's own.
-func verdict(summaries []*carobsummary.Summary) error {
+// checkAnswers is an error if an answer was cut or not the call's own.
+func checkAnswers(summaries []*carobsummary.Summary) error {
 	for _, sm := range summaries {
 		if sm.Wrong > 0 {
 			return carobkind.New(carobkind.Internal, "%d answers are cut or belong to other calls", sm.Wrong)
--- a/internal/carobcommand/profiles.go
+++ b/internal/carobcommand/profiles.go
@@ -13,10 +13,10 @@
 
 	"github.com/carobknot/carobknot/internal/carobledger"
 	"github.com/carobknot/carobknot/internal/carobplatform"
+	"github.com/carobknot/carobknot/pkg/carobchangeresult"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroboffset"
 	"github.com/carobknot/carobknot/pkg/carobrevision"
-	"github.com/carobknot/carobknot/pkg/carobverdict"
 )
 
 func profilesCommand() Command {
@@ -61,9 +61,9 @@
 }
 
 func settleChange(sd *streams, lg *carobledger.Ledger, id string) error {
-	vd, ok := lg.Find(id)
+	cr, ok := lg.Find(id)
 	if ok {
-		return tell(sd, vd)
+		return tell(sd, cr)
 	}
 	if !lg.Whole() {
 		return carobkind.New(carobkind.Unsure, "unknown: the log does not keep the first changes any more")
@@ -92,9 +92,9 @@
 			rv.Change.Who, rv.Change.When.Format(time.RFC3339))
 	}
 	_, _ = fmt.Fprintln(table, "\nCHANGE\tPROFILE\tBASE\tEND\tWHO\tWHEN")
-	for _, vd := range lg.History {
-		_, _ = fmt.Fprintf(table, "%d\t%s\t%s\t%s\t%s\t%s\n", vd.Offset, vd.Change.Profile.Name, base(vd.Change.Profile.Base),
-			end(vd), vd.Change.Who, vd.Change.When.Format(time.RFC3339))
+	for _, cr := range lg.History {
+		_, _ = fmt.Fprintf(table, "%d\t%s\t%s\t%s\t%s\t%s\n", cr.Offset, cr.Change.Profile.Name, base(cr.Change.Profile.Base),
+			end(cr), cr.Change.Who, cr.Change.When.Format(time.RFC3339))
 	}
 	return table.Flush()
 }
@@ -114,9 +114,9 @@
 	return fmt.Sprint(offset)
 }
 
-func end(vd carobverdict.Verdict) string {
-	if vd.Won {
+func end(cr carobchangeresult.ChangeResult) string {
+	if cr.Won {
 		return "accepted"
 	}
-	return fmt.Sprintf("conflict with %s", base(vd.Before.Offset))
+	return fmt.Sprintf("conflict with %s", base(cr.Before.Offset))
 }
--- a/internal/carobcommand/publish.go
+++ b/internal/carobcommand/publish.go
@@ -13,9 +13,9 @@
 	"github.com/carobknot/carobknot/internal/carobplatform"
 	"github.com/carobknot/carobknot/internal/carobtimer"
 	"github.com/carobknot/carobknot/pkg/carobchange"
+	"github.com/carobknot/carobknot/pkg/carobchangeresult"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobstream"
-	"github.com/carobknot/carobknot/pkg/carobverdict"
 )
 
 const (
@@ -102,8 +102,8 @@
 		if err := p.ledger.Read(cx); err != nil {
 			break
 		}
-		if vd, ok := p.ledger.Find(p.change.ID); ok {
-			return tell(p.streams, vd)
+		if cr, ok := p.ledger.Find(p.change.ID); ok {
+			return tell(p.streams, cr)
 		}
 	}
 	return carobkind.New(carobkind.Unsure, "unknown: the log's answer is lost; settle it with:\n  carobknot profiles -log %s -settle %s",
@@ -111,18 +111,18 @@
 }
 
 // tell says what became of a change.
-func tell(sd *streams, vd carobverdict.Verdict) error {
-	name := vd.Change.Profile.Name
-	if vd.Won {
-		_, _ = fmt.Fprintf(sd.out, "accepted: profile %s at offset %d\n", name, vd.Offset)
+func tell(sd *streams, cr carobchangeresult.ChangeResult) error {
+	name := cr.Change.Profile.Name
+	if cr.Won {
+		_, _ = fmt.Fprintf(sd.out, "accepted: profile %s at offset %d\n", name, cr.Offset)
 		return nil
 	}
-	if vd.Before.Offset < 0 {
-		return carobkind.New(carobkind.Conflict, "conflict: profile %s has no revision %d", name, vd.Change.Profile.Base)
+	if cr.Before.Offset < 0 {
+		return carobkind.New(carobkind.Conflict, "conflict: profile %s has no revision %d", name, cr.Change.Profile.Base)
 	}
-	winner := vd.Before.Change
+	winner := cr.Before.Change
 	return carobkind.New(carobkind.Conflict, "conflict: profile %s is at offset %d, published by %s at %s, and not at %d",
-		name, vd.Before.Offset, winner.Who, winner.When.Format(time.RFC3339), vd.Change.Profile.Base)
+		name, cr.Before.Offset, winner.Who, winner.When.Format(time.RFC3339), cr.Change.Profile.Base)
 }
 
 func operator() string {
--- a/internal/carobledger/ledger.go
+++ b/internal/carobledger/ledger.go
@@ -7,13 +7,13 @@
 	"time"
 
 	"github.com/carobknot/carobknot/internal/carobpage"
+	"github.com/carobknot/carobknot/pkg/carobchangeresult"
 	"github.com/carobknot/carobknot/pkg/carobfold"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/caroblimits"
 	"github.com/carobknot/carobknot/pkg/caroboffset"
 	"github.com/carobknot/carobknot/pkg/carobrevision"
 	"github.com/carobknot/carobknot/pkg/carobstream"
-	"github.com/carobknot/carobknot/pkg/carobverdict"
 	"github.com/carobknot/carobknot/pkg/carobword"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
@@ -36,7 +36,7 @@
 	// next is the offset to read on from; first is the first one that is kept.
 	next, first caroboffset.Offset
 	// History has what became of the changes that are kept, in their order.
-	History []carobverdict.Verdict
+	History []carobchangeresult.ChangeResult
 }
 
 // NewLedger returns a ledger that has read nothing.
@@ -60,7 +60,7 @@
 		}
 		l.world.Begin(carobinbox.Inbox{Records: pg.Records})
 		l.fold.Run(l.world, 1)
-		l.History = append(l.History, l.world.Outbox.Verdicts...)
+		l.History = append(l.History, l.world.Outbox.ChangeResults...)
 	}
 }
 
@@ -90,10 +90,10 @@
 
 // Find returns what became of a change, by its ID. A change that was appended
 // more than once won if one of its records did.
-func (l *Ledger) Find(id string) (found carobverdict.Verdict, ok bool) {
-	for _, vd := range l.History {
-		if vd.Change.ID == id && (vd.Won || !ok) {
-			found, ok = vd, true
+func (l *Ledger) Find(id string) (found carobchangeresult.ChangeResult, ok bool) {
+	for _, cr := range l.History {
+		if cr.Change.ID == id && (cr.Won || !ok) {
+			found, ok = cr, true
 		}
 		if ok && found.Won {
 			return found, true
@@ -101,7 +101,7 @@
 	}
 	for _, rv := range l.InForce() {
 		if rv.Change.ID == id {
-			return carobverdict.Verdict{Change: rv.Change, Offset: rv.Offset, Won: true}, true
+			return carobchangeresult.ChangeResult{Change: rv.Change, Offset: rv.Offset, Won: true}, true
 		}
 	}
 	return found, ok
--- a/internal/carobnode/node.go
+++ b/internal/carobnode/node.go
@@ -21,11 +21,11 @@
 	"github.com/carobknot/carobknot/internal/carobmailbox"
 	"github.com/carobknot/carobknot/internal/carobmeter"
 	"github.com/carobknot/carobknot/internal/carobplatform"
-	"github.com/carobknot/carobknot/internal/carobscribe"
 	"github.com/carobknot/carobknot/internal/carobsettings"
 	"github.com/carobknot/carobknot/internal/carobsplitter"
 	"github.com/carobknot/carobknot/internal/carobtail"
 	"github.com/carobknot/carobknot/internal/carobtimer"
+	"github.com/carobknot/carobknot/internal/carobtracewriter"
 	"github.com/carobknot/carobknot/internal/carobtransport"
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobannouncement"
@@ -228,7 +228,7 @@
 		Timer:   do.MustInvoke[*carobtimer.Timer](n.injector),
 		Logger:  logrus.NewEntry(n.config.Logger),
 	}))
-	control.Attach(do.MustInvoke[*carobscribe.Scribe](n.injector))
+	control.Attach(do.MustInvoke[*carobtracewriter.TraceWriter](n.injector))
 }
 
 // start starts the goroutines that serve nobody outside.
@@ -242,7 +242,7 @@
 		go do.MustInvoke[*carobfollower.Follower](n.injector).Run(cx)
 		return
 	}
-	go do.MustInvoke[*carobscribe.Scribe](n.injector).Run(cx)
+	go do.MustInvoke[*carobtracewriter.TraceWriter](n.injector).Run(cx)
 	go n.follow(cx, carobstream.Profiles)
 	go n.follow(cx, carobstream.Nodes)
 }
@@ -299,7 +299,7 @@
 	}
 	_ = do.MustInvoke[*carobtimer.Timer](n.injector).Wait(last, goodbye)
 	if n.config.Store == nil {
-		do.MustInvoke[*carobscribe.Scribe](n.injector).Flush(closing)
+		do.MustInvoke[*carobtracewriter.TraceWriter](n.injector).Flush(closing)
 	}
 	_ = do.MustInvoke[*attemptServer](n.injector).ShutdownWithContext(closing)
 	_ = do.MustInvoke[*carobtransport.Transport](n.injector).Shutdown(closing)
@@ -336,5 +336,5 @@
 	}
 }
 
-// scribeKept is the most bytes that are kept of each stream while the log is out.
-const scribeKept = 8 * carobsize.MiB
+// tracesKept is the most bytes that are kept of each stream while the log is out.
+const tracesKept = 8 * carobsize.MiB
--- a/internal/carobnode/wire.go
+++ b/internal/carobnode/wire.go
@@ -13,9 +13,9 @@
 	"github.com/carobknot/carobknot/internal/carobmailbox"
 	"github.com/carobknot/carobknot/internal/carobmeter"
 	"github.com/carobknot/carobknot/internal/carobplatform"
-	"github.com/carobknot/carobknot/internal/carobscribe"
 	"github.com/carobknot/carobknot/internal/carobsplitter"
 	"github.com/carobknot/carobknot/internal/carobtimer"
+	"github.com/carobknot/carobknot/internal/carobtracewriter"
 	"github.com/carobknot/carobknot/internal/carobtransport"
 	"github.com/carobknot/carobknot/pkg/carobcore"
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
@@ -78,10 +78,10 @@
 	do.Provide(i, func(do.Injector) (*carobplatform.Client, error) {
 		return carobplatform.NewClient(carobplatform.Config{URL: st.Log, Patience: logPatience}), nil
 	})
-	do.Provide(i, func(i do.Injector) (*carobscribe.Scribe, error) {
-		return carobscribe.NewScribe(carobscribe.Config{
+	do.Provide(i, func(i do.Injector) (*carobtracewriter.TraceWriter, error) {
+		return carobtracewriter.NewTraceWriter(carobtracewriter.Config{
 			Self: do.MustInvoke[carobmember.Member](i), Log: do.MustInvoke[*carobplatform.Client](i),
-			Timer: do.MustInvoke[*carobtimer.Timer](i), Logger: logrus.NewEntry(n.config.Logger), Kept: scribeKept,
+			Timer: do.MustInvoke[*carobtimer.Timer](i), Logger: logrus.NewEntry(n.config.Logger), Kept: tracesKept,
 		}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*carobadmin.Admin, error) {
--- a/internal/carobscribe/bundle.go
+++ b/internal/carobtracewriter/bundle.go
@@ -1,4 +1,4 @@
-package carobscribe
+package carobtracewriter
 
 import (
 	"bytes"
--- a/internal/carobscribe/scribe.go
+++ b/internal/carobtracewriter/writer.go
@@ -1,4 +1,4 @@
-// Package carobscribe writes what a node has to tell into the platform's log: the
+// Package carobtracewriter writes what a node has to tell into the platform's log: the
 // hops of calls, the audit trail, and the records that systems order.
 //
 // The log takes several hundred appends a second from all nodes together. So hops
@@ -7,7 +7,7 @@
 // are kept, up to a bound; what is dropped beyond it is counted, and the next
 // record says how much that was. An append whose answer is lost is made again, so
 // a batch may stand in the log twice; its number tells.
-package carobscribe
+package carobtracewriter
 
 import (
 	"context"
@@ -31,7 +31,7 @@
 	Append(cx context.Context, stream carobstream.Stream, data []byte) (caroboffset.Offset, error)
 }
 
-// Config is how a scribe is made.
+// Config is how a trace writer is made.
 type Config struct {
 	// Self names the node in the records.
 	Self   carobmember.Member
@@ -54,8 +54,8 @@
 	largest = 512 << 10
 )
 
-// Scribe writes into the log.
-type Scribe struct {
+// TraceWriter writes into the log.
+type TraceWriter struct {
 	config Config
 	// writing is held while appends are made; mutex, only while state is touched.
 	writing sync.Mutex
@@ -68,9 +68,9 @@
 	rung chan struct{}
 }
 
-// NewScribe returns a scribe that does not write yet.
-func NewScribe(c Config) *Scribe {
-	return &Scribe{
+// NewTraceWriter returns a trace writer that does not write yet.
+func NewTraceWriter(c Config) *TraceWriter {
+	return &TraceWriter{
 		config: c,
 		bundles: map[carobstream.Stream]*bundle{
 			carobstream.Traces: newBundle(c), carobstream.Audit: newBundle(c),
@@ -81,117 +81,117 @@
 }
 
 // Carry collects what a tick has to tell. It does not block on the log.
-func (s *Scribe) Carry(out *caroboutbox.Outbox) {
+func (t *TraceWriter) Carry(out *caroboutbox.Outbox) {
 	if len(out.Hops) == 0 && len(out.Audits) == 0 && len(out.Appends) == 0 {
 		return
 	}
-	s.mutex.Lock()
+	t.mutex.Lock()
 	for i := range out.Hops {
-		s.bundles[carobstream.Traces].add(&out.Hops[i])
+		t.bundles[carobstream.Traces].add(&out.Hops[i])
 	}
 	for i := range out.Audits {
-		s.audit(&out.Audits[i])
+		t.audit(&out.Audits[i])
 	}
 	for _, ap := range out.Appends {
-		s.orders[ap.Stream] = ap.Data
+		t.orders[ap.Stream] = ap.Data
 	}
-	s.mutex.Unlock()
-	s.ring()
+	t.mutex.Unlock()
+	t.ring()
 }
 
-func (s *Scribe) ring() {
+func (t *TraceWriter) ring() {
 	select {
-	case s.rung <- struct{}{}:
+	case t.rung <- struct{}{}:
 	default:
 	}
 }
 
 // audit logs an entry and collects it.
-func (s *Scribe) audit(au *carobaudit.Audit) {
+func (t *TraceWriter) audit(au *carobaudit.Audit) {
 	if au.When.IsZero() {
-		au.When = s.config.Timer.Wall().UTC()
+		au.When = t.config.Timer.Wall().UTC()
 	}
-	s.config.Logger.WithFields(logrus.Fields{
+	t.config.Logger.WithFields(logrus.Fields{
 		"part": au.Part, "who": au.Who, "what": au.What, "from": au.From, "to": au.To,
 	}).Info("audit: changed")
 	if !au.Local {
-		s.bundles[carobstream.Audit].add(au)
+		t.bundles[carobstream.Audit].add(au)
 	}
 }
 
 // Lost returns how many hops and audit entries were dropped.
-func (s *Scribe) Lost() (hops, audits int) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.bundles[carobstream.Traces].dropped, s.bundles[carobstream.Audit].dropped
+func (t *TraceWriter) Lost() (hops, audits int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.bundles[carobstream.Traces].dropped, t.bundles[carobstream.Audit].dropped
 }
 
 // Run writes until cx ends.
-func (s *Scribe) Run(cx context.Context) {
-	set := s.config.Timer.Subscribe(s.ring)
+func (t *TraceWriter) Run(cx context.Context) {
+	set := t.config.Timer.Subscribe(t.ring)
 	defer set(carobinstant.Never)
 	for {
 		select {
 		case <-cx.Done():
 			return
-		case <-s.rung:
+		case <-t.rung:
 		}
-		set(s.write(cx, false))
+		set(t.write(cx, false))
 	}
 }
 
 // Flush writes all that is left, if the log takes it at once.
-func (s *Scribe) Flush(cx context.Context) {
-	s.write(cx, true)
+func (t *TraceWriter) Flush(cx context.Context) {
+	t.write(cx, true)
 }
 
 // write makes the appends that are due, or all, and returns when the next one is.
-func (s *Scribe) write(cx context.Context, all bool) carobinstant.Instant {
-	s.writing.Lock()
-	defer s.writing.Unlock()
-	next := s.writeOrders(cx)
-	for stream, bd := range s.bundles {
-		s.mutex.Lock()
-		now := s.config.Timer.Now()
+func (t *TraceWriter) write(cx context.Context, all bool) carobinstant.Instant {
+	t.writing.Lock()
+	defer t.writing.Unlock()
+	next := t.writeOrders(cx)
+	for stream, bd := range t.bundles {
+		t.mutex.Lock()
+		now := t.config.Timer.Now()
 		due := bd.due(now)
 		var data []byte
 		if due.Reached(now) || all && due != carobinstant.Never {
 			data = bd.take(now)
 			due = now.Add(gap)
 		}
-		s.mutex.Unlock()
+		t.mutex.Unlock()
 		next = carobinstant.Earlier(next, due)
 		if data == nil {
 			continue
 		}
-		_, err := s.config.Log.Append(cx, stream, data)
-		s.mutex.Lock()
+		_, err := t.config.Log.Append(cx, stream, data)
+		t.mutex.Lock()
 		bd.settle(err == nil)
-		s.mutex.Unlock()
+		t.mutex.Unlock()
 		if err != nil {
-			s.config.Logger.WithField("stream", stream).WithError(err).Warn("log: append is put off")
+			t.config.Logger.WithField("stream", stream).WithError(err).Warn("log: append is put off")
 		}
 	}
 	return next
 }
 
 // writeOrders appends the records that systems ordered.
-func (s *Scribe) writeOrders(cx context.Context) carobinstant.Instant {
-	s.mutex.Lock()
-	orders := s.orders
-	s.orders = map[carobstream.Stream][]byte{}
-	s.mutex.Unlock()
+func (t *TraceWriter) writeOrders(cx context.Context) carobinstant.Instant {
+	t.mutex.Lock()
+	orders := t.orders
+	t.orders = map[carobstream.Stream][]byte{}
+	t.mutex.Unlock()
 	next := carobinstant.Never
 	for stream, data := range orders {
-		if _, err := s.config.Log.Append(cx, stream, data); err == nil {
+		if _, err := t.config.Log.Append(cx, stream, data); err == nil {
 			continue
 		}
-		next = s.config.Timer.Now().Add(retry)
-		s.mutex.Lock()
-		if _, newer := s.orders[stream]; !newer {
-			s.orders[stream] = data
+		next = t.config.Timer.Now().Add(retry)
+		t.mutex.Lock()
+		if _, newer := t.orders[stream]; !newer {
+			t.orders[stream] = data
 		}
-		s.mutex.Unlock()
+		t.mutex.Unlock()
 	}
 	return next
 }
--- a/internal/carobscribe/scribe_test.go
+++ b/internal/carobtracewriter/writer_test.go
@@ -1,4 +1,4 @@
-package carobscribe_test
+package carobtracewriter_test
 
 import (
 	"bufio"
@@ -13,8 +13,8 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
-	"github.com/carobknot/carobknot/internal/carobscribe"
 	"github.com/carobknot/carobknot/internal/carobtimer"
+	"github.com/carobknot/carobknot/internal/carobtracewriter"
 	"github.com/carobknot/carobknot/pkg/carobappend"
 	"github.com/carobknot/carobknot/pkg/carobaudit"
 	"github.com/carobknot/carobknot/pkg/carobhop"
@@ -81,14 +81,14 @@
 	return entries, lost
 }
 
-func newScribe(t *testing.T, log *fakeLog) (*carobscribe.Scribe, *bytes.Buffer) {
+func newTraceWriter(t *testing.T, log *fakeLog) (*carobtracewriter.TraceWriter, *bytes.Buffer) {
 	t.Helper()
 	var lines bytes.Buffer
 	logger := logrus.New()
 	logger.SetOutput(io.MultiWriter(&lines))
 	timer := carobtimer.NewTimer()
 	go timer.Run(t.Context())
-	return carobscribe.NewScribe(carobscribe.Config{
+	return carobtracewriter.NewTraceWriter(carobtracewriter.Config{
 		Self: carobmember.Member{Node: "first", Incarnation: 7}, Log: log, Timer: timer, Logger: logrus.NewEntry(logger), Kept: 512 * carobsize.KiB,
 	}), &lines
 }
@@ -99,7 +99,7 @@
 
 func TestHopsAndAuditsAreWritten(t *testing.T) {
 	log := newFakeLog()
-	sc, lines := newScribe(t, log)
+	sc, lines := newTraceWriter(t, log)
 	sc.Carry(&caroboutbox.Outbox{
 		Hops:   make([]carobhop.Hop, 3),
 		Audits: []carobaudit.Audit{{Part: "target", Who: "first", What: "rota/a", From: "ready", To: "leaving"}, {Part: "profile", Local: true}},
@@ -117,7 +117,7 @@
 
 func TestManyHopsAreOneAppend(t *testing.T) {
 	log := newFakeLog()
-	sc, _ := newScribe(t, log)
+	sc, _ := newTraceWriter(t, log)
 	for range 50 {
 		sc.Carry(hops(100))
 	}
@@ -129,7 +129,7 @@
 
 func TestOutageIsBridged(t *testing.T) {
 	log := newFakeLog()
-	sc, _ := newScribe(t, log)
+	sc, _ := newTraceWriter(t, log)
 	log.setOut(true)
 	for range 20 {
 		sc.Carry(hops(1000))
@@ -145,7 +145,7 @@
 // What does not fit is dropped, the oldest first, and counted in the next record.
 func TestLossIsBoundedAndCounted(t *testing.T) {
 	log := newFakeLog()
-	sc, _ := newScribe(t, log)
+	sc, _ := newTraceWriter(t, log)
 	log.setOut(true)
 	const all = 20_000
 	random := uint64(1)
@@ -178,7 +178,7 @@
 
 func TestOrdersAreRetriedAndTheNewestWins(t *testing.T) {
 	log := newFakeLog()
-	sc, _ := newScribe(t, log)
+	sc, _ := newTraceWriter(t, log)
 	log.setOut(true)
 	order := func(data string) *caroboutbox.Outbox {
 		return &caroboutbox.Outbox{Appends: []carobappend.Append{{Stream: carobstream.Nodes, Data: []byte(data)}}}
--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -74,7 +74,7 @@
 		return
 	}
 	tg := w.Targets.Get(of.Target)
-	if kind := objection(w, now, tg, of); kind != carobkind.None {
+	if kind := refusalOf(w, now, tg, of); kind != carobkind.None {
 		refuse(w, of, kind)
 		return
 	}
@@ -119,8 +119,8 @@
 	return ok
 }
 
-// objection returns why an offer cannot be taken at all, or None.
-func objection(w *carobworld.World, now carobinstant.Instant, tg *carobtarget.Target, of caroboffer.Offer) carobkind.Kind {
+// refusalOf returns why an offer cannot be taken at all, or None.
+func refusalOf(w *carobworld.World, now carobinstant.Instant, tg *carobtarget.Target, of caroboffer.Offer) carobkind.Kind {
 	switch {
 	case of.Incarnation != w.Self.Incarnation, tg == nil, !w.Owns(tg):
 		return carobkind.Stale
--- a/pkg/carobattempt/attempt.go
+++ b/pkg/carobattempt/attempt.go
@@ -2,9 +2,9 @@
 package carobattempt
 
 import (
-	"github.com/carobknot/carobknot/pkg/carobfate"
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/carobjobstate"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
@@ -22,13 +22,13 @@
 	Over bool
 	// Kind is how the attempt ended; None for an answer.
 	Kind carobkind.Kind
-	// Fate is what the target's node last told of the attempt.
-	Fate carobfate.Fate
+	// State is what the target's node last told of the attempt.
+	State carobjobstate.JobState
 	// Asked is when the target's node was last asked; Never if it was not.
 	Asked carobinstant.Instant
 }
 
 // NotRun reports whether the attempt has certainly not run and never will.
 func (a *Attempt) NotRun() bool {
-	return a.Fate == carobfate.Never || a.Over && a.Kind.NotRun()
+	return a.State == carobjobstate.Never || a.Over && a.Kind.NotRun()
 }
--- a/pkg/carobcall/call.go
+++ b/pkg/carobcall/call.go
@@ -32,7 +32,7 @@
 	Asked carobinstant.Instant
 	// Contested says that another call holds the key.
 	Contested bool
-	// Grace is when a call whose deadline has come is settled though verdicts
+	// Grace is when a call whose deadline has come is settled though fence replies
 	// are missing; Never before the deadline.
 	Grace carobinstant.Instant
 	// Stage only ever goes up, but for Placed and Fencing back to Waiting.
--- a/pkg/carobverdict/verdict.go
+++ b/pkg/carobchangeresult/result.go
@@ -1,5 +1,5 @@
-// Package carobverdict says what became of the changes in the log.
-package carobverdict
+// Package carobchangeresult says what became of the changes in the log.
+package carobchangeresult
 
 import (
 	"github.com/carobknot/carobknot/pkg/carobchange"
@@ -7,8 +7,8 @@
 	"github.com/carobknot/carobknot/pkg/carobrevision"
 )
 
-// Verdict is the end of one change.
-type Verdict struct {
+// ChangeResult is the end of one change.
+type ChangeResult struct {
 	Change carobchange.Change
 	// Offset is the place of the change in the log.
 	Offset caroboffset.Offset
--- a/pkg/carobentry/claim.go
+++ b/pkg/carobentry/claim.go
@@ -95,12 +95,12 @@
 		Due: now, Pause: settlePause,
 	})
 	if us != nil {
-		remind(w, now, us)
+		resend(w, now, us)
 	}
 }
 
-// remind tells the home of a key the end of its call, if that is due.
-func remind(w *carobworld.World, now carobinstant.Instant, us *carobunsettled.Unsettled) {
+// resend tells the home of a key the end of its call, if that is due.
+func resend(w *carobworld.World, now carobinstant.Instant, us *carobunsettled.Unsettled) {
 	if !us.Due.Reached(now) {
 		w.WakeAt(us.Due)
 		return
--- a/pkg/carobentry/fence.go
+++ b/pkg/carobentry/fence.go
@@ -5,12 +5,12 @@
 
 	"github.com/carobknot/carobknot/pkg/carobattempt"
 	"github.com/carobknot/carobknot/pkg/carobcall"
-	"github.com/carobknot/carobknot/pkg/carobfate"
 	"github.com/carobknot/carobknot/pkg/carobfence"
+	"github.com/carobknot/carobknot/pkg/carobfencereply"
 	"github.com/carobknot/carobknot/pkg/carobfencing"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
-	"github.com/carobknot/carobknot/pkg/carobjudgment"
+	"github.com/carobknot/carobknot/pkg/carobjobstate"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobmessage"
 	"github.com/carobknot/carobknot/pkg/carobstage"
@@ -18,9 +18,9 @@
 )
 
 const (
-	// grace is how much longer than its deadline a call waits for verdicts.
+	// grace is how much longer than its deadline a call waits for fence replies.
 	grace = 100 * time.Millisecond
-	// repeat is the time after which a fence without a verdict is sent again.
+	// repeat is the time after which a fence without a reply is sent again.
 	repeat = 25 * time.Millisecond
 )
 
@@ -29,7 +29,7 @@
 // placed elsewhere; if it has started, it goes on. Asking again is harmless.
 func Withdraw(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call, number int) {
 	at := &cl.Attempts[number-1]
-	if cl.Stage == carobstage.Placed && !at.Over && at.Fate == carobfate.Unasked {
+	if cl.Stage == carobstage.Placed && !at.Over && at.State == carobjobstate.Unasked {
 		ask(w, now, cl, number)
 		resume(w, now, cl)
 	}
@@ -45,7 +45,7 @@
 // nothing more can be found out.
 func pursue(w *carobworld.World, now carobinstant.Instant, cl *carobcall.Call) {
 	for i := range cl.Attempts {
-		if !cl.Attempts[i].NotRun() && cl.Attempts[i].Fate == carobfate.Unasked {
+		if !cl.Attempts[i].NotRun() && cl.Attempts[i].State == carobjobstate.Unasked {
 			ask(w, now, cl, i+1)
 		}
 	}
@@ -62,25 +62,25 @@
 	at.Asked = now
 	fc := carobfence.Fence{Job: carobjobid.ID{Call: cl.Arrival.Call, Attempt: number}, Incarnation: at.Incarnation}
 	if at.Node == w.Self.Node {
-		judged(w, cl, number, carobfencing.Judge(w, fc))
+		settleAttempt(w, cl, number, carobfencing.Judge(w, fc))
 		return
 	}
 	pr := w.Peers.Get(at.Node)
 	if pr == nil || pr.Member.Incarnation != at.Incarnation {
-		judged(w, cl, number, carobfate.Unknown)
+		settleAttempt(w, cl, number, carobjobstate.Unknown)
 		return
 	}
 	w.WakeAt(now.Add(repeat))
 	w.Tell(carobmessage.Message{To: pr.Member.Peer, Fence: &fc})
 }
 
-// hear takes in a verdict from a target's node.
-func hear(w *carobworld.World, now carobinstant.Instant, jd *carobjudgment.Judgment) {
-	cl := w.Calls.Get(jd.Job.Call)
-	if cl == nil || jd.Job.Attempt < 1 || jd.Job.Attempt > len(cl.Attempts) {
+// takeReply takes in a fence reply from a target's node.
+func takeReply(w *carobworld.World, now carobinstant.Instant, fr *carobfencereply.FenceReply) {
+	cl := w.Calls.Get(fr.Job.Call)
+	if cl == nil || fr.Job.Attempt < 1 || fr.Job.Attempt > len(cl.Attempts) {
 		return
 	}
-	judged(w, cl, jd.Job.Attempt, jd.Fate)
+	settleAttempt(w, cl, fr.Job.Attempt, fr.State)
 	switch cl.Stage {
 	case carobstage.Fencing:
 		settle(w, now, cl)
@@ -90,15 +90,15 @@
 	}
 }
 
-// judged notes what became of an attempt. A job that was promised never to run
+// settleAttempt notes what became of an attempt. A job that was promised never to run
 // stays so, whatever a late message tells.
-func judged(w *carobworld.World, cl *carobcall.Call, number int, fate carobfate.Fate) {
+func settleAttempt(w *carobworld.World, cl *carobcall.Call, number int, state carobjobstate.JobState) {
 	at := &cl.Attempts[number-1]
-	if at.Fate == carobfate.Never {
+	if at.State == carobjobstate.Never {
 		return
 	}
-	at.Fate = fate
-	if fate != carobfate.Never {
+	at.State = state
+	if state != carobjobstate.Never {
 		return
 	}
 	cancel(w, cl, number)
@@ -121,7 +121,7 @@
 	case cl.NotRun():
 		again(w, now, cl)
 	case ran(cl) || cl.Grace.Reached(now):
-		conclude(w, now, cl, verdict(cl))
+		conclude(w, now, cl, kindOfRun(cl))
 	default:
 	}
 }
@@ -140,15 +140,15 @@
 // known not to have.
 func ran(cl *carobcall.Call) bool {
 	for i := range cl.Attempts {
-		if at := &cl.Attempts[i]; !at.NotRun() && at.Fate != carobfate.Unasked {
+		if at := &cl.Attempts[i]; !at.NotRun() && at.State != carobjobstate.Unasked {
 			return true
 		}
 	}
 	return false
 }
 
-// verdict returns the kind of a call of which some attempt may have run.
-func verdict(cl *carobcall.Call) carobkind.Kind {
+// kindOfRun returns the kind of a call of which some attempt may have run.
+func kindOfRun(cl *carobcall.Call) carobkind.Kind {
 	kind := carobkind.Expired
 	for i := range cl.Attempts {
 		if at := &cl.Attempts[i]; doubtful(at) {
--- a/pkg/carobentry/fence_test.go
+++ b/pkg/carobentry/fence_test.go
@@ -9,8 +9,8 @@
 	"github.com/carobknot/carobknot/pkg/carobarrival"
 	"github.com/carobknot/carobknot/pkg/carobcallid"
 	"github.com/carobknot/carobknot/pkg/carobentry"
-	"github.com/carobknot/carobknot/pkg/carobfate"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobjobstate"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobonce"
 )
@@ -23,23 +23,23 @@
 	r.reply(1, carobkind.Cut)
 	require.Empty(t, r.world.Outbox.Sends)
 	require.Equal(t, []int{1}, r.fenced())
-	r.verdict(1, carobfate.Never)
+	r.fenceReply(1, carobjobstate.Never)
 	r.sent(2)
 }
 
 func TestNoResendAfterAnythingElse(t *testing.T) {
-	for _, fate := range []carobfate.Fate{carobfate.Done, carobfate.Unknown} {
-		t.Run(string(fate), func(t *testing.T) {
+	for _, state := range []carobjobstate.JobState{carobjobstate.Done, carobjobstate.Unknown} {
+		t.Run(string(state), func(t *testing.T) {
 			r := newRig(t, carobonce.Call)
 			r.arrive(false)
 			r.reply(1, carobkind.Cut)
-			r.verdict(1, fate)
+			r.fenceReply(1, state)
 			r.concluded(carobkind.Cut)
 		})
 	}
 }
 
-// Lost fences and verdicts are made up for, and the caller is told in time.
+// Lost fences and replies are made up for, and the caller is told in time.
 func TestVerdictNeverComes(t *testing.T) {
 	r := newRig(t, carobonce.Call)
 	r.arrive(false)
@@ -58,13 +58,13 @@
 
 func TestDeadline(t *testing.T) {
 	cases := map[string]struct {
-		fate carobfate.Fate
-		want carobkind.Kind
+		state carobjobstate.JobState
+		want  carobkind.Kind
 	}{
-		"never ran": {carobfate.Never, carobkind.Late},
-		"running":   {carobfate.Running, carobkind.Expired},
-		"done":      {carobfate.Done, carobkind.Expired},
-		"unknown":   {carobfate.Unknown, carobkind.Expired},
+		"never ran": {carobjobstate.Never, carobkind.Late},
+		"running":   {carobjobstate.Running, carobkind.Expired},
+		"done":      {carobjobstate.Done, carobkind.Expired},
+		"unknown":   {carobjobstate.Unknown, carobkind.Expired},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -73,12 +73,12 @@
 			r.rest(patience)
 			r.step(carobinbox.Inbox{})
 			r.open()
-			r.verdict(1, c.fate)
+			r.fenceReply(1, c.state)
 			r.concluded(c.want)
 			require.Len(t, r.world.Outbox.Cancels, 1)
 		})
 	}
-	t.Run("no verdict", func(t *testing.T) {
+	t.Run("no reply", func(t *testing.T) {
 		r := newRig(t, carobonce.Call)
 		r.arrive(false)
 		came := r.now
@@ -100,7 +100,7 @@
 		r.rest(patience)
 		r.step(carobinbox.Inbox{})
 		r.reply(1, carobkind.Cancelled)
-		r.verdict(1, carobfate.Running)
+		r.fenceReply(1, carobjobstate.Running)
 		r.concluded(carobkind.Expired)
 	})
 	t.Run("node replaced", func(t *testing.T) {
@@ -124,9 +124,9 @@
 	r.sent(3)
 	r.reply(3, carobkind.Busy)
 	require.ElementsMatch(t, []int{1, 2}, r.fenced())
-	r.verdict(1, carobfate.Never)
+	r.fenceReply(1, carobjobstate.Never)
 	r.open()
-	r.verdict(2, carobfate.Unknown)
+	r.fenceReply(2, carobjobstate.Unknown)
 	r.concluded(carobkind.Cut)
 }
 
@@ -136,8 +136,8 @@
 	r.reply(1, carobkind.Cut)
 	r.reply(2, carobkind.Cut)
 	r.reply(3, carobkind.Busy)
-	r.verdict(1, carobfate.Never)
-	r.verdict(2, carobfate.Never)
+	r.fenceReply(1, carobjobstate.Never)
+	r.fenceReply(2, carobjobstate.Never)
 	r.concluded(carobkind.Withdrawn)
 }
 
@@ -146,24 +146,24 @@
 	r := newRig(t, carobonce.Call)
 	r.arrive(true)
 	r.reply(1, carobkind.Cut)
-	r.verdict(1, carobfate.Never)
+	r.fenceReply(1, carobjobstate.Never)
 	r.concluded(carobkind.Withdrawn)
 }
 
-// A verdict that is late or came twice changes nothing.
+// A reply that is late or came twice changes nothing.
 func TestStrayVerdicts(t *testing.T) {
 	r := newRig(t, carobonce.Call)
 	r.arrive(false)
 	r.reply(1, carobkind.Cut)
-	r.verdict(1, carobfate.Never)
+	r.fenceReply(1, carobjobstate.Never)
 	r.sent(2)
-	r.verdict(1, carobfate.Running)
-	r.verdict(7, carobfate.Never)
+	r.fenceReply(1, carobjobstate.Running)
+	r.fenceReply(7, carobjobstate.Never)
 	r.open()
 	require.Empty(t, r.world.Outbox.Sends)
 	r.reply(2, carobkind.None)
 	require.Equal(t, 2, r.world.Outbox.Conclusions[0].Attempt)
-	r.verdict(2, carobfate.Never)
+	r.fenceReply(2, carobjobstate.Never)
 	r.open()
 }
 
@@ -174,7 +174,7 @@
 		r.world.Begin(carobinbox.Inbox{})
 		carobentry.Withdraw(r.world, r.now, r.world.Calls.Get(r.call), 1)
 		require.Equal(t, []int{1}, r.fenced())
-		r.verdict(1, carobfate.Never)
+		r.fenceReply(1, carobjobstate.Never)
 		r.sent(2)
 		require.EqualValues(t, 1, r.world.BudgetOf(service).Moves)
 		require.Zero(t, r.world.BudgetOf(service).Spent)
@@ -183,7 +183,7 @@
 		r := newRig(t, carobonce.Call)
 		r.arrive(false)
 		carobentry.Withdraw(r.world, r.now, r.world.Calls.Get(r.call), 1)
-		r.verdict(1, carobfate.Running)
+		r.fenceReply(1, carobjobstate.Running)
 		require.Empty(t, r.world.Outbox.Sends)
 		r.reply(1, carobkind.None)
 		require.Equal(t, 1, r.world.Outbox.Conclusions[0].Attempt)
--- a/pkg/carobentry/rig_test.go
+++ b/pkg/carobentry/rig_test.go
@@ -10,12 +10,12 @@
 	"github.com/carobknot/carobknot/pkg/carobcallid"
 	"github.com/carobknot/carobknot/pkg/carobconclusion"
 	"github.com/carobknot/carobknot/pkg/carobentry"
-	"github.com/carobknot/carobknot/pkg/carobfate"
+	"github.com/carobknot/carobknot/pkg/carobfencereply"
 	"github.com/carobknot/carobknot/pkg/carobgroup"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
-	"github.com/carobknot/carobknot/pkg/carobjudgment"
+	"github.com/carobknot/carobknot/pkg/carobjobstate"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroblimits"
 	"github.com/carobknot/carobknot/pkg/carobmember"
@@ -109,9 +109,9 @@
 	r.step(carobinbox.Inbox{Replies: []carobreply.Reply{{Job: r.job(attempt), Kind: kind}}})
 }
 
-func (r *rig) verdict(attempt int, fate carobfate.Fate) {
+func (r *rig) fenceReply(attempt int, state carobjobstate.JobState) {
 	r.step(carobinbox.Inbox{Messages: []carobmessage.Message{
-		{Judgment: &carobjudgment.Judgment{Job: r.job(attempt), Fate: fate}},
+		{FenceReply: &carobfencereply.FenceReply{Job: r.job(attempt), State: state}},
 	}})
 }
 
--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -58,7 +58,7 @@
 		reply(w, now, rp)
 	}
 	for i := range w.Inbox.Messages {
-		listen(w, now, &w.Inbox.Messages[i])
+		receive(w, now, &w.Inbox.Messages[i])
 	}
 	for _, dl := range w.Inbox.Deliveries {
 		deliver(w, now, dl)
@@ -76,14 +76,14 @@
 		watch(w, now, cl)
 	}
 	for _, us := range w.Unsettled.All() {
-		remind(w, now, us)
+		resend(w, now, us)
 	}
 }
 
-// listen takes in what other nodes tell of calls.
-func listen(w *carobworld.World, now carobinstant.Instant, ms *carobmessage.Message) {
-	if ms.Judgment != nil {
-		hear(w, now, ms.Judgment)
+// receive takes in what other nodes tell of calls.
+func receive(w *carobworld.World, now carobinstant.Instant, ms *carobmessage.Message) {
+	if ms.FenceReply != nil {
+		takeReply(w, now, ms.FenceReply)
 	}
 	if ms.ClaimReply != nil {
 		claimed(w, now, ms.ClaimReply)
@@ -101,7 +101,7 @@
 			return
 		}
 	}
-	kind := objection(w, ar)
+	kind := refusalOf(w, ar)
 	if kind != carobkind.None {
 		refuse(w, ar, kind, 0)
 		return
@@ -147,8 +147,8 @@
 	}
 }
 
-// objection returns why a call cannot be taken in at all, or None.
-func objection(w *carobworld.World, ar carobarrival.Arrival) carobkind.Kind {
+// refusalOf returns why a call cannot be taken in at all, or None.
+func refusalOf(w *carobworld.World, ar carobarrival.Arrival) carobkind.Kind {
 	switch {
 	case w.Stopping && !servedElsewhere(w, ar.Service):
 		return carobkind.Leaving
@@ -323,7 +323,7 @@
 		conclude(w, now, cl, carobkind.NoTarget)
 		return
 	}
-	conclude(w, now, cl, verdict(cl))
+	conclude(w, now, cl, kindOfRun(cl))
 }
 
 // end tells a caller what is known of its call when the node ends. An answer that
--- a/pkg/carobfencing/system.go
+++ b/pkg/carobfencing/system.go
@@ -10,13 +10,13 @@
 
 import (
 	"github.com/carobknot/carobknot/pkg/carobcallid"
-	"github.com/carobknot/carobknot/pkg/carobfate"
 	"github.com/carobknot/carobknot/pkg/carobfence"
+	"github.com/carobknot/carobknot/pkg/carobfencereply"
 	"github.com/carobknot/carobknot/pkg/carobfinish"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobjob"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
-	"github.com/carobknot/carobknot/pkg/carobjudgment"
+	"github.com/carobknot/carobknot/pkg/carobjobstate"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobmessage"
 	"github.com/carobknot/carobknot/pkg/carobrefusal"
@@ -36,35 +36,35 @@
 func (s *System) Run(w *carobworld.World, _ carobinstant.Instant) {
 	for _, ms := range w.Inbox.Messages {
 		if fc := ms.Fence; fc != nil {
-			w.Tell(carobmessage.Message{To: ms.Back, Judgment: &carobjudgment.Judgment{Job: fc.Job, Fate: Judge(w, *fc)}})
+			w.Tell(carobmessage.Message{To: ms.Back, FenceReply: &carobfencereply.FenceReply{Job: fc.Job, State: Judge(w, *fc)}})
 		}
 	}
 }
 
 // Judge returns what became of a job. A job that has not started is refused,
 // now or when it arrives.
-func Judge(w *carobworld.World, fc carobfence.Fence) carobfate.Fate {
+func Judge(w *carobworld.World, fc carobfence.Fence) carobjobstate.JobState {
 	if fc.Incarnation != w.Self.Incarnation {
-		return carobfate.Unknown
+		return carobjobstate.Unknown
 	}
 	if jb := w.Jobs.Get(fc.Job); jb != nil {
 		if jb.Started != carobinstant.Never {
-			return carobfate.Running
+			return carobjobstate.Running
 		}
 		Withdraw(w, jb, carobkind.Withdrawn)
-		return carobfate.Never
+		return carobjobstate.Never
 	}
 	if _, ok := w.Ended.Get(fc.Job); ok {
-		return carobfate.Done
+		return carobjobstate.Done
 	}
 	if Fenced(w, fc.Job) {
-		return carobfate.Never
+		return carobjobstate.Never
 	}
 	if forgot(w, fc.Job.Call) {
-		return carobfate.Unknown
+		return carobjobstate.Unknown
 	}
 	bury(w, fc.Job)
-	return carobfate.Never
+	return carobjobstate.Never
 }
 
 // Withdraw takes a queued job out of its queue for good, and refuses it.
--- a/pkg/carobfencing/system_test.go
+++ b/pkg/carobfencing/system_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/carobknot/carobknot/pkg/carobadmission"
 	"github.com/carobknot/carobknot/pkg/carobcallid"
-	"github.com/carobknot/carobknot/pkg/carobfate"
 	"github.com/carobknot/carobknot/pkg/carobfence"
 	"github.com/carobknot/carobknot/pkg/carobfencing"
 	"github.com/carobknot/carobknot/pkg/carobfinish"
@@ -17,6 +16,7 @@
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
+	"github.com/carobknot/carobknot/pkg/carobjobstate"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroblimits"
 	"github.com/carobknot/carobknot/pkg/carobmember"
@@ -86,10 +86,10 @@
 }
 
 // fence asks over a message, as another node does.
-func (r *rig) fence(id carobjobid.ID) carobfate.Fate {
+func (r *rig) fence(id carobjobid.ID) carobjobstate.JobState {
 	fc := &carobfence.Fence{Job: id, Incarnation: life}
 	r.step(carobinbox.Inbox{Messages: []carobmessage.Message{{Back: "entry", Fence: fc}}})
-	return r.world.Outbox.Messages[0].Judgment.Fate
+	return r.world.Outbox.Messages[0].FenceReply.State
 }
 
 func (r *rig) started() int { return len(r.world.Outbox.Starts) }
@@ -97,27 +97,27 @@
 func TestFate(t *testing.T) {
 	cases := map[string]struct {
 		before func(r *rig)
-		want   carobfate.Fate
+		want   carobjobstate.JobState
 	}{
-		"never came": {func(*rig) {}, carobfate.Never},
-		"running":    {func(r *rig) { r.offer(job(2)) }, carobfate.Running},
-		"ended":      {func(r *rig) { r.run(job(2)) }, carobfate.Done},
+		"never came": {func(*rig) {}, carobjobstate.Never},
+		"running":    {func(r *rig) { r.offer(job(2)) }, carobjobstate.Running},
+		"ended":      {func(r *rig) { r.run(job(2)) }, carobjobstate.Done},
 		"queued": {func(r *rig) {
 			r.offer(job(1))
 			r.offer(job(2))
-		}, carobfate.Never},
-		"fenced before": {func(r *rig) { r.fence(job(2)) }, carobfate.Never},
+		}, carobjobstate.Never},
+		"fenced before": {func(r *rig) { r.fence(job(2)) }, carobjobstate.Never},
 		"expired in the queue": {func(r *rig) {
 			r.offer(job(1))
 			r.offer(job(2))
 			r.now = r.now.Add(patience)
 			r.step(carobinbox.Inbox{})
-		}, carobfate.Never},
+		}, carobjobstate.Never},
 		"gave up in the queue": {func(r *rig) {
 			r.offer(job(1))
 			r.offer(job(2))
 			r.finish(job(2))
-		}, carobfate.Never},
+		}, carobjobstate.Never},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -132,7 +132,7 @@
 // however often.
 func TestFenceOvertakesItsJob(t *testing.T) {
 	r := newRig(10)
-	require.Equal(t, carobfate.Never, r.fence(job(1)))
+	require.Equal(t, carobjobstate.Never, r.fence(job(1)))
 	for range 2 {
 		r.offer(job(1))
 		require.Zero(t, r.started())
@@ -147,7 +147,7 @@
 		Messages: []carobmessage.Message{{Fence: &carobfence.Fence{Job: job(1), Incarnation: life}}},
 		Offers:   []caroboffer.Offer{offer(job(1))},
 	})
-	require.Equal(t, carobfate.Never, r.world.Outbox.Messages[0].Judgment.Fate)
+	require.Equal(t, carobjobstate.Never, r.world.Outbox.Messages[0].FenceReply.State)
 	require.Zero(t, r.started())
 }
 
@@ -179,7 +179,7 @@
 func TestOtherIncarnation(t *testing.T) {
 	r := newRig(10)
 	fc := carobfence.Fence{Job: job(1), Incarnation: life - 1}
-	require.Equal(t, carobfate.Unknown, carobfencing.Judge(r.world, fc))
+	require.Equal(t, carobjobstate.Unknown, carobfencing.Judge(r.world, fc))
 }
 
 // What the bounded memories forget is never answered wrongly.
@@ -190,17 +190,17 @@
 		for sequence := range uint64(limit + 2) {
 			r.run(job(sequence + 10))
 		}
-		require.Equal(t, carobfate.Unknown, r.fence(job(10)), "it ran and was forgotten")
-		require.Equal(t, carobfate.Unknown, r.fence(job(9)), "it could have run and been forgotten")
-		require.Equal(t, carobfate.Done, r.fence(job(12)))
-		require.Equal(t, carobfate.Never, r.fence(job(99)))
+		require.Equal(t, carobjobstate.Unknown, r.fence(job(10)), "it ran and was forgotten")
+		require.Equal(t, carobjobstate.Unknown, r.fence(job(9)), "it could have run and been forgotten")
+		require.Equal(t, carobjobstate.Done, r.fence(job(12)))
+		require.Equal(t, carobjobstate.Never, r.fence(job(99)))
 		r.offer(job(8))
 		require.Equal(t, 1, r.started(), "a late first offer is no copy")
 	})
 	t.Run("tombstones", func(t *testing.T) {
 		r := newRig(limit)
 		for sequence := range uint64(limit + 2) {
-			require.Equal(t, carobfate.Never, r.fence(job(sequence+10)))
+			require.Equal(t, carobjobstate.Never, r.fence(job(sequence+10)))
 		}
 		for _, sequence := range []uint64{9, 10, 11, 12} {
 			r.offer(job(sequence))
--- a/pkg/carobfold/system.go
+++ b/pkg/carobfold/system.go
@@ -16,13 +16,13 @@
 	"time"
 
 	"github.com/carobknot/carobknot/pkg/carobchange"
+	"github.com/carobknot/carobknot/pkg/carobchangeresult"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/caroboffset"
 	"github.com/carobknot/carobknot/pkg/carobrecord"
 	"github.com/carobknot/carobknot/pkg/carobrevision"
 	"github.com/carobknot/carobknot/pkg/carobsnapshot"
 	"github.com/carobknot/carobknot/pkg/carobstream"
-	"github.com/carobknot/carobknot/pkg/carobverdict"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
@@ -168,21 +168,21 @@
 	if snapshotOf(rc) != nil || json.Unmarshal(rc.Data, &ch) != nil {
 		return
 	}
-	vd := judge(w, carobrevision.Revision{Change: ch, Offset: rc.Offset})
-	w.Outbox.Verdicts = append(w.Outbox.Verdicts, vd)
+	cr := judge(w, carobrevision.Revision{Change: ch, Offset: rc.Offset})
+	w.Outbox.ChangeResults = append(w.Outbox.ChangeResults, cr)
 }
 
 // judge brings a change into force if its base is the revision in force.
-func judge(w *carobworld.World, rv carobrevision.Revision) carobverdict.Verdict {
+func judge(w *carobworld.World, rv carobrevision.Revision) carobchangeresult.ChangeResult {
 	name := rv.Change.Profile.Name
-	vd := carobverdict.Verdict{Change: rv.Change, Offset: rv.Offset}
-	vd.Before.Offset = caroboffset.None
+	cr := carobchangeresult.ChangeResult{Change: rv.Change, Offset: rv.Offset}
+	cr.Before.Offset = caroboffset.None
 	if old := w.Profiles.Get(name); old != nil {
-		vd.Before = *old
+		cr.Before = *old
 	}
-	vd.Won = rv.Change.Profile.Base == vd.Before.Offset && w.Profiles.Put(name, rv) != nil
-	if vd.Won {
+	cr.Won = rv.Change.Profile.Base == cr.Before.Offset && w.Profiles.Put(name, rv) != nil
+	if cr.Won {
 		audit(w, rv)
 	}
-	return vd
+	return cr
 }
--- a/pkg/carobfold/system_test.go
+++ b/pkg/carobfold/system_test.go
@@ -83,9 +83,9 @@
 	n.read(change(0, "rota", -1), change(1, "rota", 0), change(2, "rota", 0), change(3, "rota", -1))
 	require.Equal(t, map[carobword.Word]caroboffset.Offset{"rota": 1}, n.inForce())
 	require.EqualValues(t, 3, n.world.ProfilesRead)
-	vd := n.world.Outbox.Verdicts[2]
-	require.False(t, vd.Won)
-	require.EqualValues(t, 1, vd.Before.Offset)
+	cr := n.world.Outbox.ChangeResults[2]
+	require.False(t, cr.Won)
+	require.EqualValues(t, 1, cr.Before.Offset)
 	require.Len(t, n.world.Outbox.Audits, 2, "one entry in the audit trail for each change in force")
 }
 
--- a/pkg/carobmessage/message.go
+++ b/pkg/carobmessage/message.go
@@ -9,10 +9,10 @@
 	"github.com/carobknot/carobknot/pkg/carobclaimreply"
 	"github.com/carobknot/carobknot/pkg/carobdigest"
 	"github.com/carobknot/carobknot/pkg/carobfence"
+	"github.com/carobknot/carobknot/pkg/carobfencereply"
 	"github.com/carobknot/carobknot/pkg/carobfetch"
 	"github.com/carobknot/carobknot/pkg/carobgossip"
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
-	"github.com/carobknot/carobknot/pkg/carobjudgment"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/carobpoll"
 	"github.com/carobknot/carobknot/pkg/carobprobe"
@@ -58,8 +58,8 @@
 
 	// Fence asks what became of a job.
 	Fence *carobfence.Fence `json:"fence,omitempty"`
-	// Judgment answers a fence.
-	Judgment *carobjudgment.Judgment `json:"judgment,omitempty"`
+	// FenceReply answers a fence.
+	FenceReply *carobfencereply.FenceReply `json:"fencereply,omitempty"`
 	// Claim asks the home of a key for it; ClaimReply answers.
 	Claim      *carobclaim.Claim      `json:"claim,omitempty"`
 	ClaimReply *carobclaimreply.Reply `json:"claimreply,omitempty"`
--- a/pkg/caroboutbox/outbox.go
+++ b/pkg/caroboutbox/outbox.go
@@ -4,6 +4,7 @@
 import (
 	"github.com/carobknot/carobknot/pkg/carobappend"
 	"github.com/carobknot/carobknot/pkg/carobaudit"
+	"github.com/carobknot/carobknot/pkg/carobchangeresult"
 	"github.com/carobknot/carobknot/pkg/carobcheck"
 	"github.com/carobknot/carobknot/pkg/carobcommit"
 	"github.com/carobknot/carobknot/pkg/carobconclusion"
@@ -16,7 +17,6 @@
 	"github.com/carobknot/carobknot/pkg/carobreport"
 	"github.com/carobknot/carobknot/pkg/carobsend"
 	"github.com/carobknot/carobknot/pkg/carobstart"
-	"github.com/carobknot/carobknot/pkg/carobverdict"
 )
 
 // Outbox has one queue for each kind of effect. Systems append; the traffic
@@ -28,8 +28,8 @@
 	// Membership and the log.
 
 	Appends []carobappend.Append
-	// Verdicts say what became of the changes of profiles that were folded in.
-	Verdicts []carobverdict.Verdict
+	// ChangeResults say what became of the changes of profiles that were folded in.
+	ChangeResults []carobchangeresult.ChangeResult
 	// Following says whether this node follows the operator's records from now on.
 	Following bool
 	// Stopped says that a graceful shutdown is complete.
--- a/test/fuzz/mutations_test.go
+++ b/test/fuzz/mutations_test.go
@@ -7,11 +7,11 @@
 	"github.com/carobknot/carobknot/pkg/carobchange"
 	"github.com/carobknot/carobknot/pkg/carobclaimbatch"
 	"github.com/carobknot/carobknot/pkg/carobconclusion"
-	"github.com/carobknot/carobknot/pkg/carobfate"
+	"github.com/carobknot/carobknot/pkg/carobfencereply"
 	"github.com/carobknot/carobknot/pkg/carobfinish"
 	"github.com/carobknot/carobknot/pkg/carobgrant"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
-	"github.com/carobknot/carobknot/pkg/carobjudgment"
+	"github.com/carobknot/carobknot/pkg/carobjobstate"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroblimits"
 	"github.com/carobknot/carobknot/pkg/caroboffset"
@@ -48,12 +48,12 @@
 	}
 }
 
-// judged changes the verdicts that a node sends.
-func judged(change func(n *node, jd *carobjudgment.Judgment)) func(*node, *carobinbox.Inbox, *caroboutbox.Outbox) {
+// withReplies changes the fence replies that a node sends.
+func withReplies(change func(n *node, fr *carobfencereply.FenceReply)) func(*node, *carobinbox.Inbox, *caroboutbox.Outbox) {
 	return func(n *node, _ *carobinbox.Inbox, out *caroboutbox.Outbox) {
 		for _, ms := range out.Messages {
-			if ms.Judgment != nil {
-				change(n, ms.Judgment)
+			if ms.FenceReply != nil {
+				change(n, ms.FenceReply)
 			}
 		}
 	}
@@ -88,10 +88,10 @@
 			}
 		}
 	}},
-	{name: "fence without looking", decide: judged(func(_ *node, jd *carobjudgment.Judgment) { jd.Fate = carobfate.Never })},
-	{name: "take unknown for never", only: replaced, decide: judged(func(_ *node, jd *carobjudgment.Judgment) {
-		if jd.Fate == carobfate.Unknown {
-			jd.Fate = carobfate.Never
+	{name: "fence without looking", decide: withReplies(func(_ *node, fr *carobfencereply.FenceReply) { fr.State = carobjobstate.Never })},
+	{name: "take unknown for never", only: replaced, decide: withReplies(func(_ *node, fr *carobfencereply.FenceReply) {
+		if fr.State == carobjobstate.Unknown {
+			fr.State = carobjobstate.Never
 		}
 	})},
 	{name: "ignore a fence's incarnation", only: replaced, hear: func(n *node, in *carobinbox.Inbox) {
