Hold no read of the store for long

Change: a follower's read is held for 0.75 s times the number of data centres, spread by half, so that some follower looks anew every 0.75 s, whatever their number. Ruled out: the offset to read from (right in the log), an unreadable record, a lost node.

--- a/internal/carobfollower/follower.go
+++ b/internal/carobfollower/follower.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -32,8 +33,6 @@
 }
 
 const (
-	// wait is how long the store holds a read that finds nothing.
-	wait = 10 * time.Second
 	// The time between two tries of a failing read grows from the first to the last.
 	firstPause, lastPause = 150 * time.Millisecond, time.Second
 	// enough is how many reads in a row fail before the node counts as blind.
@@ -50,6 +49,8 @@
 	// it does not any more, and is nil while there is none.
 	following bool
 	stop      context.CancelFunc
+	// hold is how long a read may be held on average.
+	hold time.Duration
 	// rung holds one element while following has changed.
 	rung chan struct{}
 	// failures counts the reads that failed in a row.
@@ -66,6 +67,7 @@
 func (f *Follower) Carry(out *caroboutbox.Outbox) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	f.hold = out.Hold
 	if f.following == out.Following {
 		return
 	}
@@ -116,12 +118,11 @@
 func (f *Follower) read(cx context.Context) {
 	inner, cancel := context.WithCancel(cx)
 	defer cancel()
-	hold := wait
+	hold := time.Duration(0)
 	f.mutex.Lock()
 	if f.following {
 		f.stop = cancel
-	} else {
-		hold = 0
+		hold = spread(f.hold)
 	}
 	f.mutex.Unlock()
 	rs, err := f.config.Source.Routes(inner, hold)
@@ -140,6 +141,12 @@
 	}
 }
 
+// spread returns a time between half and one and a half of d, so that reads that
+// began together, at the same change, do not end together.
+func spread(d time.Duration) time.Duration {
+	return d/2 + rand.N(d+1) //nolint:gosec // it need not be secret
+}
+
 // judge tells the control goroutine when the store is lost or back.
 func (f *Follower) judge(err error) {
 	f.failures++
--- a/internal/carobfollower/follower_test.go
+++ b/internal/carobfollower/follower_test.go
@@ -48,8 +48,11 @@
 		Source: sc, Mailbox: mailbox, Timer: timer, Logger: logrus.NewEntry(logger),
 	})
 	go f.Run(t.Context())
-	f.Carry(&caroboutbox.Outbox{Following: true})
-	require.Positive(t, <-sc.reads, "a follower waits for what is new")
+	const hold = time.Second
+	f.Carry(&caroboutbox.Outbox{Following: true, Hold: hold})
+	held := <-sc.reads
+	require.GreaterOrEqual(t, held, hold/2, "a follower waits for what is new")
+	require.LessOrEqual(t, held, hold*3/2, "but not for long")
 	sc.answers <- nil
 	require.True(t, mailbox.Await(t.Context()))
 	require.Len(t, mailbox.Take().Routes, 1)
--- a/pkg/carobfollowing/system.go
+++ b/pkg/carobfollowing/system.go
@@ -5,17 +5,33 @@
 // there and can read the store. All nodes work that out alike from what they
 // know of each other, without a vote. A node that cannot read says so in its
 // word, and the next one follows; two at once do no harm.
+//
+// A read that the store holds until something comes may miss it: seen when the
+// store had been slow, for all followers at once. So no read is held for long, and
+// the followers' reads end at different times; what one finds all others hear of.
 package carobfollowing
 
 import (
+	"time"
+
+	"github.com/carobknot/carobknot/pkg/carobcentre"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobpeer"
 	"github.com/carobknot/carobknot/pkg/carobstanding"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
+// fresh is the mean time between the beginnings of two reads, of all followers
+// together.
+const fresh = 750 * time.Millisecond
+
 // System decides whether this node follows.
-type System struct{}
+type System struct {
+	// centres counts the data centres as of the change of Peers that counted is one
+	// more than.
+	centres int
+	counted uint64
+}
 
 // NewSystem returns the system.
 func NewSystem() *System {
@@ -32,6 +48,24 @@
 	}
 	// A node that knows no routes looks for them itself, whoever else does.
 	w.Outbox.Following = !w.Stopping && (w.Routes == nil || first(w))
+	if w.Outbox.Following {
+		w.Outbox.Hold = fresh * time.Duration(s.followers(w))
+	}
+}
+
+// followers returns how many nodes follow, one in each data centre.
+func (s *System) followers(w *carobworld.World) int {
+	if s.counted == w.PeerChanges+1 {
+		return s.centres
+	}
+	centres := map[carobcentre.Centre]struct{}{w.Self.Centre: {}}
+	for _, pr := range w.Peers.All() {
+		if pr.Member.Standing == carobstanding.Alive {
+			centres[pr.Member.Centre] = struct{}{}
+		}
+	}
+	s.centres, s.counted = len(centres), w.PeerChanges+1
+	return s.centres
 }
 
 // first reports whether no other node of the data centre comes before this one.
--- a/pkg/carobfollowing/system_test.go
+++ b/pkg/carobfollowing/system_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -63,7 +64,27 @@
 			w.Begin(in)
 			carobfollowing.NewSystem().Run(w, 1)
 			require.Equal(t, c.follows, w.Outbox.Following)
+			require.Equal(t, c.follows, w.Outbox.Hold > 0)
 			require.Equal(t, c.blind, w.Self.Beat != beat, "blindness is news to others")
 		})
 	}
 }
+
+// Reads of all followers together begin as often whatever their number is.
+func TestMoreFollowersHoldTheirReadsForLonger(t *testing.T) {
+	hold := func(centres ...carobcentre.Centre) time.Duration {
+		w := carobworld.NewWorld(carobworld.Config{Self: carobmember.Member{Node: "a", Centre: "x"}, Limits: caroblimits.NewLimits()})
+		for i, centre := range centres {
+			node := carobnodeid.ID("b" + string(rune('a'+i)))
+			w.Peers.Put(node, carobpeer.Peer{Member: carobmember.Member{Node: node, Centre: centre}})
+		}
+		w.Begin(carobinbox.Inbox{})
+		carobfollowing.NewSystem().Run(w, 1)
+		return w.Outbox.Hold
+	}
+	alone := hold()
+	require.Positive(t, alone)
+	require.LessOrEqual(t, alone, time.Second)
+	require.Equal(t, alone, hold("x", "x"))
+	require.Equal(t, 3*alone, hold("x", "y", "z", "y"))
+}
--- a/pkg/caroboutbox/outbox.go
+++ b/pkg/caroboutbox/outbox.go
@@ -2,6 +2,8 @@
 package caroboutbox
 
 import (
+	"time"
+
 	"github.com/carobknot/carobknot/pkg/carobappend"
 	"github.com/carobknot/carobknot/pkg/carobaudit"
 	"github.com/carobknot/carobknot/pkg/carobchangeresult"
@@ -32,6 +34,8 @@
 	ChangeResults []carobchangeresult.ChangeResult
 	// Following says whether this node follows the operator's records from now on.
 	Following bool
+	// Hold is how long the store may hold a follower's read that finds nothing.
+	Hold time.Duration
 	// Stopped says that a graceful shutdown is complete.
 	Stopped bool
 
