--- a/pkg/carobadmission/slowness.go
+++ b/pkg/carobadmission/slowness.go
@@ -27,7 +27,7 @@
 	wordAge     = 10 * time.Millisecond
 	slowWordAge = 20 * time.Millisecond
 	// lasting is how long a VM is slow without a break until that is usual for it.
-	lasting = 250 * time.Millisecond
+	lasting = time.Second
 	// gap is the longest time between two words that tell of the time between them.
 	gap = 100 * time.Millisecond
 	// checkPatience is how long a job waits for the answer to a health check.
