--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -97,19 +97,19 @@
 	var rt *carobroute.Route
 	if ar.Service == "" {
 		if rt = lookUp(w, &ar); rt == nil {
-			refuse(w, ar, unrouted(w), 0)
+			refuse(w, now, ar, unrouted(w), 0)
 			return
 		}
 	}
 	kind := refusalOf(w, ar)
 	if kind != carobkind.None {
-		refuse(w, ar, kind, 0)
+		refuse(w, now, ar, kind, 0)
 		return
 	}
 	cl := newCall(w, now, ar, rt)
 	if w.Ending.Before(cl.Deadline) {
 		// It may not have its answer when the node ends, and elsewhere it will.
-		refuse(w, ar, carobkind.Leaving, comeBack(w, &cl, carobkind.Leaving))
+		refuse(w, now, ar, carobkind.Leaving, comeBack(w, &cl, carobkind.Leaving))
 		return
 	}
 	w.EarnRetry(ar.Service)
@@ -383,12 +383,15 @@
 
 // refuse turns away a call that was not taken in. After is when it may come back; 0
 // is what the kind says.
-func refuse(w *carobworld.World, ar carobarrival.Arrival, kind carobkind.Kind, after time.Duration) {
+func refuse(w *carobworld.World, now carobinstant.Instant, ar carobarrival.Arrival, kind carobkind.Kind, after time.Duration) {
 	w.Outbox.Conclusions = append(w.Outbox.Conclusions, carobconclusion.Conclusion{Call: ar.Call, Kind: kind, After: after})
+	inputs := []carobinput.Input{
+		{Name: "routes", Value: float64(w.RoutesVersion())}, {Name: "services", Value: float64(w.Groups.Len())},
+	}
+	if w.Ending != carobinstant.Never {
+		inputs = append(inputs, carobinput.Input{Name: "endsms", Value: float64(w.Ending.Sub(now).Milliseconds())})
+	}
 	w.Decide(carobdecision.Decision{
-		Part: "entry", Text: "call turned away", Request: ar.Request, Call: ar.Call, Kind: kind,
-		Inputs: []carobinput.Input{
-			{Name: "routes", Value: float64(w.RoutesVersion())}, {Name: "services", Value: float64(w.Groups.Len())},
-		},
+		Part: "entry", Text: "call turned away", Request: ar.Request, Call: ar.Call, Kind: kind, Inputs: inputs,
 	})
 }
--- a/test/fuzz/fuzz_test.go
+++ b/test/fuzz/fuzz_test.go
@@ -78,6 +78,9 @@
 	resubmit bool
 	// patient callers give the profile's deadline.
 	patient bool
+	// checked has targets tell how slow their VMs are, and nodes that stop know when
+	// they end.
+	checked bool
 }
 
 // play runs one simulation through actions that rapid picks, ends all faults
@@ -154,6 +157,14 @@
 	require.Zero(t, c.tally.Unknown, "calls were cut")
 }
 
+// Jobs wait for VMs that are slow, or move; health checks are lost, late and wrong;
+// nodes that end take nothing that they may have to cut.
+func TestHealthChecks(t *testing.T) {
+	var c count
+	rapid.Check(t, func(rt *rapid.T) { play(rt, plan{checked: true}, &c) })
+	t.Log(c.String())
+}
+
 // New seeds for as long as asked, one rapid check after the other.
 func TestLong(t *testing.T) {
 	if *long == 0 {
@@ -165,8 +176,11 @@
 		seed := strconv.FormatInt(time.Now().UnixNano(), 10) //nolint:forbidigo // a new seed
 		require.NoError(t, flag.Set("rapid.seed", seed))
 		name, p := "TestFaults", plan{}
-		if round%2 == 1 {
+		switch round % 3 {
+		case 1:
 			name, p = "TestKeys", plan{resubmit: true}
+		case 2:
+			name, p = "TestHealthChecks", plan{checked: true}
 		}
 		ok := t.Run("seed="+seed, func(t *testing.T) {
 			rapid.Check(t, func(rt *rapid.T) { play(rt, p, &c) })
--- a/test/fuzz/node_test.go
+++ b/test/fuzz/node_test.go
@@ -103,8 +103,12 @@
 			Region: "bavaria", Centre: "west", Peer: peerAddress(place),
 		},
 	}
+	measure := carobmeasure.NewMeasure()
+	if s.plan.checked {
+		measure.Checks = checks
+	}
 	n.core = carobcore.NewCore(carobcore.Config{
-		World: carobworld.Config{Self: n.self, Limits: caroblimits.NewLimits(), Measure: carobmeasure.NewMeasure(), Seed: s.random.Uint64()},
+		World: carobworld.Config{Self: n.self, Limits: caroblimits.NewLimits(), Measure: measure, Seed: s.random.Uint64()},
 		Seeds: []carobaddress.Address{peerAddress(0), peerAddress(1)},
 	})
 	s.nodes[place] = n
@@ -264,6 +268,9 @@
 	n.carryJobs(out)
 	n.carryCalls(out)
 	n.carryClaims(out)
+	for _, ck := range out.Checks {
+		n.check(ck)
+	}
 	for _, ms := range out.Messages {
 		n.s.carry(n.place, ms)
 	}
@@ -293,7 +300,11 @@
 func (n *node) stop() {
 	n.stopping = true
 	n.s.parted[link{n.place, n.place}] = n.s.elapsed()
-	n.post(func(in *carobinbox.Inbox) { in.Stop = true })
+	n.post(func(in *carobinbox.Inbox) {
+		if in.Stop = true; n.s.plan.checked {
+			in.Ending = n.clock().Add(ending)
+		}
+	})
 }
 
 // tail follows a stream of the log.
