--- a/pkg/carobadmission/limit.go
+++ b/pkg/carobadmission/limit.go
@@ -17,7 +17,7 @@
 	// for, while such come, and awaitedFor how long after the newest that is.
 	keptPart   = 1.0 / 6
 	awaitedFor = 2 * time.Second
-	// fresh is how long a target's word of its slowness counts.
+	// fresh is how long a reading of the slowness counts.
 	fresh = 300 * time.Millisecond
 )
 
--- a/pkg/carobadmission/slowness.go
+++ b/pkg/carobadmission/slowness.go
@@ -15,33 +15,34 @@
 // A VM whose neighbours take its processor for a moment is several times slower,
 // and a job that starts then stays slow to its end, long after the moment is over.
 // So a target whose VM is slow starts nothing, and its jobs wait until the moment is
-// over, which costs them less. The target's word of it is soon out of date, and is
+// over, which costs them less. What the target says of it is soon out of date, and is
 // asked for anew before a job starts.
 //
 // A VM that stays slow is another matter: to wait for it helps nobody. Slowness that
 // lasts becomes what is usual for the target.
 
 const (
-	// wordAge is how long a target's word that it is as fast as usual holds for a
-	// start, and slowWordAge one that it is not.
-	wordAge     = 10 * time.Millisecond
-	slowWordAge = 20 * time.Millisecond
+	// readingAge is how long a reading that the VM is as fast as usual holds for a start,
+	// and slowReadingAge one that it is not.
+	readingAge     = 10 * time.Millisecond
+	slowReadingAge = 20 * time.Millisecond
 	// lasting is how long a VM is slow without a break until that is usual for it.
 	lasting = time.Second
-	// gap is the longest time between two words that tell of the time between them.
+	// gap is the longest time between two readings that tell of the time between them.
 	gap = 100 * time.Millisecond
 	// checkPatience is how long a job waits for the answer to a health check.
 	checkPatience = 25 * time.Millisecond
-	// muteFor is how long a target is not asked that did not answer, and quietFor one
+	// unansweredPause is how long a target is not asked that did not answer, and
+	// untoldPause one
 	// that answered and did not tell.
-	muteFor  = 200 * time.Millisecond
-	quietFor = 10 * time.Second
+	unansweredPause = 200 * time.Millisecond
+	untoldPause     = 10 * time.Second
 	// burst is the part of a second's checks that may come at once.
 	burst = 0.25
 )
 
-// hear takes in what came of a health check.
-func hear(w *carobworld.World, now carobinstant.Instant, hl carobhealth.Health) {
+// takeHealth takes in what came of a health check.
+func takeHealth(w *carobworld.World, now carobinstant.Instant, hl carobhealth.Health) {
 	gt := w.Gates.Get(hl.Target)
 	if gt == nil {
 		return
@@ -49,19 +50,19 @@
 	gt.Asked = carobinstant.Never
 	switch {
 	case hl.Pressure == nil:
-		gt.Mute = now.Add(muteFor)
+		gt.QuietUntil = now.Add(unansweredPause)
 		return
 	case hl.Pressure.Slowness == 0:
-		gt.Mute = now.Add(quietFor)
+		gt.QuietUntil = now.Add(untoldPause)
 		return
 	}
-	tell(gt, now, hl.Pressure.Slowness)
+	takeReading(gt, now, hl.Pressure.Slowness)
 	gt.Limit = limit(gt, now)
 	gt.Changed = true
 }
 
-// tell takes in a target's word of how slow its VM is.
-func tell(gt *carobgate.Gate, now carobinstant.Instant, slowness float64) {
+// takeReading takes in a reading of how slow a target's VM is.
+func takeReading(gt *carobgate.Gate, now carobinstant.Instant, slowness float64) {
 	before := gt.Told
 	gt.Slowness, gt.Told = slowness, now
 	switch {
@@ -77,7 +78,7 @@
 	}
 }
 
-// slower reports whether the newest word is of a VM that is slower than usual.
+// slower reports whether the VM was slower than usual by the newest reading.
 func slower(gt *carobgate.Gate) bool {
 	return gt.Slowness > slow*max(1, gt.Usual)
 }
@@ -86,13 +87,13 @@
 // it asked if that is not known. What cannot be known holds nothing up.
 func mayStart(w *carobworld.World, now carobinstant.Instant, tg *carobtarget.Target, gt *carobgate.Gate) bool {
 	rate := float64(w.Measure.Checks)
-	if rate == 0 || now.Before(gt.Mute) && gt.Mute != carobinstant.Never {
+	if rate == 0 || gt.QuietUntil != carobinstant.Never && !gt.QuietUntil.Reached(now) {
 		return true
 	}
-	if gt.Told != carobinstant.Never && !slower(gt) && now.Sub(gt.Told) < wordAge {
+	if gt.Told != carobinstant.Never && !slower(gt) && now.Sub(gt.Told) < readingAge {
 		return true
 	}
-	if until := gt.Told.Add(slowWordAge); slower(gt) && !until.Reached(now) {
+	if until := gt.Told.Add(slowReadingAge); slower(gt) && !until.Reached(now) {
 		w.WakeAt(until)
 		return false
 	}
@@ -103,7 +104,7 @@
 	}
 	gt.Checks.Fill(now, rate, burst*rate)
 	if !gt.Checks.Spend(1) {
-		w.WakeAt(now.Add(slowWordAge))
+		w.WakeAt(now.Add(slowReadingAge))
 		return !slower(gt) || now.Sub(gt.Told) >= gap
 	}
 	gt.Asked = now
@@ -115,7 +116,7 @@
 // moveOn refuses the queued jobs that another target may run sooner than one whose VM
 // is slow now.
 func moveOn(w *carobworld.World, now carobinstant.Instant, id carobtargetid.ID, gt *carobgate.Gate) {
-	if w.Measure.Checks == 0 || !slower(gt) || now.Sub(gt.Told) > slowWordAge {
+	if w.Measure.Checks == 0 || !slower(gt) || now.Sub(gt.Told) > slowReadingAge {
 		return
 	}
 	for _, jb := range w.Jobs.All() {
--- a/pkg/carobadmission/slowness_test.go
+++ b/pkg/carobadmission/slowness_test.go
@@ -45,13 +45,13 @@
 func TestJobStartsOnceTheVMIsKnownToBeAsUsual(t *testing.T) {
 	r := newCheckedRig(4, 4)
 	r.offer(wish(1, usualSlo))
-	require.Empty(t, r.world.Outbox.Starts, "the last word is a second old")
+	require.Empty(t, r.world.Outbox.Starts, "the last reading is a second old")
 	require.Len(t, r.world.Outbox.Checks, 1)
 	r.offer(wish(1, usualSlo))
 	require.Empty(t, r.world.Outbox.Checks, "one check answers for all")
 	require.Equal(t, 2, r.health(1))
 	r.offer(wish(1, usualSlo))
-	require.Len(t, r.world.Outbox.Starts, 1, "the word is new")
+	require.Len(t, r.world.Outbox.Starts, 1, "the reading is new")
 	require.Empty(t, r.world.Outbox.Checks)
 }
 
@@ -61,7 +61,7 @@
 	for range 3 {
 		require.Zero(t, r.health(5))
 		r.wake(t)
-		require.Len(t, r.world.Outbox.Checks, 1, "asked anew once the word is old")
+		require.Len(t, r.world.Outbox.Checks, 1, "asked anew once the reading is old")
 	}
 	require.Equal(t, 1, r.health(1))
 }
@@ -164,7 +164,7 @@
 	require.Equal(t, gone, r.world.Outbox.Refusals[0].Job)
 	require.Equal(t, carobkind.Busy, r.world.Outbox.Refusals[0].Kind)
 	r.offer(movable)
-	require.Len(t, r.world.Outbox.Refusals, 1, "refused at once while the word is new")
+	require.Len(t, r.world.Outbox.Refusals, 1, "refused at once while the reading is new")
 	r.wake(t)
 	require.Equal(t, 1, r.health(1), "the one that stayed")
 }
--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -41,7 +41,7 @@
 		withdrawAll(w)
 	}
 	for _, hl := range w.Inbox.Healths {
-		hear(w, now, hl)
+		takeHealth(w, now, hl)
 	}
 	for _, of := range w.Inbox.Offers {
 		offer(w, now, of)
@@ -172,7 +172,7 @@
 	gt.Running--
 	gt.Changed = true
 	if ps := fn.Pressure; ps != nil {
-		tell(gt, now, ps.Slowness)
+		takeReading(gt, now, ps.Slowness)
 	}
 	gt.Limit = limit(gt, now)
 	learn(gt, jb.Started, now)
--- a/pkg/carobgate/gate.go
+++ b/pkg/carobgate/gate.go
@@ -23,19 +23,19 @@
 	// Latency is the estimated time that the target takes over a call.
 	Latency time.Duration
 	// Slowness is how much longer than usual work takes on the VM, by the target's
-	// newest word, which is of Told; 1 is as usual.
+	// newest reading, which is of Told; 1 is as usual.
 	Slowness float64
 	Told     carobinstant.Instant
 	// Usual is the Slowness that lasts; 0 is that of a VM as usual.
 	Usual float64
-	// SlowSince is since when all words were of more than that, and SlowLeast the
+	// SlowSince is since when all readings were above that, and SlowLeast the
 	// least of them; Never if the newest was not.
 	SlowSince carobinstant.Instant
 	SlowLeast float64
 	// Asked is when the health check was ordered that is under way; Never if none is.
 	Asked carobinstant.Instant
-	// Mute is until when the target is not asked, since it did not answer.
-	Mute carobinstant.Instant
+	// QuietUntil is until when the target is not asked, since it did not answer.
+	QuietUntil carobinstant.Instant
 	// Checks is the budget of health checks.
 	Checks carobbucket.Bucket
 	// Awaited is when the newest job came that another call waits for; Never before the
