Show which route table each node has, and each failed read of the store

Change: a gauge carobknot_routes, and a log line for each failed read with its hold and its duration; the poller's backoff bounds their rate. No decision changes. Unit tests of the meter, the poller and the route sync pass.

--- a/internal/carobmeter/meter.go
+++ b/internal/carobmeter/meter.go
@@ -13,6 +13,7 @@
 
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
+	"github.com/carobknot/carobknot/pkg/carobrouteversion"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 )
 
@@ -30,6 +31,8 @@
 	refusals  map[carobkind.Kind]tally.Counter
 	byTarget  map[carobtargetid.ID]targetGauges
 	durations map[string]tally.Histogram
+	// routes is the version of the route table in force.
+	routes tally.Gauge
 }
 
 // targetGauges are the gauges of one target.
@@ -49,6 +52,7 @@
 		Prefix: "carobknot", CachedReporter: m.reporter, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
 	}, flushInterval)
+	m.routes = m.scope.Gauge("routes")
 	return m
 }
 
@@ -80,6 +84,9 @@
 	for i := range out.Hops {
 		m.histogram(out.Hops[i].Role).RecordDuration(out.Hops[i].Duration.Duration())
 	}
+	if out.RoutesVersion != carobrouteversion.None {
+		m.routes.Update(float64(out.RoutesVersion))
+	}
 	m.add("attempts", len(out.Sends))
 	m.add("starts", len(out.Starts))
 	m.add("checks", len(out.HealthChecks))
--- a/internal/carobmeter/meter_test.go
+++ b/internal/carobmeter/meter_test.go
@@ -20,15 +20,16 @@
 	meter := NewMeter()
 	for range 2 {
 		meter.Execute(&caroboutbox.Outbox{
-			Conclusions: []carobconclusion.Conclusion{{Kind: carobkind.Busy}, {}},
-			Reports:     []carobreport.Report{{Target: carobtargetid.ID{Service: "lookups", Name: "a"}, Running: 7}},
+			Conclusions:   []carobconclusion.Conclusion{{Kind: carobkind.Busy}, {}},
+			Reports:       []carobreport.Report{{Target: carobtargetid.ID{Service: "lookups", Name: "a"}, Running: 7}},
+			RoutesVersion: 42,
 		})
 	}
 	require.NoError(t, meter.Close())
 	recorder := httptest.NewRecorder()
 	meter.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", http.NoBody))
 	for _, line := range []string{
-		`carobknot_calls{kind="busy"} 2`, `carobknot_calls{kind="none"} 2`, `carobknot_running{service="lookups",target="a"} 7`,
+		`carobknot_calls{kind="busy"} 2`, `carobknot_calls{kind="none"} 2`, `carobknot_running{service="lookups",target="a"} 7`, `carobknot_routes 42`,
 	} {
 		require.Contains(t, recorder.Body.String(), line+"\n")
 	}
--- a/internal/carobroutepoller/routepoller.go
+++ b/internal/carobroutepoller/routepoller.go
@@ -13,6 +13,7 @@
 	"github.com/carobknot/carobknot/internal/carobmailbox"
 	"github.com/carobknot/carobknot/internal/carobtimer"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobroutetable"
 )
@@ -132,6 +133,7 @@
 		wait = withJitter(p.meanWait)
 	}
 	p.mutex.Unlock()
+	startedAt := p.config.Timer.Now()
 	routes, err := p.config.Source.AwaitRoutes(inner, wait)
 	p.mutex.Lock()
 	p.cancel = nil
@@ -139,6 +141,9 @@
 	if inner.Err() != nil {
 		return
 	}
+	if err != nil {
+		p.logFailure(err, wait, startedAt)
+	}
 	p.updateState(err)
 	if routes != nil {
 		p.config.Mailbox.Post(func(in *carobinbox.Inbox) { in.RouteTables = append(in.RouteTables, routes) })
@@ -148,6 +153,13 @@
 	}
 }
 
+// logFailure logs a failed read. Every one is logged, because the backoff limits their rate.
+func (p *RoutePoller) logFailure(err error, wait time.Duration, startedAt carobinstant.Instant) {
+	p.config.Logger.WithError(err).WithFields(logrus.Fields{
+		"heldms": wait.Milliseconds(), "tookms": p.config.Timer.Now().Sub(startedAt).Milliseconds(),
+	}).Info("store: read of route tables failed")
+}
+
 // withJitter returns a random duration from d/2 to 3d/2. Reads of many nodes begin
 // together when the tables change; the jitter keeps them from ending together.
 func withJitter(d time.Duration) time.Duration {
--- a/pkg/caroboutbox/outbox.go
+++ b/pkg/caroboutbox/outbox.go
@@ -16,6 +16,7 @@
 	"github.com/carobknot/carobknot/pkg/carobrefusal"
 	"github.com/carobknot/carobknot/pkg/carobreport"
 	"github.com/carobknot/carobknot/pkg/carobretriedappend"
+	"github.com/carobknot/carobknot/pkg/carobrouteversion"
 	"github.com/carobknot/carobknot/pkg/carobsend"
 	"github.com/carobknot/carobknot/pkg/carobstart"
 	"github.com/carobknot/carobknot/pkg/carobsubscription"
@@ -37,6 +38,8 @@
 	// LongPollTimeout is how long the store may hold open a long-poll read that finds
 	// nothing new. It is set only if ReadingStore is true.
 	LongPollTimeout time.Duration
+	// RoutesVersion is the version of the route table in force; None if there is no table.
+	RoutesVersion carobrouteversion.Version
 	// Stopped is true when a graceful shutdown is complete.
 	Stopped bool
 
