Keep a route table whose read was cancelled

Cause: a node that stops being its data centre's reader cancels its read. If the store had responded by then, the poller dropped the table, and the store's client, which returns each version once, never returned it again. Now a read that succeeded is used, cancelled or not.

Test: TestTableOfACancelledReadIsKept failed before (no table within 10 s), passes now.

--- a/internal/carobroutepoller/routepoller.go
+++ b/internal/carobroutepoller/routepoller.go
@@ -138,7 +138,7 @@
 	p.mutex.Lock()
 	p.cancel = nil
 	p.mutex.Unlock()
-	if inner.Err() != nil {
+	if err != nil && inner.Err() != nil {
 		return
 	}
 	if err != nil {
--- a/internal/carobroutepoller/routepoller_test.go
+++ b/internal/carobroutepoller/routepoller_test.go
@@ -82,3 +82,32 @@
 	poller.Execute(&caroboutbox.Outbox{ReadingStore: true})
 	<-routeSource.reads
 }
+
+// Guards against a table that is lost since its read was cancelled after the store had responded; the source returns it only once.
+func TestTableOfACancelledReadIsKept(t *testing.T) {
+	table, err := carobroutetable.NewRouteTable(1, nil)
+	require.NoError(t, err)
+	timer, mailbox := carobtimer.NewTimer(), carobmailbox.NewMailbox()
+	go timer.Run(t.Context())
+	logger, _ := test.NewNullLogger()
+	var poller *carobroutepoller.RoutePoller
+	source := sourceFunc(func(ctx context.Context) (*carobroutetable.RouteTable, error) {
+		poller.Execute(&caroboutbox.Outbox{})
+		<-ctx.Done()
+		return table, nil
+	})
+	poller = carobroutepoller.NewRoutePoller(carobroutepoller.Config{Source: source, Mailbox: mailbox, Timer: timer, Logger: logrus.NewEntry(logger)})
+	poller.Execute(&caroboutbox.Outbox{ReadingStore: true, LongPollTimeout: time.Second})
+	go poller.Run(t.Context())
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	require.True(t, mailbox.AwaitTick(ctx))
+	require.Len(t, mailbox.TakeAll().RouteTables, 1)
+}
+
+// sourceFunc is a source that calls a function for each read.
+type sourceFunc func(ctx context.Context) (*carobroutetable.RouteTable, error)
+
+func (f sourceFunc) AwaitRoutes(ctx context.Context, _ time.Duration) (*carobroutetable.RouteTable, error) {
+	return f(ctx)
+}
