Let each node confirm its route table in time by itself

Cause: only one node a data centre reads the store, and it counts as failed after two failed reads: up to 3.4 s for a held read, 1 s of timeout, a backoff and another timeout. While the store gave these readers no response and served the others, nobody read it. Class of fault: a node that takes silence for 'nothing new', and depends on others for a bound that it is held to itself.

Ruled out: a table that one node had and that did not travel (nobody had it); a held read answered without the record (they were not answered).

Fix: a node keeps the instant at which the store is known to have had nothing newer. Control messages carry the age of that; the readers confirm it every 0.7 s or so by a read that is not held, and announce it. A node whose confirmation is 1.1 to 1.4 s old reads the store itself. So the bound holds at each node that reaches the store, with one node, with readers cut off, killed or paused, without messages between nodes, after a start (an unconfirmed table is read at once), and when tables change several times a second. While reads fail they back off to one in 2 s for a reader and one in 4 s for others.

Places read where the table is read, merged, cached, sent on or taken over: carobroutesync, carobstorereading, carobroutepoller, carobstoreclient, carobmembership (keeps the peer's version), carobdetection, carobtransport, carobentry (reads the table in force).

--- a/internal/carobmeter/meter.go
+++ b/internal/carobmeter/meter.go
@@ -31,8 +31,9 @@
 	refusals  map[carobkind.Kind]tally.Counter
 	byTarget  map[carobtargetid.ID]targetGauges
 	durations map[string]tally.Histogram
-	// routes is the version of the route table in force.
-	routes tally.Gauge
+	// routes is the version of the route table in force, and routesAge how many seconds ago
+	// it was last confirmed to be the newest.
+	routes, routesAge tally.Gauge
 }
 
 // targetGauges are the gauges of one target.
@@ -52,7 +53,7 @@
 		Prefix: "carobknot", CachedReporter: m.reporter, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
 	}, flushInterval)
-	m.routes = m.scope.Gauge("routes")
+	m.routes, m.routesAge = m.scope.Gauge("routes"), m.scope.Gauge("routes_age")
 	return m
 }
 
@@ -86,6 +87,7 @@
 	}
 	if out.RoutesVersion != carobrouteversion.None {
 		m.routes.Update(float64(out.RoutesVersion))
+		m.routesAge.Update(out.RoutesAge.Seconds())
 	}
 	m.add("attempts", len(out.Sends))
 	m.add("starts", len(out.Starts))
--- a/internal/carobnode/providers.go
+++ b/internal/carobnode/providers.go
@@ -43,7 +43,7 @@
 		return carobcore.NewCore(carobcore.Config{
 			World: carobworld.Config{Self: self, Limits: settings.Limits, ProbeLimits: settings.ProbeLimits, RetryLimits: settings.RetryLimits, Seed: uint64(self.Incarnation)},
 			Seeds: settings.Seeds, Profiles: settings.Profiles, AnnouncementTimeout: settings.AnnouncementTimeout.Duration(),
-			NoTracePropagation: n.config.Dialect != nil,
+			ApplyTimeout: settings.ApplyTimeout.Duration(), NoTracePropagation: n.config.Dialect != nil,
 		}), nil
 	})
 	do.Provide(injector, func(injector do.Injector) (*carobeventlog.EventLog, error) {
--- a/internal/carobroutepoller/cluster_test.go
+++ b/internal/carobroutepoller/cluster_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,8 +58,11 @@
 	table *carobroutetable.RouteTable
 	// changed is closed and replaced whenever the table changes.
 	changed chan struct{}
-	// readAt has when each node began its last read.
+	// readAt has when each node began its last read, and reads is the number of all reads.
 	readAt map[carobnodeid.ID]carobinstant.Instant
+	reads  int
+	// missingHeld is true if a change does not end the reads that the store holds.
+	missingHeld bool
 	// silent has the nodes that get no response.
 	silent map[carobnodeid.ID]bool
 }
@@ -67,8 +72,31 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.table = table
-	close(s.changed)
-	s.changed = make(chan struct{})
+	if !s.missingHeld {
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+}
+
+// missHeld makes the store end the reads that it holds only when their time is over.
+func (s *store) missHeld() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.missingHeld = true
+}
+
+func (s *store) readCount() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.reads
+}
+
+// begin records a read of a node.
+func (s *store) begin(node carobnodeid.ID) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.readAt[node] = s.timer.Now()
+	s.reads++
 }
 
 // silenceLastReaders makes the store give no response to the n nodes that read last.
@@ -106,9 +134,7 @@
 // AwaitRoutes returns the store's table once it is newer than the last one returned, or
 // nil after wait. A node that the store gives no response gets an error after the timeout.
 func (r *storeReader) AwaitRoutes(ctx context.Context, wait time.Duration) (*carobroutetable.RouteTable, error) {
-	r.store.mutex.Lock()
-	r.store.readAt[r.node] = r.store.timer.Now()
-	r.store.mutex.Unlock()
+	r.store.begin(r.node)
 	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
 	held, release := context.WithTimeout(ctx, wait)
@@ -154,6 +180,9 @@
 	id      carobnodeid.ID
 	mailbox *carobmailbox.Mailbox
 	control *carobcontrol.Control
+	// stop ends the node's goroutines, and stopped is true from then on.
+	stop    context.CancelFunc
+	stopped bool
 }
 
 // cluster is a set of nodes that exchange messages in memory, and their store.
@@ -164,6 +193,8 @@
 	nodes []*clusterNode
 	// byAddress has the nodes by their peer address.
 	byAddress map[carobaddress.Address]*clusterNode
+	// disconnected is true if no message arrives.
+	disconnected atomic.Bool
 }
 
 // newCluster starts nodes in three data centres, whose operator has published a table
@@ -210,15 +241,46 @@
 	node.control = carobcontrol.NewControl(carobcontrol.Config{Core: core, Mailbox: node.mailbox, Timer: c.timer})
 	node.control.AddExecutor(poller)
 	node.control.AddExecutor(c)
+	ctx, node.stop = context.WithCancel(ctx)
 	go node.control.Run(ctx)
 	go poller.Run(ctx)
 }
 
+// stop ends some nodes without notice.
+func (c *cluster) stop(nodes ...int) {
+	for _, i := range nodes {
+		c.nodes[i].stop()
+		c.nodes[i].stopped = true
+	}
+}
+
+// lastVersion is the version of the table that testNewTableIsAppliedInTime publishes.
+const lastVersion = 1000
+
+// publishOften publishes a table five times a second until lastVersion is there.
+func (c *cluster) publishOften() {
+	const interval = 200 * time.Millisecond
+	version := carobrouteversion.Version(2)
+	var set func(at carobinstant.Instant)
+	set = c.timer.Subscribe(func() {
+		if table, _, _ := c.store.state(""); table.Version == lastVersion {
+			return
+		}
+		c.store.publish(routesTo(c.t, version, "old"))
+		version++
+		set(c.timer.Now().Add(interval))
+	})
+	set(c.timer.Now().Add(interval))
+}
+
 // Execute delivers the messages of a tick.
 func (c *cluster) Execute(out *caroboutbox.Outbox) {
 	for _, message := range out.Messages {
 		receiver := c.byAddress[message.To]
 		deliver := c.timer.Subscribe(func() {
+			if receiver == nil || c.disconnected.Load() {
+				return
+			}
 			receiver.mailbox.Post(func(in *carobinbox.Inbox) { in.Messages = append(in.Messages, message) })
 		})
 		deliver(c.timer.Now().Add(networkDelay))
@@ -250,7 +312,33 @@
 
 // Guards against calls that are handled by an old route table because the nodes that read the store get no response from it.
 func TestNodesApplyANewTableInTimeWhileTheReadersGetNoResponse(t *testing.T) {
-	const size, silenced, step = 12, 4, 300 * time.Millisecond
+	const silenced = 4
+	testNewTableIsAppliedInTime(t, 12, func(c *cluster) { c.store.silenceLastReaders(silenced) })
+}
+
+// Guards against nodes that rely on others, or on a read that the store holds, to learn of a new route table.
+func TestNodesApplyANewTableInTime(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		size    int
+		disturb func(c *cluster)
+	}{
+		{"nothing fails", 12, func(*cluster) {}},
+		{"one node", 1, func(*cluster) {}},
+		{"no node receives messages of others", 12, func(c *cluster) { c.disconnected.Store(true) }},
+		{"held reads miss the new table", 12, func(c *cluster) { c.store.missHeld() }},
+		{"the readers are gone", 12, func(c *cluster) { c.stop(0, 1, 2) }},
+		{"tables change several times a second", 12, func(c *cluster) { c.publishOften() }},
+	} {
+		t.Run(test.name, func(t *testing.T) { testNewTableIsAppliedInTime(t, test.size, test.disturb) })
+	}
+}
+
+// testNewTableIsAppliedInTime disturbs a cluster, publishes a new table some time later, and
+// requires that all nodes that the store answers route by it once the timeout has passed.
+func testNewTableIsAppliedInTime(t *testing.T, size int, disturb func(c *cluster)) {
+	t.Helper()
+	const step = 300 * time.Millisecond
 	for delay := time.Duration(0); delay < 3*time.Second; delay += step {
 		t.Run(delay.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -258,12 +346,12 @@
 				defer cancel()
 				c := newCluster(ctx, t, size)
 				require.NoError(t, c.timer.Wait(ctx, warmup))
-				c.store.silenceLastReaders(silenced)
+				disturb(c)
 				require.NoError(t, c.timer.Wait(ctx, delay))
-				c.store.publish(routesTo(t, 2, "new"))
+				c.store.publish(routesTo(t, lastVersion, "new"))
 				require.NoError(t, c.timer.Wait(ctx, applyTimeout))
 				for _, node := range c.nodes {
-					if _, _, answers := c.store.state(node.id); answers {
+					if _, _, answers := c.store.state(node.id); answers && !node.stopped {
 						require.EqualValues(t, "new", c.handledBy(ctx, node), "node %s", node.id)
 					}
 				}
@@ -271,3 +359,23 @@
 		})
 	}
 }
+
+// Guards against reads of the store, each of which has a price, that grow with the number of nodes.
+func TestConfirmationsTakeFewReads(t *testing.T) {
+	const maxReadsPerSecond = 5
+	for _, size := range []int{1, 3, 12, 60} {
+		t.Run(strconv.Itoa(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				c := newCluster(ctx, t, size)
+				require.NoError(t, c.timer.Wait(ctx, warmup))
+				before := c.store.readCount()
+				const seconds = 20
+				require.NoError(t, c.timer.Wait(ctx, seconds*time.Second))
+				t.Logf("%d nodes: %.1f reads a second", size, float64(c.store.readCount()-before)/seconds)
+				require.LessOrEqual(t, c.store.readCount()-before, maxReadsPerSecond*seconds)
+			})
+		})
+	}
+}
--- a/internal/carobroutepoller/routepoller.go
+++ b/internal/carobroutepoller/routepoller.go
@@ -54,8 +54,9 @@
 	cancel  context.CancelFunc
 	// meanWait is the mean time for which the store may hold a read that finds nothing.
 	meanWait time.Duration
-	// changed holds one element after enabled has changed.
-	changed chan struct{}
+	// changed holds one element after enabled has changed, and confirmDue one after a read
+	// was requested that is not held.
+	changed, confirmDue chan struct{}
 	// failures is the number of consecutive failed reads.
 	failures int
 	// unreadable is true from the failure that reaches failureThreshold to the next
@@ -66,11 +67,15 @@
 // NewRoutePoller returns a poller that reads nothing until an outbox enables it and Run
 // is called.
 func NewRoutePoller(c Config) *RoutePoller {
-	return &RoutePoller{config: c, changed: make(chan struct{}, 1)}
+	return &RoutePoller{config: c, changed: make(chan struct{}, 1), confirmDue: make(chan struct{}, 1)}
 }
 
-// Execute starts or stops the reading of tables, as the tick decided.
+// Execute starts or stops the reading of tables, as the tick decided, and starts the read
+// that it requested to confirm the table in force.
 func (p *RoutePoller) Execute(out *caroboutbox.Outbox) {
+	if out.ConfirmRoutes {
+		notify(p.confirmDue)
+	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.meanWait = out.LongPollTimeout
@@ -81,14 +86,21 @@
 	if !p.enabled && p.cancel != nil {
 		p.cancel()
 	}
+	notify(p.changed)
+}
+
+// notify adds an element to a channel that holds one, unless it has it already.
+func notify(channel chan<- struct{}) {
 	select {
-	case p.changed <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
 }
 
-// Run reads tables until ctx is done.
+// Run reads tables until ctx is done. Reads that confirm the table in force do not wait for
+// a read that the store holds.
 func (p *RoutePoller) Run(ctx context.Context) {
+	go p.confirm(ctx)
 	for ctx.Err() == nil {
 		if !p.isEnabled() && !p.idle(ctx) {
 			continue
@@ -103,12 +115,18 @@
 	return p.enabled
 }
 
+func (p *RoutePoller) isUnreadable() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.unreadable
+}
+
 // idle waits until enabled changes, or until an unreadable store has to be checked
 // again. It reports whether to read although tables are not needed.
 func (p *RoutePoller) idle(ctx context.Context) bool {
 	inner, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if p.unreadable {
+	if p.isUnreadable() {
 		cancelAt := p.config.Timer.Subscribe(cancel)
 		cancelAt(p.config.Timer.Now().Add(recheckInterval))
 		defer cancelAt(0)
@@ -133,24 +151,55 @@
 		wait = withJitter(p.meanWait)
 	}
 	p.mutex.Unlock()
-	startedAt := p.config.Timer.Now()
-	routes, err := p.config.Source.AwaitRoutes(inner, wait)
+	err := p.readOnce(inner, wait)
 	p.mutex.Lock()
 	p.cancel = nil
+	failures := p.failures
 	p.mutex.Unlock()
-	if err != nil && inner.Err() != nil {
-		return
+	if err != nil && inner.Err() == nil {
+		_ = p.config.Timer.Wait(ctx, min(minBackoff<<min(failures, 4), maxBackoff))
+	}
+}
+
+// confirm reads once for each request, without letting the store hold the read. A request
+// during a read is dropped, because that read serves it.
+func (p *RoutePoller) confirm(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.confirmDue:
+		}
+		_ = p.readOnce(ctx, 0)
+		select {
+		case <-p.confirmDue:
+		default:
+		}
+	}
+}
+
+// readOnce reads and posts the result. A read that failed because ctx was cancelled is not
+// counted as a failure.
+func (p *RoutePoller) readOnce(ctx context.Context, wait time.Duration) error {
+	startedAt := p.config.Timer.Now()
+	routes, err := p.config.Source.AwaitRoutes(ctx, wait)
+	if err != nil && ctx.Err() != nil {
+		return err
 	}
 	if err != nil {
 		p.logFailure(err, wait, startedAt)
 	}
 	p.updateState(err)
-	if routes != nil {
-		p.config.Mailbox.Post(func(in *carobinbox.Inbox) { in.RouteTables = append(in.RouteTables, routes) })
-	}
 	if err != nil {
-		_ = p.config.Timer.Wait(ctx, min(minBackoff<<min(p.failures, 4), maxBackoff))
+		return err
 	}
+	p.config.Mailbox.Post(func(in *carobinbox.Inbox) {
+		in.StoreReads = append(in.StoreReads, startedAt)
+		if routes != nil {
+			in.RouteTables = append(in.RouteTables, routes)
+		}
+	})
+	return nil
 }
 
 // logFailure logs a failed read. Every one is logged, because the backoff limits their rate.
@@ -169,6 +218,8 @@
 // updateState counts failures, and logs and posts when the store becomes unreadable
 // or readable again.
 func (p *RoutePoller) updateState(err error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
 	p.failures++
 	if err == nil {
 		p.failures = 0
--- a/internal/carobsettings/settings.go
+++ b/internal/carobsettings/settings.go
@@ -47,6 +47,9 @@
 	// AnnouncementTimeout is the time without an announcement after which a target
 	// expires.
 	AnnouncementTimeout carobduration.Duration `json:"silence"`
+	// ApplyTimeout is the time within which a route table must be in force after the
+	// platform's store has acknowledged it.
+	ApplyTimeout carobduration.Duration `json:"apply"`
 	// ShutdownTimeout is the timeout of a graceful shutdown, after which the calls in
 	// flight are ended.
 	ShutdownTimeout carobduration.Duration `json:"grace"`
@@ -64,7 +67,7 @@
 func NewSettings() Settings {
 	return Settings{
 		ProbeLimits: carobprobelimits.NewProbeLimits(), RetryLimits: carobretrylimits.NewRetryLimits(), Limits: caroblimits.NewLimits(),
-		AnnouncementTimeout: carobduration.Duration(3 * time.Second), ShutdownTimeout: carobduration.Duration(time.Minute),
+		AnnouncementTimeout: carobduration.Duration(3 * time.Second), ApplyTimeout: carobduration.Duration(2 * time.Second), ShutdownTimeout: carobduration.Duration(time.Minute),
 	}
 }
 
--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -34,6 +34,7 @@
 	"github.com/carobknot/carobknot/pkg/carobreconciliation"
 	"github.com/carobknot/carobknot/pkg/carobregistry"
 	"github.com/carobknot/carobknot/pkg/carobrevision"
+	"github.com/carobknot/carobknot/pkg/carobrouteconfirmation"
 	"github.com/carobknot/carobknot/pkg/carobroutesync"
 	"github.com/carobknot/carobknot/pkg/carobrouting"
 	"github.com/carobknot/carobknot/pkg/carobshutdown"
@@ -58,6 +59,9 @@
 	// AnnouncementTimeout is how long a target may go without an announcement before it is
 	// marked as leaving; 0 selects the default of 3 s.
 	AnnouncementTimeout time.Duration
+	// ApplyTimeout is the time within which a route table must be in force after the store has
+	// acknowledged it; 0 selects the default of 2 s.
+	ApplyTimeout time.Duration
 	// NoTracePropagation disables the propagation of trace context.
 	NoTracePropagation bool
 }
@@ -95,6 +99,8 @@
 	maxClaimBytes = 4 << 20
 	// announcementTimeout is the default of Config.AnnouncementTimeout.
 	announcementTimeout = 3 * time.Second
+	// applyTimeout is the default of Config.ApplyTimeout.
+	applyTimeout = 2 * time.Second
 )
 
 // NewCore returns a Core with empty tables, apart from the configured profiles.
@@ -114,6 +120,7 @@
 			carobreconciliation.NewSystem(),
 			carobroutesync.NewSystem(),
 			carobstorereading.NewSystem(),
+			carobrouteconfirmation.NewSystem(carobrouteconfirmation.Config{ApplyTimeout: cmp.Or(c.ApplyTimeout, applyTimeout)}),
 			carobfold.NewSystem(),
 			carobcatchup.NewSystem(),
 			carobcompaction.NewSystem(),
@@ -143,6 +150,7 @@
 	for _, s := range c.systems {
 		s.Run(c.world, now)
 	}
+	c.world.EndTick(now)
 	return &c.world.Outbox
 }
 
--- a/pkg/carobinbox/inbox.go
+++ b/pkg/carobinbox/inbox.go
@@ -33,6 +33,9 @@
 	StreamBounds []carobstreambounds.StreamBounds
 	// RouteTables are the route tables read from the store.
 	RouteTables []*carobroutetable.RouteTable
+	// StoreReads are the instants at which successful reads of the store began. What they
+	// found is in RouteTables.
+	StoreReads []carobinstant.Instant
 	// StoreUnreadable has a value for each change of whether the store can be read, true if it
 	// cannot, the newest last.
 	StoreUnreadable []bool
--- a/pkg/carobmessage/message.go
+++ b/pkg/carobmessage/message.go
@@ -8,6 +8,7 @@
 	"github.com/carobknot/carobknot/pkg/carobclaim"
 	"github.com/carobknot/carobknot/pkg/carobclaimreply"
 	"github.com/carobknot/carobknot/pkg/carobdigest"
+	"github.com/carobknot/carobknot/pkg/carobduration"
 	"github.com/carobknot/carobknot/pkg/carobfence"
 	"github.com/carobknot/carobknot/pkg/carobfencereply"
 	"github.com/carobknot/carobknot/pkg/carobgossip"
@@ -39,6 +40,10 @@
 	// only announces this version.
 	RoutesVersion carobrouteversion.Version `json:"routesversion,omitempty"`
 
+	// RoutesAge is how long ago, when the message was sent, the store was known to have no
+	// newer route table than RoutesVersion; 0 if that is not known.
+	RoutesAge carobduration.Duration `json:"routesage,omitempty"`
+
 	// Membership and profiles.
 
 	// Gossip carries descriptions of nodes.
--- a/pkg/caroboutbox/outbox.go
+++ b/pkg/caroboutbox/outbox.go
@@ -38,8 +38,13 @@
 	// LongPollTimeout is how long the store may hold open a long-poll read that finds
 	// nothing new. It is set only if ReadingStore is true.
 	LongPollTimeout time.Duration
+	// ConfirmRoutes requests a read of the store that the store must not hold open.
+	ConfirmRoutes bool
 	// RoutesVersion is the version of the route table in force; None if there is no table.
 	RoutesVersion carobrouteversion.Version
+	// RoutesAge is how long ago the route table in force was last confirmed to be the newest;
+	// 0 if it never was.
+	RoutesAge time.Duration
 	// Stopped is true when a graceful shutdown is complete.
 	Stopped bool
 
--- /dev/null
+++ b/pkg/carobrouteconfirmation/system_test.go
@@ -0,0 +1,194 @@
+package carobrouteconfirmation_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobknot/carobknot/pkg/carobaddress"
+	"github.com/carobknot/carobknot/pkg/carobcentre"
+	"github.com/carobknot/carobknot/pkg/carobduration"
+	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/caroblimits"
+	"github.com/carobknot/carobknot/pkg/carobmember"
+	"github.com/carobknot/carobknot/pkg/carobmessage"
+	"github.com/carobknot/carobknot/pkg/carobnodeid"
+	"github.com/carobknot/carobknot/pkg/carobpeer"
+	"github.com/carobknot/carobknot/pkg/carobrouteconfirmation"
+	"github.com/carobknot/carobknot/pkg/carobroutetable"
+	"github.com/carobknot/carobknot/pkg/carobrouteversion"
+	"github.com/carobknot/carobknot/pkg/carobworld"
+)
+
+const (
+	applyTimeout = 2 * time.Second
+	version      = carobrouteversion.Version(5)
+)
+
+// rig is a node with a route table and one peer in its data centre and two in another.
+type rig struct {
+	world  *carobworld.World
+	system *carobrouteconfirmation.System
+	now    carobinstant.Instant
+	// reader is true if the node reads the store for its data centre.
+	reader bool
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	world := carobworld.NewWorld(carobworld.Config{
+		Self: carobmember.Member{Node: "self", Incarnation: 1, Centre: "here", PeerAddress: "127.0.0.1:1"}, Limits: caroblimits.NewLimits(), Seed: 1,
+	})
+	for _, peer := range []struct {
+		node   carobnodeid.ID
+		centre carobcentre.Centre
+	}{{"near", "here"}, {"far-b", "there"}, {"far-a", "there"}} {
+		world.Peers.Put(peer.node, carobpeer.Peer{Member: carobmember.Member{
+			Node: peer.node, Incarnation: 1, Centre: peer.centre, PeerAddress: carobaddress.Address(peer.node),
+		}})
+	}
+	table, err := carobroutetable.NewRouteTable(version, nil)
+	require.NoError(t, err)
+	world.RouteTable = table
+	return &rig{
+		world: world, system: carobrouteconfirmation.NewSystem(carobrouteconfirmation.Config{ApplyTimeout: applyTimeout}),
+		now: carobinstant.Instant(time.Hour),
+	}
+}
+
+// step runs a tick some time after the last one and reports whether a read was requested.
+func (r *rig) step(after time.Duration, in carobinbox.Inbox) bool {
+	r.now = r.now.Add(after)
+	r.world.BeginTick(in)
+	r.world.Outbox.ReadingStore = r.reader
+	r.system.Run(r.world, r.now)
+	return r.world.Outbox.ConfirmRoutes
+}
+
+// confirm lets a read of the node succeed that began at the present instant.
+func (r *rig) confirm() {
+	r.step(0, carobinbox.Inbox{StoreReads: []carobinstant.Instant{r.now}})
+}
+
+// receive lets a message of a peer arrive.
+func (r *rig) receive(after time.Duration, message carobmessage.Message) bool {
+	message.From, message.Incarnation = "near", 1
+	return r.step(after, carobinbox.Inbox{Messages: []carobmessage.Message{message}})
+}
+
+// untilRead returns how long it takes until the next read is requested, in steps of 10 ms,
+// or applyTimeout if none is requested before.
+func (r *rig) untilRead() time.Duration {
+	const interval = 10 * time.Millisecond
+	for waited := time.Duration(0); waited < applyTimeout; waited += interval {
+		if r.step(interval, carobinbox.Inbox{}) {
+			return waited + interval
+		}
+	}
+	return applyTimeout
+}
+
+// Guards against nodes that read too late to apply a new table in time, and against many that read though the reader does.
+func TestNodesReadBeforeTheTimeoutAndReadersFirst(t *testing.T) {
+	latestReader, earliestOther := time.Duration(0), applyTimeout
+	for range 50 {
+		r := newRig(t)
+		r.reader = true
+		r.confirm()
+		latestReader = max(latestReader, r.untilRead())
+		r.reader = false
+		r.confirm()
+		other := r.untilRead()
+		earliestOther = min(earliestOther, other)
+		require.LessOrEqual(t, other, applyTimeout*3/4)
+	}
+	require.Less(t, latestReader, earliestOther)
+}
+
+// Guards against a node that never reads because it has not had a confirmation yet.
+func TestUnconfirmedTableIsReadAtOnce(t *testing.T) {
+	require.True(t, newRig(t).step(0, carobinbox.Inbox{}))
+}
+
+// Guards against reads that repeat too often while the store fails, and against reads that end.
+func TestFailedReadsAreRepeatedWithBackoff(t *testing.T) {
+	r := newRig(t)
+	reads := 0
+	const interval, duration = 10 * time.Millisecond, time.Minute
+	for waited := time.Duration(0); waited < duration; waited += interval {
+		if r.step(interval, carobinbox.Inbox{}) {
+			reads++
+		}
+	}
+	require.Greater(t, reads, int(duration/(4*applyTimeout)))
+	require.Less(t, reads, int(duration/applyTimeout))
+}
+
+// Guards against a message that makes a table count as the newest although the sender has a newer one, has no confirmation, or sent it before a pause.
+func TestConfirmationsOfOthersAreTakenOverOnlyForThisTable(t *testing.T) {
+	fresh := carobduration.Duration(time.Millisecond)
+	for _, test := range []struct {
+		name    string
+		message carobmessage.Message
+		paused  bool
+		taken   bool
+	}{
+		{"same version", carobmessage.Message{RoutesVersion: version, RoutesAge: fresh}, false, true},
+		{"older version", carobmessage.Message{RoutesVersion: version - 1, RoutesAge: fresh}, false, true},
+		{"newer version", carobmessage.Message{RoutesVersion: version + 1, RoutesAge: fresh}, false, false},
+		{"no confirmation", carobmessage.Message{RoutesVersion: version}, false, false},
+		{"old confirmation", carobmessage.Message{RoutesVersion: version, RoutesAge: carobduration.Duration(time.Minute)}, false, false},
+		{"after a pause", carobmessage.Message{RoutesVersion: version, RoutesAge: fresh}, true, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRig(t)
+			r.confirm()
+			before := r.world.RoutesConfirmedAt
+			r.world.Paused = test.paused
+			r.receive(time.Second, test.message)
+			require.Equal(t, test.taken, r.world.RoutesConfirmedAt > before)
+		})
+	}
+}
+
+// Guards against two nodes that keep each other's confirmations young without a read.
+func TestConfirmationsThatNodesReturnToEachOtherAge(t *testing.T) {
+	one, two := newRig(t), newRig(t)
+	one.confirm()
+	const transit = 10 * time.Millisecond
+	for range 100 {
+		for _, pair := range [][2]*rig{{one, two}, {two, one}} {
+			from, to := pair[0], pair[1]
+			from.world.BeginTick(carobinbox.Inbox{})
+			from.world.SendMessage(carobmessage.Message{To: "127.0.0.1:1"})
+			from.world.EndTick(from.now)
+			message := from.world.Outbox.Messages[0]
+			from.now, to.now = from.now.Add(transit), to.now.Add(transit)
+			to.receive(0, message)
+		}
+	}
+	require.GreaterOrEqual(t, one.now.Sub(one.world.RoutesConfirmedAt), applyTimeout)
+	require.GreaterOrEqual(t, two.now.Sub(two.world.RoutesConfirmedAt), applyTimeout)
+}
+
+// Guards against nodes that all read since nobody announces that one has, and against announcements to every node everywhere.
+func TestReadersAnnounceConfirmations(t *testing.T) {
+	recipients := func(r *rig) []carobaddress.Address {
+		var to []carobaddress.Address
+		for _, message := range r.world.Outbox.Messages {
+			to = append(to, message.To)
+		}
+		return to
+	}
+	r := newRig(t)
+	r.confirm()
+	require.Empty(t, recipients(r), "only readers announce")
+	r.reader = true
+	r.now = r.now.Add(time.Second)
+	r.confirm()
+	require.Equal(t, []carobaddress.Address{"near", "far-a"}, recipients(r), "its own data centre and the reader of the other one")
+	r.receive(time.Second, carobmessage.Message{RoutesVersion: version, RoutesAge: 1})
+	require.Equal(t, []carobaddress.Address{"near"}, recipients(r), "another node's confirmation stays in the data centre")
+}
--- a/pkg/carobroutesync/system.go
+++ b/pkg/carobroutesync/system.go
@@ -57,7 +57,6 @@
 		recordVersion(world, message)
 	}
 	s.requestNewer(world, now)
-	world.Outbox.RoutesVersion = world.RoutesVersion()
 }
 
 // apply applies a table and reports true if it is newer than the one in force.
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -11,6 +11,7 @@
 	"github.com/carobknot/carobknot/pkg/carobcall"
 	"github.com/carobknot/carobknot/pkg/carobcallid"
 	"github.com/carobknot/carobknot/pkg/carobdecision"
+	"github.com/carobknot/carobknot/pkg/carobduration"
 	"github.com/carobknot/carobknot/pkg/carobevictingmap"
 	"github.com/carobknot/carobknot/pkg/carobfinish"
 	"github.com/carobknot/carobknot/pkg/carobgroup"
@@ -151,6 +152,9 @@
 	// RouteTable is the route table in force; nil if none is known. Its version never
 	// decreases.
 	RouteTable *carobroutetable.RouteTable
+	// RoutesConfirmedAt is an instant at which the store had no newer route table than
+	// RouteTable; Never if none is known. It never decreases.
+	RoutesConfirmedAt carobinstant.Instant
 	// AwaitingLog is true after a start until the node has read the log, which may hold newer
 	// profiles. Until then no profile from the log is in force.
 	AwaitingLog bool
@@ -259,6 +263,23 @@
 	}
 }
 
+// EndTick completes the effects of a tick: it adds the age of the confirmation of the route
+// table to the messages that name the table's version, and the state of the route table for
+// the metrics.
+func (w *World) EndTick(now carobinstant.Instant) {
+	w.Outbox.RoutesVersion = w.RoutesVersion()
+	if w.RoutesConfirmedAt == carobinstant.Never {
+		return
+	}
+	age := carobduration.Duration(max(1, now.Sub(w.RoutesConfirmedAt)))
+	w.Outbox.RoutesAge = age.Duration()
+	for i := range w.Outbox.Messages {
+		if message := &w.Outbox.Messages[i]; message.RoutesVersion == w.RoutesVersion() {
+			message.RoutesAge = age
+		}
+	}
+}
+
 // ProfileOf returns the profile in force for a service. It is nil if no target of the
 // service is known, or if the profile that its targets name is not known or comes from a
 // log that this node has yet to read. Profiles from the settings are in force at once.
