Keep to the rate limit that a target names

Cause: the header is new and nothing read it. Ruled out: parts of several nodes that add up to too much, since there were none (nothing in the code named the header) and the servers got as much as unlimited ones.

Entry nodes remember the limit from load reports and name it in offers, for a target's node that has just restarted. A part of the tokens is reserved for nested calls, as slots are. Routing counts fewer slots for a limited target.

--- a/internal/carobadmitter/admitter.go
+++ b/internal/carobadmitter/admitter.go
@@ -29,6 +29,7 @@
 	"github.com/carobknot/carobknot/pkg/carobreport"
 	"github.com/carobknot/carobknot/pkg/carobsize"
 	"github.com/carobknot/carobknot/pkg/carobstart"
+	"github.com/carobknot/carobknot/pkg/carobtargetdirective"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 	"github.com/carobknot/carobknot/pkg/carobtargetload"
 )
@@ -53,6 +54,9 @@
 	// call, and the reason otherwise, for example that the target refused the call. The
 	// load is nil if the response does not report it.
 	Classify(resp *fasthttp.Response) (carobkind.Kind, *carobtargetload.TargetLoad)
+	// ParseDirective returns what a target's response requests; nil if the response does
+	// not show it.
+	ParseDirective(resp *fasthttp.Response) *carobtargetdirective.TargetDirective
 }
 
 // Config holds the parameters of an admitter.
@@ -166,6 +170,9 @@
 	finish := carobfinish.Finish{Job: start.Job, Status: answer.Response.StatusCode()}
 	kind, load := a.config.Dialect.Classify(answer.Response)
 	finish.TargetLoad = load
+	if kind == carobkind.None || kind == carobkind.Shed {
+		finish.Directive = a.config.Dialect.ParseDirective(answer.Response)
+	}
 	if limit := int(a.config.MaxBufferedAnswer); limit > 0 && answer.Length <= limit {
 		if errBuffer := answer.Buffer(limit); errBuffer != nil && kind == carobkind.None {
 			kind = carobkind.ConnectionLost
--- a/internal/carobadmitter/health_check.go
+++ b/internal/carobadmitter/health_check.go
@@ -20,19 +20,21 @@
 
 // checkHealth sends a health check to a target and posts the result.
 func (a *Admitter) checkHealth(check carobhealthcheck.HealthCheck) {
-	result := carobcheckresult.CheckResult{Target: check.Target, TargetLoad: a.fetchLoad(check)}
+	result := a.fetchLoad(check)
 	a.config.Mailbox.Post(func(inbox *carobinbox.Inbox) { inbox.CheckResults = append(inbox.CheckResults, result) })
 }
 
-// fetchLoad returns the load that a target reports in its response to a health check.
-// It returns nil if there is no response, and a zero load if the response reports none.
-func (a *Admitter) fetchLoad(check carobhealthcheck.HealthCheck) *carobtargetload.TargetLoad {
+// fetchLoad returns the result of a health check. Its load is nil if there is no response,
+// and zero if the response reports none.
+func (a *Admitter) fetchLoad(check carobhealthcheck.HealthCheck) carobcheckresult.CheckResult {
+	result := carobcheckresult.CheckResult{Target: check.Target}
 	answer, err := a.requestHealth(context.Background(), check.Address, healthCheckTimeout)
 	if err != nil {
-		return nil
+		return result
 	}
-	if _, load := a.config.Dialect.Classify(answer.Response); load != nil {
-		return load
+	result.Directive = a.config.Dialect.ParseDirective(answer.Response)
+	if _, result.TargetLoad = a.config.Dialect.Classify(answer.Response); result.TargetLoad == nil {
+		result.TargetLoad = &carobtargetload.TargetLoad{}
 	}
-	return &carobtargetload.TargetLoad{}
+	return result
 }
--- a/internal/carobadmitter/native_dialect.go
+++ b/internal/carobadmitter/native_dialect.go
@@ -11,6 +11,7 @@
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobname"
 	"github.com/carobknot/carobknot/pkg/carobstart"
+	"github.com/carobknot/carobknot/pkg/carobtargetdirective"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 	"github.com/carobknot/carobknot/pkg/carobtargetload"
 )
@@ -37,6 +38,11 @@
 // themselves.
 func (nativeDialect) ParseIdentity(*fasthttp.Response) (carobname.Name, int) { return "", 0 }
 
+// ParseDirective returns nil, since these targets request nothing in their responses.
+func (nativeDialect) ParseDirective(*fasthttp.Response) *carobtargetdirective.TargetDirective {
+	return nil
+}
+
 // Classify accepts every response as the answer to the call.
 func (nativeDialect) Classify(*fasthttp.Response) (carobkind.Kind, *carobtargetload.TargetLoad) {
 	return carobkind.None, nil
--- a/internal/carobadmitter/serve.go
+++ b/internal/carobadmitter/serve.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/carobknot/carobknot/internal/carobheader"
+	"github.com/carobknot/carobknot/pkg/carobcallrate"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroboffer"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
@@ -67,6 +68,9 @@
 func (a *Admitter) addReport(ctx *fasthttp.RequestCtx, target carobtargetid.ID) {
 	if report := a.Report(target); report != nil {
 		ctx.Response.Header.Set(carobheader.Report, carobheader.FormatReport(*report))
+		if report.RateLimit > 0 {
+			ctx.Response.Header.Set(carobheader.RateLimit, report.RateLimit.String())
+		}
 	}
 }
 
@@ -90,5 +94,8 @@
 func parseOffer(header *fasthttp.RequestHeader) (caroboffer.Offer, error) {
 	offer, err := carobheader.ParseOffer(string(header.Peek(carobheader.Offer)))
 	offer.Key, offer.Traceparent = string(header.Peek(carobheader.IdempotencyKey)), string(header.Peek(carobheader.TraceContext))
+	if limit, errLimit := carobcallrate.ParseLimit(string(header.Peek(carobheader.RateLimit))); errLimit == nil {
+		offer.RateLimit = limit
+	}
 	return offer, err
 }
--- a/internal/carobheader/header.go
+++ b/internal/carobheader/header.go
@@ -24,6 +24,9 @@
 	Offer = "Carobknot-Offer"
 	// Report is the target's load. FormatReport encodes it.
 	Report = "Carobknot-Report"
+	// RateLimit is the rate limit of the target, in calls a second. It accompanies Offer and
+	// Report if there is a limit.
+	RateLimit = "Carobknot-Limit"
 )
 
 // Prefix is the prefix of all headers that are reserved for the system.
--- a/internal/carobnode/node.go
+++ b/internal/carobnode/node.go
@@ -39,6 +39,7 @@
 	"github.com/carobknot/carobknot/pkg/carobsize"
 	"github.com/carobknot/carobknot/pkg/carobstart"
 	"github.com/carobknot/carobknot/pkg/carobstream"
+	"github.com/carobknot/carobknot/pkg/carobtargetdirective"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 	"github.com/carobknot/carobknot/pkg/carobtargetload"
 	"github.com/carobknot/carobknot/pkg/carobworld"
@@ -67,6 +68,7 @@
 	ParseIdentity(resp *fasthttp.Response) (carobname.Name, int)
 	MatchesRequest(req *fasthttp.Request, resp *fasthttp.Response) bool
 	Classify(resp *fasthttp.Response) (carobkind.Kind, *carobtargetload.TargetLoad)
+	ParseDirective(resp *fasthttp.Response) *carobtargetdirective.TargetDirective
 }
 
 // store keeps a platform's route tables, and the descriptions by which nodes find each
--- a/internal/carobrelay/relay.go
+++ b/internal/carobrelay/relay.go
@@ -9,6 +9,7 @@
 	"github.com/carobknot/carobknot/internal/carobanswer"
 	"github.com/carobknot/carobknot/internal/carobheader"
 	"github.com/carobknot/carobknot/pkg/carobaddress"
+	"github.com/carobknot/carobknot/pkg/carobcallrate"
 	"github.com/carobknot/carobknot/pkg/carobguarantee"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroboffer"
@@ -59,11 +60,14 @@
 		return r.sendLocal(ctx, send, req)
 	}
 	req.Header.Set(carobheader.Offer, carobheader.FormatOffer(send))
+	if send.RateLimit > 0 {
+		req.Header.Set(carobheader.RateLimit, send.RateLimit.String())
+	}
 	answer, err := r.config.PeerClient.Do(ctx, send.PeerAddress, req, send.Guarantee != carobguarantee.Idempotent)
 	if err != nil {
 		return nil, nil, err
 	}
-	report := carobheader.ParseReport(send.Target, string(answer.Response.Header.Peek(carobheader.Report)))
+	report := parseReport(send.Target, &answer.Response.Header)
 	if kind := carobkind.Kind(answer.Response.Header.Peek(carobheader.ErrorKind)); kind != carobkind.None {
 		_ = answer.Body.Close()
 		return nil, report, peerError(kind)
@@ -71,6 +75,16 @@
 	return answer, report, nil
 }
 
+// parseReport reads the load report and the rate limit of a target; nil if there is no
+// valid report. A malformed limit counts as none.
+func parseReport(target carobtargetid.ID, header *fasthttp.ResponseHeader) *carobreport.Report {
+	report := carobheader.ParseReport(target, string(header.Peek(carobheader.Report)))
+	if limit, err := carobcallrate.ParseLimit(string(header.Peek(carobheader.RateLimit))); err == nil && report != nil {
+		report.RateLimit = limit
+	}
+	return report
+}
+
 // peerError returns an error of a kind that another node returned, or of kind
 // Internal if the kind is unknown.
 func peerError(kind carobkind.Kind) error {
@@ -84,7 +98,8 @@
 func (r *Relay) sendLocal(ctx context.Context, send carobsend.Send, req *fasthttp.Request) (*carobanswer.Answer, *carobreport.Report, error) {
 	offer := caroboffer.Offer{
 		Job: send.Job, Target: send.Target, Incarnation: send.Incarnation, TimeLeft: send.TimeLeft, Requirements: send.Requirements,
-		Key: string(req.Header.Peek(carobheader.IdempotencyKey)), Traceparent: string(req.Header.Peek(carobheader.TraceContext)),
+		RateLimit: send.RateLimit,
+		Key:       string(req.Header.Peek(carobheader.IdempotencyKey)), Traceparent: string(req.Header.Peek(carobheader.TraceContext)),
 	}
 	answer, err := r.config.Local.Do(ctx, offer, req)
 	return answer, r.config.Local.Report(send.Target), err
--- a/pkg/carobadmission/limit.go
+++ b/pkg/carobadmission/limit.go
@@ -15,7 +15,8 @@
 	// slowSlotShare is the share of a target's slots that may be used while its VM is
 	// slow.
 	slowSlotShare = 0.4
-	// reservedSlotShare is the share of the job limit that is reserved for nested calls.
+	// reservedSlotShare is the share of the job limit, and of the tokens of a rate limit, that
+	// is reserved for nested calls.
 	reservedSlotShare = 1.0 / 6
 	// reservationPeriod is how long slots stay reserved after the newest nested call.
 	reservationPeriod = 2 * time.Second
@@ -38,8 +39,13 @@
 // least 1. Some slots are reserved for nested calls because targets that call each
 // other would deadlock if jobs waiting for nested calls held every slot.
 func jobLimitFor(state *carobadmissionstate.AdmissionState, now carobinstant.Instant, job *carobjob.Job) int {
-	if isNested(job) || state.LastNestedAt == carobinstant.Never || now.Sub(state.LastNestedAt) > reservationPeriod {
+	if isNested(job) || !nestedCallsExpected(state, now) {
 		return state.Limit
 	}
 	return max(1, state.Limit-int(reservedSlotShare*float64(state.Limit)+0.5))
 }
+
+// nestedCallsExpected reports whether nested calls have arrived lately.
+func nestedCallsExpected(state *carobadmissionstate.AdmissionState, now carobinstant.Instant) bool {
+	return state.LastNestedAt != carobinstant.Never && now.Sub(state.LastNestedAt) <= reservationPeriod
+}
--- a/pkg/carobadmission/slowness.go
+++ b/pkg/carobadmission/slowness.go
@@ -53,6 +53,7 @@
 	if state == nil {
 		return
 	}
+	handleDirective(world, now, result.Target, state, result.Directive)
 	state.CheckSentAt = carobinstant.Never
 	switch {
 	case result.TargetLoad == nil:
--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -71,9 +71,7 @@
 	}
 }
 
-// handleOffer refuses an offer, starts its job, or enqueues it. If the queue is then
-// longer than the profile's queue limit plus the free slots, its least urgent job is
-// shed. Offers of a known job are ignored.
+// handleOffer refuses an offer, or adds its job. Offers of a known job are ignored.
 func handleOffer(world *carobworld.World, now carobinstant.Instant, offer caroboffer.Offer) {
 	if isDuplicate(world, offer.Job) {
 		return
@@ -91,17 +89,27 @@
 	job := world.Jobs.Put(offer.Job, carobjob.Job{Offer: offer, ArrivedAt: now, Deadline: now.Add(offer.TimeLeft)})
 	state.ReportDue = true
 	state.Limit = jobLimit(state, now)
+	adoptRateLimit(world, now, offer.Target, state, offer.RateLimit)
 	if isNested(job) {
 		state.LastNestedAt = now
 	}
-	if state.Running < jobLimitFor(state, now, job) && state.Queued == 0 && mayStart(world, now, target, state) {
+	startOrEnqueue(world, now, target, state, job)
+}
+
+// startOrEnqueue starts a job that has just arrived, or enqueues it. If the queue is then
+// longer than the profile's queue limit plus the free slots, or than the rate limit will
+// soon allow to start, its least urgent job is shed.
+func startOrEnqueue(world *carobworld.World, now carobinstant.Instant, target *carobtarget.Target, state *carobadmissionstate.AdmissionState, job *carobjob.Job) {
+	if state.Running < jobLimitFor(state, now, job) && state.Queued == 0 && hasToken(world, now, state, isNested(job)) && mayStart(world, now, target, state) {
 		startJob(world, now, job, target, state)
 		return
 	}
 	state.Queued++
-	if state.Queued > queueLimit(world, target)+max(0, state.Limit-state.Running) {
-		job := leastUrgent(world, now, offer.Target)
-		shed(world, now, job, state, "queue full")
+	switch {
+	case state.Queued > queueLimit(world, target)+max(0, state.Limit-state.Running):
+		shed(world, now, leastUrgent(world, now, target.ID), state, "queue full")
+	case state.RateLimit > 0 && state.Queued > tokensSoon(state, now):
+		shed(world, now, leastUrgent(world, now, target.ID), state, "rate limit reached")
 	}
 }
 
@@ -159,6 +167,9 @@
 func startJob(world *carobworld.World, now carobinstant.Instant, job *carobjob.Job, target *carobtarget.Target, state *carobadmissionstate.AdmissionState) {
 	job.StartedAt = now
 	state.Running++
+	if state.RateLimit > 0 {
+		state.RateBudget.Take(1)
+	}
 	world.RecordDecision(carobdecision.Decision{
 		Component: "admit", Text: "job started", Request: job.Offer.Requirements.Request, Call: job.Offer.Job.Call,
 		Attempt: job.Offer.Job.Attempt, Target: job.Offer.Target, Inputs: decisionInputs(state, now, job.ArrivedAt),
@@ -177,6 +188,7 @@
 		return
 	}
 	state := world.AdmissionStates.Get(job.Offer.Target)
+	handleDirective(world, now, job.Offer.Target, state, finish.Directive)
 	if job.StartedAt == carobinstant.Never {
 		carobfencing.RefuseQueued(world, job, carobkind.Withdrawn)
 		return
@@ -248,9 +260,9 @@
 // free and the VM is not slow.
 func startQueued(world *carobworld.World, now carobinstant.Instant, id carobtargetid.ID, state *carobadmissionstate.AdmissionState) {
 	target := world.Targets.Get(id)
-	for target != nil && state.Queued > 0 && state.Running < state.Limit && mayStart(world, now, target, state) {
+	for target != nil && state.Queued > 0 && state.Running < state.Limit && hasToken(world, now, state, true) && mayStart(world, now, target, state) {
 		job := mostUrgent(world, now, id)
-		if job == nil || state.Running >= jobLimitFor(state, now, job) {
+		if job == nil || state.Running >= jobLimitFor(state, now, job) || !hasToken(world, now, state, isNested(job)) {
 			return
 		}
 		state.Queued--
@@ -274,6 +286,7 @@
 		{Name: "running", Value: float64(state.Running)},
 		{Name: "queued", Value: float64(state.Queued)},
 		{Name: "limit", Value: float64(state.Limit)},
+		{Name: "rate", Value: float64(state.RateLimit)},
 		{Name: "slowness", Value: state.Slowness},
 		carobinput.Age("toldms", now, state.SlownessReadAt), carobinput.Age("waitedms", now, arrived),
 	}
@@ -288,6 +301,7 @@
 		state.ReportDue = false
 		world.Outbox.Reports = append(world.Outbox.Reports, carobreport.Report{
 			Target: id, Running: state.Running, Queued: state.Queued, Slots: state.Limit, Latency: carobduration.Duration(state.Latency),
+			RateLimit: state.RateLimit,
 		})
 	}
 }
--- a/pkg/carobadmissionstate/admissionstate.go
+++ b/pkg/carobadmissionstate/admissionstate.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/carobknot/carobknot/pkg/carobcallrate"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobtokenbucket"
 )
@@ -43,6 +44,12 @@
 	CheckBackoffEnd carobinstant.Instant
 	// CheckBudget is the token bucket that limits the rate of health checks.
 	CheckBudget carobtokenbucket.TokenBucket
+	// RateLimit is the number of calls a second that the target takes; 0 if there is no limit.
+	RateLimit carobcallrate.CallRate
+	// RateLimitRead is true once a response of the target has shown whether there is a limit.
+	RateLimitRead bool
+	// RateBudget has a token for each job that the rate limit allows to start.
+	RateBudget carobtokenbucket.TokenBucket
 	// LastNestedAt is when the newest nested call arrived, that is, a call for which another
 	// job waits; Never before the first.
 	LastNestedAt carobinstant.Instant
--- a/pkg/carobcheckresult/checkresult.go
+++ b/pkg/carobcheckresult/checkresult.go
@@ -2,6 +2,7 @@
 package carobcheckresult
 
 import (
+	"github.com/carobknot/carobknot/pkg/carobtargetdirective"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 	"github.com/carobknot/carobknot/pkg/carobtargetload"
 )
@@ -11,4 +12,6 @@
 	Target carobtargetid.ID
 	// TargetLoad is the load that the target reported; nil if it did not answer.
 	TargetLoad *carobtargetload.TargetLoad
+	// Directive is what the response requests; nil if there was no valid response.
+	Directive *carobtargetdirective.TargetDirective
 }
--- a/pkg/carobfinish/finish.go
+++ b/pkg/carobfinish/finish.go
@@ -4,6 +4,7 @@
 import (
 	"github.com/carobknot/carobknot/pkg/carobjobid"
 	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/carobtargetdirective"
 	"github.com/carobknot/carobknot/pkg/carobtargetload"
 )
 
@@ -16,4 +17,6 @@
 	Status int
 	// TargetLoad is the load that the target reported; nil if the response had none.
 	TargetLoad *carobtargetload.TargetLoad
+	// Directive is what the response requests; nil if there was no valid response.
+	Directive *carobtargetdirective.TargetDirective
 }
--- a/pkg/caroboffer/offer.go
+++ b/pkg/caroboffer/offer.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/carobknot/carobknot/pkg/carobcallrate"
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
 	"github.com/carobknot/carobknot/pkg/carobrequirements"
@@ -21,6 +22,8 @@
 	TimeLeft time.Duration
 	// Requirements holds the caller's requirements for the call.
 	Requirements carobrequirements.Requirements
+	// RateLimit is the target's rate limit as the entry node knows it; 0 if it knows of none.
+	RateLimit carobcallrate.CallRate
 	// Key is the idempotency key; empty if there is none.
 	Key string
 	// Traceparent is the trace context in W3C format; empty if there is none.
--- a/pkg/carobreport/report.go
+++ b/pkg/carobreport/report.go
@@ -2,6 +2,7 @@
 package carobreport
 
 import (
+	"github.com/carobknot/carobknot/pkg/carobcallrate"
 	"github.com/carobknot/carobknot/pkg/carobduration"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 )
@@ -18,4 +19,7 @@
 	Slots int `json:"slots"`
 	// Latency is the estimated time that the target needs for a call.
 	Latency carobduration.Duration `json:"latency"`
+	// RateLimit is the number of calls a second that the target takes from all nodes
+	// together; 0 if there is no limit.
+	RateLimit carobcallrate.CallRate `json:"rate,omitempty"`
 }
--- a/pkg/carobrouting/candidate.go
+++ b/pkg/carobrouting/candidate.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/carobknot/carobknot/pkg/carobaddress"
+	"github.com/carobknot/carobknot/pkg/carobcallrate"
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobload"
@@ -43,6 +44,15 @@
 	load *carobload.Load
 }
 
+// limitSlots lowers the slots to the number of calls that are in flight at once when they
+// come at the target's rate limit. Otherwise the target, which refuses the rest, would look
+// idle and be tried first by each call.
+func (c *candidate) limitSlots(limit carobcallrate.CallRate) {
+	if limit > 0 {
+		c.slots = max(1, min(c.slots, int(float64(limit)*c.latency.Seconds()+0.5)))
+	}
+}
+
 // utilisation returns the reported calls per slot.
 func (c *candidate) utilisation() float64 {
 	return c.reportedCalls / float64(c.slots)
--- a/pkg/carobrouting/system.go
+++ b/pkg/carobrouting/system.go
@@ -190,12 +190,14 @@
 func setReportedLoad(world *carobworld.World, now carobinstant.Instant, target *carobtarget.Target, added *candidate) {
 	if state := world.AdmissionStates.Get(target.ID); state != nil && world.Owns(target) {
 		added.reportedCalls, added.latency, added.reportedAt = float64(state.Running+state.Queued), state.Latency, now
+		added.limitSlots(state.RateLimit)
 		return
 	}
 	report := &added.load.Report
 	added.reportedCalls = float64(report.Running + report.Queued + added.load.SentSinceReport)
 	added.reportAge = now.Sub(added.load.ReportedAt)
 	added.latency = report.Latency.Duration()
+	added.limitSlots(report.RateLimit)
 }
 
 // tried reports whether an attempt of the call was already sent to the target.
@@ -235,5 +237,6 @@
 		Job:    carobjobid.ID{Call: call.Arrival.Call, Attempt: len(call.Attempts)},
 		Target: chosen.targetID, PeerAddress: chosen.peerAddress, Incarnation: chosen.incarnation, TimeLeft: call.Deadline.Sub(now),
 		Guarantee: call.Profile.Guarantee, Requirements: requirements,
+		RateLimit: chosen.load.Report.RateLimit,
 	})
 }
--- a/pkg/carobsend/send.go
+++ b/pkg/carobsend/send.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/carobknot/carobknot/pkg/carobaddress"
+	"github.com/carobknot/carobknot/pkg/carobcallrate"
 	"github.com/carobknot/carobknot/pkg/carobguarantee"
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
@@ -28,6 +29,8 @@
 	// Requirements holds the priority and the SLO, by which the target's node orders
 	// its queue.
 	Requirements carobrequirements.Requirements
+	// RateLimit is the target's rate limit in its newest report; 0 if there is none.
+	RateLimit carobcallrate.CallRate
 	// Traceparent is the W3C traceparent header for the target's node.
 	Traceparent string
 }
--- /dev/null
+++ b/pkg/carobtargetdirective/targetdirective.go
@@ -0,0 +1,12 @@
+// Package carobtargetdirective holds what a target requests of the nodes in its responses.
+package carobtargetdirective
+
+import "github.com/carobknot/carobknot/pkg/carobcallrate"
+
+// TargetDirective is what one response of a target requests. It holds until the next
+// response.
+type TargetDirective struct {
+	// RateLimit is the number of calls a second that the target takes from all nodes
+	// together; 0 if it states no limit.
+	RateLimit carobcallrate.CallRate
+}
