Take a target out that says in its responses that it leaves

Cause: as for the rate limit, a new header that nothing read. Fix: the node beside the target, where all calls start, marks it as leaving from the first response or health check that says so; other nodes learn it by gossip and refusals, as for an announced leave. Heartbeats of the same incarnation do not make it ready again. A response to a job that started before the target restarted is ignored, for the rate limit too.

--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -188,7 +188,7 @@
 		return
 	}
 	state := world.AdmissionStates.Get(job.Offer.Target)
-	handleDirective(world, now, job.Offer.Target, state, finish.Directive)
+	handleDirective(world, now, job.Offer.Target, state, world.DirectiveOf(job, finish))
 	if job.StartedAt == carobinstant.Never {
 		carobfencing.RefuseQueued(world, job, carobkind.Withdrawn)
 		return
--- a/pkg/carobadmissionstate/admissionstate.go
+++ b/pkg/carobadmissionstate/admissionstate.go
@@ -58,7 +58,7 @@
 	// LatencyStart is when the newest call that contributed to Latency started; Never before
 	// the first call.
 	LatencyStart carobinstant.Instant
-	// AddedAt is when the target was added or last restarted. It is intended for ramping up
-	// cold targets; no system reads it yet.
+	// AddedAt is when the target was added or last restarted. Responses to jobs that started
+	// before come from an earlier incarnation.
 	AddedAt carobinstant.Instant
 }
--- a/pkg/carobinstance/instance.go
+++ b/pkg/carobinstance/instance.go
@@ -21,6 +21,9 @@
 	// Withdrawn is true if the target has withdrawn: later announcements of this
 	// incarnation are ignored.
 	Withdrawn bool
+	// Leaving is true if a response of this incarnation has stated that the target leaves.
+	// Its announcements do not make it ready again.
+	Leaving bool
 }
 
 // Outdated reports whether an announcement is out of date: it is of an earlier
--- a/pkg/carobregistry/system.go
+++ b/pkg/carobregistry/system.go
@@ -11,6 +11,7 @@
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobreadiness"
 	"github.com/carobknot/carobknot/pkg/carobtarget"
+	"github.com/carobknot/carobknot/pkg/carobtargetdirective"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
@@ -35,7 +36,7 @@
 	return &System{announcementTimeout: c.AnnouncementTimeout}
 }
 
-// Run handles the tick's announcements, marks targets without recent announcements as
+// Run handles the tick's announcements and directives, marks targets without recent announcements as
 // leaving, and removes the admission states of removed targets once they have no jobs.
 func (s *System) Run(world *carobworld.World, now carobinstant.Instant) {
 	for _, announcement := range world.Inbox.Announcements {
@@ -48,6 +49,7 @@
 			handleAnnouncement(world, now, announcement)
 		}
 	}
+	handleDirectives(world)
 	for id, state := range world.AdmissionStates.All() {
 		target := world.Targets.Get(id)
 		switch {
@@ -59,6 +61,33 @@
 	}
 }
 
+// handleDirectives handles what the responses of the tick request.
+func handleDirectives(world *carobworld.World) {
+	for _, finish := range world.Inbox.Finishes {
+		if job := world.Jobs.Get(finish.Job); job != nil {
+			handleDirective(world, job.Offer.Target, world.DirectiveOf(job, finish))
+		}
+	}
+	for _, result := range world.Inbox.CheckResults {
+		handleDirective(world, result.Target, result.Directive)
+	}
+}
+
+// handleDirective marks a target as leaving if its response says so. directive is nil if
+// there was no valid response.
+func handleDirective(world *carobworld.World, id carobtargetid.ID, directive *carobtargetdirective.TargetDirective) {
+	target := world.Targets.Get(id)
+	if directive == nil || !directive.Leaving || target == nil || !world.Owns(target) || target.Readiness == carobreadiness.Leaving {
+		return
+	}
+	if instance := world.Instances.Get(target.Address); instance != nil && instance.Target == id {
+		instance.Leaving = true
+	}
+	auditChange(world, id, string(target.Readiness), string(carobreadiness.Leaving))
+	target.Readiness = carobreadiness.Leaving
+	markTargetsChanged(world)
+}
+
 // isOutdated reports whether an announcement must be ignored. A withdrawal is outdated
 // if a later incarnation of the target is known; any other announcement if it is not
 // newer than the last one from its address, or if its incarnation has withdrawn.
@@ -106,12 +135,17 @@
 			state.AddedAt = now
 		}
 	}
-	world.Instances.Put(announcement.Address, carobinstance.Instance{Target: announcement.Target, Incarnation: announcement.Incarnation, Sequence: announcement.Sequence})
+	next := carobinstance.Instance{Target: announcement.Target, Incarnation: announcement.Incarnation, Sequence: announcement.Sequence}
+	next.Leaving = instance != nil && instance.Leaving && instance.Target == next.Target && instance.Incarnation == next.Incarnation
+	world.Instances.Put(announcement.Address, next)
 }
 
 // handleAnnouncement adds or updates the target of an announcement and its admission state.
 func handleAnnouncement(world *carobworld.World, now carobinstant.Instant, announcement carobannouncement.Announcement) {
 	recordInstance(world, now, announcement)
+	if instance := world.Instances.Get(announcement.Address); instance != nil && instance.Leaving {
+		announcement.Readiness = carobreadiness.Leaving
+	}
 	next := carobtarget.Target{
 		ID: announcement.Target, Node: world.Self.Node, Address: announcement.Address, Profile: announcement.Profile,
 		Slots: announcement.Slots, Connections: announcement.Connections, Readiness: announcement.Readiness, AnnouncedAt: now,
--- a/pkg/carobtargetdirective/targetdirective.go
+++ b/pkg/carobtargetdirective/targetdirective.go
@@ -9,4 +9,6 @@
 	// RateLimit is the number of calls a second that the target takes from all nodes
 	// together; 0 if it states no limit.
 	RateLimit carobcallrate.CallRate
+	// Leaving is true if the target leaves and is to get no new calls.
+	Leaving bool
 }
--- a/pkg/carobworld/calls.go
+++ b/pkg/carobworld/calls.go
@@ -15,6 +15,7 @@
 	"github.com/carobknot/carobknot/pkg/carobservice"
 	"github.com/carobknot/carobknot/pkg/carobshard"
 	"github.com/carobknot/carobknot/pkg/carobtable"
+	"github.com/carobknot/carobknot/pkg/carobtargetdirective"
 	"github.com/carobknot/carobknot/pkg/carobwatermark"
 )
 
@@ -29,3 +30,13 @@
 	w.PendingSettlements = carobtable.NewTable[carobcallid.ID, carobpendingsettlement.PendingSettlement](carobtable.Config{Limit: lm.Calls})
 	w.Watermarks = carobevictingmap.NewEvictingMap[carobnodeid.ID, carobwatermark.Watermark](carobevictingmap.Config{Limit: lm.Peers})
 }
+
+// DirectiveOf returns what the response to a job requests. It is nil if there was no valid
+// response, or if the target has restarted since the job started.
+func (w *World) DirectiveOf(job *carobjob.Job, finish carobfinish.Finish) *carobtargetdirective.TargetDirective {
+	state := w.AdmissionStates.Get(job.Offer.Target)
+	if state == nil || job.StartedAt < state.AddedAt {
+		return nil
+	}
+	return finish.Directive
+}
