--- a/pkg/carobannouncement/announcement.go
+++ b/pkg/carobannouncement/announcement.go
@@ -11,6 +11,7 @@
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobname"
 	"github.com/carobknot/carobknot/pkg/carobreadiness"
+	"github.com/carobknot/carobknot/pkg/carobtarget"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 )
 
@@ -55,8 +56,8 @@
 	if err := an.Profile.Check("profile"); err != nil {
 		return err
 	}
-	if an.Slots < 1 || an.Connections < 1 {
-		return carobkind.New(carobkind.Invalid, "slots and conns must be at least 1")
+	if min(an.Slots, an.Connections) < 1 || max(an.Slots, an.Connections) > carobtarget.MaxSlots {
+		return carobkind.New(carobkind.Invalid, "slots and conns must be between 1 and %d", carobtarget.MaxSlots)
 	}
 	*a = Announcement(an)
 	return nil
--- a/pkg/carobmember/member.go
+++ b/pkg/carobmember/member.go
@@ -90,8 +90,8 @@
 	if err := target.Profile.Check("profile"); err != nil {
 		return err
 	}
-	if target.Slots < 1 || target.Connections < 1 {
-		return carobkind.New(carobkind.Invalid, "target %s: slots and conns must be at least 1", target.ID)
+	if min(target.Slots, target.Connections) < 1 || max(target.Slots, target.Connections) > carobtarget.MaxSlots {
+		return carobkind.New(carobkind.Invalid, "target %s: slots and conns must be between 1 and %d", target.ID, carobtarget.MaxSlots)
 	}
 	return target.Readiness.Check()
 }
--- a/pkg/carobtarget/target.go
+++ b/pkg/carobtarget/target.go
@@ -31,3 +31,6 @@
 	// AnnouncedAt is when the newest announcement was received; Never on other nodes.
 	AnnouncedAt carobinstant.Instant `json:"-"`
 }
+
+// MaxSlots is the maximum of Slots and Connections.
+const MaxSlots = 1 << 20
