Close a target's connection after a refusal

Cause: responses are matched to requests by the request's id, which all attempts of one call share, and a response without an id passes. Ruled out: bytes that arrive while a connection is idle, and responses to other requests, which were rejected before. Fix: a connection on which a refusal came serves no other exchange, so that what the server writes there later is read by nobody.

The other places that keep connections were read: those to nodes carry refusals of our own nodes only, those to the store no refusals that promise anything.

--- a/internal/carobnode/traffic_providers.go
+++ b/internal/carobnode/traffic_providers.go
@@ -20,6 +20,7 @@
 	"github.com/carobknot/carobknot/internal/carobrelay"
 	"github.com/carobknot/carobknot/internal/carobroutepoller"
 	"github.com/carobknot/carobknot/internal/carobtimer"
+	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobmember"
 )
 
@@ -57,6 +58,7 @@
 		}
 		if n.config.Dialect != nil {
 			poolConfig.MaxReuseAge, poolConfig.KeepAliveInterval, poolConfig.AllowCloseDelimited, poolConfig.MatchesRequest = maxReuseAge, keepAliveInterval, true, n.config.Dialect.MatchesRequest
+			poolConfig.IsRefusal = n.isRefusal
 			admitterConfig.Dialect, admitterConfig.MaxBufferedAnswer = n.config.Dialect, maxBufferedResponse
 		}
 		admitterConfig.TargetClient = carobpool.NewPool(poolConfig)
@@ -124,3 +126,9 @@
 		}), nil
 	})
 }
+
+// isRefusal reports whether a target's response states that the target did not run the call.
+func (n *Node) isRefusal(resp *fasthttp.Response) bool {
+	kind, _ := n.config.Dialect.Classify(resp)
+	return kind == carobkind.Shed || kind == carobkind.Misdirected
+}
--- a/internal/carobpool/options_test.go
+++ b/internal/carobpool/options_test.go
@@ -130,3 +130,25 @@
 		require.Equal(t, want, p.idleTimeoutOf(resp), "Keep-Alive: %s", text)
 	}
 }
+
+// TestConnectionIsClosedAfterARefusal guards against a refusal that a server writes once
+// more, and that is taken for the response to a later attempt of the same call.
+func TestConnectionIsClosedAfterARefusal(t *testing.T) {
+	server := startServer(t, func(conn net.Conn, req *http.Request, _, _ int64) bool {
+		respondWithID(conn, req.Header.Get(idHeader), "mine")
+		return true
+	})
+	refused := true
+	p := newPool(t, func(c *Config) { c.IsRefusal = func(*fasthttp.Response) bool { return refused } })
+	for range 3 {
+		_, err := fetch(t, p, server, "r1", false)
+		require.NoError(t, err)
+	}
+	require.EqualValues(t, 3, server.opened.Load())
+	refused = false
+	for range 3 {
+		_, err := fetch(t, p, server, "r1", false)
+		require.NoError(t, err)
+	}
+	require.EqualValues(t, 4, server.opened.Load(), "other responses keep the connection")
+}
--- a/internal/carobpool/pool.go
+++ b/internal/carobpool/pool.go
@@ -63,6 +63,10 @@
 	// every response. Other responses are discarded: they answer earlier requests on
 	// the connection.
 	MatchesRequest func(req *fasthttp.Request, resp *fasthttp.Response) bool
+	// IsRefusal reports whether a response states that the request did not run; nil means
+	// that none does. The connection is closed after a refusal: a faulty server may write
+	// the refusal once more, to a later attempt of the same call.
+	IsRefusal func(resp *fasthttp.Response) bool
 }
 
 // Pool sends requests and keeps idle connections to several addresses.
@@ -133,7 +137,8 @@
 		}
 		return nil, carobkind.Wrap(carobkind.ConnectionLost, err, "exchange")
 	}
-	respBody := &body{pool: p, conn: conn, stop: stop, exchange: x, reusable: !resp.ConnectionClose(), stream: resp.BodyStream()}
+	refused := p.config.IsRefusal != nil && p.config.IsRefusal(resp)
+	respBody := &body{pool: p, conn: conn, stop: stop, exchange: x, reusable: !resp.ConnectionClose() && !refused, stream: resp.BodyStream()}
 	length := max(resp.Header.ContentLength(), -1)
 	conn.idleTimeout = p.idleTimeoutOf(resp)
 	respBody.bytesLeft, respBody.ended = length, respBody.stream == nil || length == 0
@@ -235,7 +240,7 @@
 	// stop ends the watch for cancellation. It reports false if the connection has been
 	// closed because the context ended.
 	stop func() bool
-	// reusable is false if the response has "Connection: close".
+	// reusable is false if the response has "Connection: close" or is a refusal.
 	reusable bool
 	// bytesLeft is the number of bytes still to be read; negative if it is not known.
 	bytesLeft int
