Do not deny by a fence that a job ran

What callers would see: 'not run' for a call that ran (REFUSED), and a second run (TWICE). Cause: a fence tested the watermark of evicted tombstones before that of evicted ended jobs; a job below both was reported as Never. Fix: its own tombstone first, then the ended jobs, whose answer is Unknown, then the tombstones.

Test: TestFenceAfterEvictionsDoesNotDenyThatAJobRan got Never before and Unknown now; the stateful fuzz tests pass.

--- a/pkg/carobfencing/system.go
+++ b/pkg/carobfencing/system.go
@@ -58,12 +58,17 @@
 	if _, ok := world.EndedJobs.Get(fence.Job); ok {
 		return carobjobstate.Done
 	}
-	if IsFenced(world, fence.Job) {
+	if _, ok := world.Tombstones.Get(fence.Job); ok {
 		return carobjobstate.Never
 	}
+	// The watermark of ended jobs goes before that of tombstones: a job that both cover
+	// may have run.
 	if mayHaveRun(world, fence.Job.Call) {
 		return carobjobstate.Unknown
 	}
+	if IsFenced(world, fence.Job) {
+		return carobjobstate.Never
+	}
 	addTombstone(world, fence.Job)
 	return carobjobstate.Never
 }
--- a/pkg/carobfencing/system_test.go
+++ b/pkg/carobfencing/system_test.go
@@ -253,3 +253,17 @@
 		require.Zero(t, r.started())
 	})
 }
+
+// Guards against a fence that returns Never for a job that ran, since the records of both the job and a later fenced one of its entry node were evicted.
+func TestFenceAfterEvictionsDoesNotDenyThatAJobRan(t *testing.T) {
+	const limit = 3
+	r := newRig(limit)
+	r.complete(job(10))
+	for sequence := uint64(11); sequence < 11+limit; sequence++ {
+		r.complete(job(sequence))
+	}
+	for sequence := uint64(20); sequence < 20+limit+1; sequence++ {
+		require.Equal(t, carobjobstate.Never, r.fence(job(sequence)))
+	}
+	require.Equal(t, carobjobstate.Unknown, r.fence(job(10)))
+}
