Refuse calls of a route with a tiny SLO without ending the node

What callers would see: a node that ends, with all its calls, if an operator's route has an SLO below 8 ns (carobroute.Check has no lower bound) and a call is refused as busy. Fix: at least 1 ns. Test: TestCallOfARouteWithATinySLOIsRefused panicked before, passes now.

--- a/pkg/carobentry/route_test.go
+++ b/pkg/carobentry/route_test.go
@@ -133,13 +133,8 @@
 	}
 }
 
-// Guards against refusing a busy call so late that a retry of the caller misses the
-// SLO.
-func TestBusyCallIsRefusedEarlyEnoughToRetryWithinSLO(t *testing.T) {
-	r := newRig(t, carobguarantee.OncePerCall)
-	r.setRoute(carobguarantee.OncePerCall)
-	r.arriveAt("/one/x")
-	arrivedAt := r.now
+// refuseAttempts refuses all attempts of a call as busy until the call is concluded.
+func (r *rig) refuseAttempts() {
 	for attempt := 1; len(r.world.Outbox.Conclusions) == 0; attempt++ {
 		r.reply(attempt, carobkind.Busy)
 		for len(r.world.Outbox.Conclusions) == 0 && len(r.world.Outbox.Sends) == 0 {
@@ -147,6 +142,16 @@
 			r.step(carobinbox.Inbox{})
 		}
 	}
+}
+
+// Guards against refusing a busy call so late that a retry of the caller misses the
+// SLO.
+func TestBusyCallIsRefusedEarlyEnoughToRetryWithinSLO(t *testing.T) {
+	r := newRig(t, carobguarantee.OncePerCall)
+	r.setRoute(carobguarantee.OncePerCall)
+	r.arriveAt("/one/x")
+	arrivedAt := r.now
+	r.refuseAttempts()
 	conclusion := r.world.Outbox.Conclusions[0]
 	require.Equal(t, carobkind.Busy, conclusion.Kind)
 	require.Less(t, r.now.Sub(arrivedAt), slo/2, "refused in the first half of the SLO")
@@ -224,3 +229,13 @@
 		})
 	}
 }
+
+// Guards against a node that ends because a route's SLO is shorter than the parts into which it is divided.
+func TestCallOfARouteWithATinySLOIsRefused(t *testing.T) {
+	r := newRig(t, carobguarantee.OncePerCall)
+	r.setRoute(carobguarantee.Idempotent)
+	r.world.RouteTable.Routes[0].SLO = 1
+	r.arriveAt("/one/x")
+	require.NotPanics(t, r.refuseAttempts)
+	require.Equal(t, carobkind.Busy, r.world.Outbox.Conclusions[0].Kind)
+}
--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -388,7 +388,7 @@
 	if after == 0 || call.SLODeadline == carobinstant.Never {
 		return 0
 	}
-	mean := min(after, call.SLODeadline.Sub(call.ArrivedAt)/sloDivisor)
+	mean := max(1, min(after, call.SLODeadline.Sub(call.ArrivedAt)/sloDivisor))
 	return mean/2 + time.Duration(world.Random.Int64N(int64(mean)))
 }
 
