Keep a target's slowness when a response does not report it

What callers would see: a job that starts on a slow VM, and stays slow, right after a response without a load header. Cause: an answer without a reading counted as a reading of 0, which is not slow and resets the baseline; health checks excluded it. Test: TestResponseWithoutReadingKeepsTheBaseline got 0 instead of 5 before.

--- a/pkg/carobadmission/slowness_test.go
+++ b/pkg/carobadmission/slowness_test.go
@@ -177,3 +177,14 @@
 	r.stepToWake(t)
 	require.Equal(t, 1, r.completeCheck(1), "the job that is not movable starts")
 }
+
+// Guards against a response without a slowness reading that counts as one of a fast VM.
+func TestResponseWithoutReadingKeepsTheBaseline(t *testing.T) {
+	r := newCheckedRig(12, 4)
+	job := r.offer(requirements(1, usualSLO))
+	require.Equal(t, 1, r.completeCheck(1))
+	r.step(time.Second, carobinbox.Inbox{})
+	r.completeCheck(5)
+	r.finish(job, 0)
+	require.InDelta(t, 5, r.world.AdmissionStates.Get(target).Slowness, 0)
+}
--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -195,7 +195,7 @@
 	}
 	state.Running--
 	state.ReportDue = true
-	if load := finish.TargetLoad; load != nil {
+	if load := finish.TargetLoad; load != nil && load.Slowness > 0 {
 		recordReading(state, now, load.Slowness)
 	}
 	state.Limit = jobLimit(state, now)
