Keep the job limit of a slow VM at a heartbeat

What callers would see: up to twelve jobs at once on a VM that has just counted as slow, where five may run, until the next call sets the limit again; entry nodes get that limit in a report. Cause: each announcement set the limit to the announced slots. Fix: only a new number of slots does. Test: TestAnnouncementKeepsTheJobLimit got 12 instead of 5 before.

--- a/pkg/carobregistry/system.go
+++ b/pkg/carobregistry/system.go
@@ -163,7 +163,9 @@
 	if state == nil {
 		state = world.AdmissionStates.Put(announcement.Target, carobadmissionstate.AdmissionState{AddedAt: now})
 	}
-	state.Slots, state.Limit = announcement.Slots, announcement.Slots
+	if state.Slots != announcement.Slots {
+		state.Slots, state.Limit = announcement.Slots, announcement.Slots
+	}
 	if !changed {
 		return
 	}
--- a/pkg/carobregistry/system_test.go
+++ b/pkg/carobregistry/system_test.go
@@ -150,3 +150,18 @@
 	r.step()
 	require.Nil(t, r.world.AdmissionStates.Get(id))
 }
+
+// Guards against a heartbeat that raises the job limit of a target whose VM is slow.
+func TestAnnouncementKeepsTheJobLimit(t *testing.T) {
+	r := newRig()
+	r.step(announcement("a", 5, 1, carobreadiness.Ready))
+	state := r.world.AdmissionStates.Get(carobtargetid.ID{Service: "lookups", Name: "a"})
+	require.Equal(t, 12, state.Limit)
+	state.Limit = 5
+	r.step(announcement("a", 5, 2, carobreadiness.Ready))
+	require.Equal(t, 5, state.Limit)
+	more := announcement("a", 5, 3, carobreadiness.Ready)
+	more.Slots = 20
+	r.step(more)
+	require.Equal(t, 20, state.Limit, "a new number of slots sets a new limit")
+}
