Count a stream as read only when its end was found

What callers would see: profiles in force on a node that has just started that later records of the log have replaced, and a key's home that takes a shard over before it has read all claims. Cause: a node counted as caught up after the first page of a stream; a log returns 1,000 records or so a page. Fix: reads are not held until one returns no records, and only bounds from then on say that they are at the end.

The fuzz tests, whose fake log returns everything in one page, pass unchanged but for naming that in the bounds that they build.

--- a/internal/carobtail/tail.go
+++ b/internal/carobtail/tail.go
@@ -48,11 +48,12 @@
 }
 
 // Run posts the records of the stream, from the first retained one on, until ctx
-// is done. The first read does not wait for records, so that the control goroutine
-// receives the bounds of an empty stream at once.
+// is done. No read waits for records until one has found the end of the stream, so that
+// the control goroutine learns at once when it has all records.
 func (t *Tail) Run(ctx context.Context) {
 	next := caroboffset.Offset(0)
 	failing, wait := false, time.Duration(0)
+	atEnd := false
 	for ctx.Err() == nil {
 		page, err := t.config.Log.Read(ctx, t.config.Stream, next, wait)
 		if err != nil {
@@ -61,16 +62,20 @@
 			continue
 		}
 		t.logChange(&failing, nil)
-		next, wait = max(next, page.NextOffset), longPollTimeout
-		t.post(page)
+		next = max(next, page.NextOffset)
+		if atEnd = atEnd || len(page.Records) == 0; atEnd {
+			wait = longPollTimeout
+		}
+		t.post(page, atEnd)
 	}
 }
 
-// post posts the records of a page and the bounds of the stream.
-func (t *Tail) post(page caroblogpage.LogPage) {
+// post posts the records of a page and the bounds of the stream. atEnd is true once the end
+// of the stream has been found.
+func (t *Tail) post(page caroblogpage.LogPage, atEnd bool) {
 	t.config.Mailbox.Post(func(in *carobinbox.Inbox) {
 		in.Records = append(in.Records, page.Records...)
-		in.StreamBounds = append(in.StreamBounds, carobstreambounds.StreamBounds{Stream: t.config.Stream, First: page.FirstOffset, Next: page.NextOffset})
+		in.StreamBounds = append(in.StreamBounds, carobstreambounds.StreamBounds{Stream: t.config.Stream, First: page.FirstOffset, Next: page.NextOffset, AtEnd: atEnd})
 	})
 }
 
--- a/pkg/carobclaiming/cluster_test.go
+++ b/pkg/carobclaiming/cluster_test.go
@@ -129,7 +129,7 @@
 	for stream, next := range n.subscriptions {
 		if records := c.log[stream]; !c.logDown && next < len(records) {
 			n.inbox.Records = append(n.inbox.Records, records[next:]...)
-			n.inbox.StreamBounds = append(n.inbox.StreamBounds, carobstreambounds.StreamBounds{Stream: stream, Next: caroboffset.Offset(len(records))})
+			n.inbox.StreamBounds = append(n.inbox.StreamBounds, carobstreambounds.StreamBounds{Stream: stream, Next: caroboffset.Offset(len(records)), AtEnd: true})
 			n.subscriptions[stream] = len(records)
 		}
 	}
--- a/pkg/carobclaiming/system.go
+++ b/pkg/carobclaiming/system.go
@@ -114,7 +114,7 @@
 		}
 	}
 	for _, bounds := range world.Inbox.StreamBounds {
-		if home := homeOfStream(world, bounds.Stream); home != nil && home.NextOffset >= bounds.Next {
+		if home := homeOfStream(world, bounds.Stream); home != nil && bounds.AtEnd && home.NextOffset >= bounds.Next {
 			home.CaughtUp = true
 		}
 	}
--- a/pkg/carobfold/system.go
+++ b/pkg/carobfold/system.go
@@ -81,7 +81,7 @@
 		s.waitEnd = now.Add(startTimeout)
 	}
 	for _, bounds := range world.Inbox.StreamBounds {
-		if bounds.Stream == carobstream.Profiles && world.ProfilesRead+1 >= bounds.Next {
+		if bounds.Stream == carobstream.Profiles && bounds.AtEnd && world.ProfilesRead+1 >= bounds.Next {
 			s.caughtUp = true
 		}
 	}
--- a/pkg/carobhome/home.go
+++ b/pkg/carobhome/home.go
@@ -20,7 +20,7 @@
 	State *carobclaimstate.ClaimState
 	// BecameHomeAt is when this node became the home in its own view.
 	BecameHomeAt carobinstant.Instant
-	// CaughtUp is true once all records that one read of the stream returned have
+	// CaughtUp is true once all records up to the end of the stream at that time have
 	// been folded.
 	CaughtUp bool
 	// NextOffset is the offset of the next record to fold. It only grows.
--- a/pkg/carobstreambounds/streambounds.go
+++ b/pkg/carobstreambounds/streambounds.go
@@ -13,4 +13,6 @@
 	First caroboffset.Offset
 	// Next is the offset after the last record that was read.
 	Next caroboffset.Offset
+	// AtEnd is true if no record followed when the stream was read.
+	AtEnd bool
 }
--- a/test/capacity/cluster_test.go
+++ b/test/capacity/cluster_test.go
@@ -165,7 +165,7 @@
 		}
 	}
 	next := caroboffset.Offset(len(c.streams[stream]))
-	c.send(n, logLatency, carobinbox.Inbox{Records: kept, StreamBounds: []carobstreambounds.StreamBounds{{Stream: stream, First: first, Next: next}}})
+	c.send(n, logLatency, carobinbox.Inbox{Records: kept, StreamBounds: []carobstreambounds.StreamBounds{{Stream: stream, First: first, Next: next, AtEnd: true}}})
 }
 
 // append appends a record to the log, which sends it to all nodes.
--- a/test/fuzz/claims_test.go
+++ b/test/fuzz/claims_test.go
@@ -45,7 +45,7 @@
 		for i := range records {
 			records[i].Stream = stream
 		}
-		bounds := carobstreambounds.StreamBounds{Stream: stream, First: stored.first, Next: from + caroboffset.Offset(len(records))}
+		bounds := carobstreambounds.StreamBounds{Stream: stream, First: stored.first, Next: from + caroboffset.Offset(len(records)), AtEnd: true}
 		if len(records) > 0 {
 			n.after(n.sim.jitter(networkDelay), func() {
 				n.enqueue(func(in *carobinbox.Inbox) {
--- a/test/fuzz/node_test.go
+++ b/test/fuzz/node_test.go
@@ -337,7 +337,7 @@
 			record.Stream = stream
 			records = append(records, record)
 		}
-		bounds := carobstreambounds.StreamBounds{Stream: stream, First: stored.first, Next: end}
+		bounds := carobstreambounds.StreamBounds{Stream: stream, First: stored.first, Next: end, AtEnd: true}
 		if bounds != n.bounds[stream] || len(records) > 0 {
 			n.bounds[stream] = bounds
 			n.enqueue(func(in *carobinbox.Inbox) {
