Ignore bytes behind a caller's last request

What callers would see: a call with 'Connection: close' that is cancelled, and a connection that ends without a response (LOST), if the caller sends a line break or another request behind it. Cause: the server waited for one more byte to notice a disconnect, and took the byte for one. Fix: what follows is discarded until the caller disconnects or the answer was sent.

Test: TestBytesBehindTheLastRequestAreIgnored failed before for both kinds of bytes and passes now.

--- a/internal/carobserver/conn.go
+++ b/internal/carobserver/conn.go
@@ -102,8 +102,7 @@
 	}
 	go config.Handler.Handle(pipelined)
 	if pipelined.ClosesAfter() {
-		// No further request is accepted, but the caller may still disconnect.
-		c.awaitRequest()
+		c.discard()
 		return false
 	}
 	return true
@@ -124,6 +123,20 @@
 	return c.reading && !c.closing
 }
 
+// discard reads until the caller disconnects or the last answer was sent. What the caller
+// sends behind its last request is ignored.
+func (c *conn) discard() {
+	c.mutex.Lock()
+	answered := len(c.pending) == 0
+	if !answered {
+		c.setIdleDeadline()
+	}
+	c.mutex.Unlock()
+	if !answered {
+		_, _ = io.Copy(io.Discard, c.reader)
+	}
+}
+
 // setIdleDeadline limits the wait for the next request to Config.IdleTimeout if no
 // request is pending, and removes the read deadline otherwise. The mutex must be
 // held.
--- a/internal/carobserver/server_test.go
+++ b/internal/carobserver/server_test.go
@@ -250,3 +250,24 @@
 	f.send("hi")
 	require.Equal(t, "answer to /1 hi", string(f.read().Body()))
 }
+
+// Guards against a call that is cancelled as if its caller had disconnected, since the caller sent more bytes behind a request with "Connection: close".
+func TestBytesBehindTheLastRequestAreIgnored(t *testing.T) {
+	for name, extra := range map[string]string{"line break": "\n", "another request": "GET /next HTTP/1.1\nHost: a\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			const calls = 20
+			for i := range calls {
+				path := fmt.Sprintf("/%d", i)
+				f.dial()
+				f.send("GET " + path + " HTTP/1.1\nHost: a\nConnection: close\n\n" + extra)
+				require.Equal(t, path, <-f.handler.arrived)
+				close(f.handler.release(path))
+				require.Equal(t, "answer to "+path+" ", string(f.read().Body()))
+				f.requireClosed()
+			}
+			require.Empty(t, f.handler.disconnected)
+			require.Empty(t, f.handler.arrived, "no request is accepted behind the last one")
+		})
+	}
+}
