Check an unreadable store again also if a node found it so while idle

What callers would see: late route tables after the readers of a data centre have gone, since the nodes that could follow still count as unable to read the store. Fix: a change of that state wakes the idle loop. Test: TestIdleNodeChecksAnUnreadableStoreAgain failed before.

--- a/internal/carobroutepoller/routepoller.go
+++ b/internal/carobroutepoller/routepoller.go
@@ -54,7 +54,7 @@
 	cancel  context.CancelFunc
 	// meanWait is the mean time for which the store may hold a read that finds nothing.
 	meanWait time.Duration
-	// changed holds one element after enabled has changed, and confirmDue one after a read
+	// changed holds one element after enabled or unreadable has changed, and confirmDue one after a read
 	// was requested that is not held.
 	changed, confirmDue chan struct{}
 	// failures is the number of consecutive failed reads.
@@ -121,7 +121,7 @@
 	return p.unreadable
 }
 
-// idle waits until enabled changes, or until an unreadable store has to be checked
+// idle waits until enabled or unreadable changes, or until an unreadable store has to be checked
 // again. It reports whether to read although tables are not needed.
 func (p *RoutePoller) idle(ctx context.Context) bool {
 	inner, cancel := context.WithCancel(ctx)
@@ -229,6 +229,7 @@
 		return
 	}
 	p.unreadable = unreadable
+	notify(p.changed)
 	if unreadable {
 		p.config.Logger.WithError(err).Warn("store: route tables cannot be read")
 	} else {
--- a/internal/carobroutepoller/routepoller_test.go
+++ b/internal/carobroutepoller/routepoller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -111,3 +112,33 @@
 func (f sourceFunc) AwaitRoutes(ctx context.Context, _ time.Duration) (*carobroutetable.RouteTable, error) {
 	return f(ctx)
 }
+
+// Guards against a node that counts as unable to read the store for good, since it found so while it did not have to read tables.
+func TestIdleNodeChecksAnUnreadableStoreAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		timer, mailbox := carobtimer.NewTimer(), carobmailbox.NewMailbox()
+		go timer.Run(ctx)
+		logger, _ := test.NewNullLogger()
+		failing := true
+		poller := carobroutepoller.NewRoutePoller(carobroutepoller.Config{
+			Source: sourceFunc(func(context.Context) (*carobroutetable.RouteTable, error) {
+				if failing {
+					return nil, errors.New("refused")
+				}
+				return nil, nil
+			}), Mailbox: mailbox, Timer: timer, Logger: logrus.NewEntry(logger),
+		})
+		go poller.Run(ctx)
+		for range 2 {
+			synctest.Wait()
+			poller.Execute(&caroboutbox.Outbox{ConfirmRoutes: true})
+		}
+		synctest.Wait()
+		require.Equal(t, []bool{true}, mailbox.TakeAll().StoreUnreadable)
+		failing = false
+		require.NoError(t, timer.Wait(ctx, time.Minute))
+		require.Equal(t, []bool{false}, mailbox.TakeAll().StoreUnreadable)
+	})
+}
