--- a/pkg/carobregistry/directive_test.go
+++ b/pkg/carobregistry/directive_test.go
@@ -53,6 +53,19 @@
 	require.Equal(t, carobreadiness.Ready, r.readiness("a"), "a new incarnation does not leave")
 }
 
+// Guards against a target that counts as leaving for its silence, says in a response that it leaves, and is made ready by its next heartbeat.
+func TestSilentTargetThatLeavesIsNotMadeReady(t *testing.T) {
+	r := newRig()
+	r.step(announcement("a", 5, 1, carobreadiness.Ready))
+	job := r.startJob()
+	r.now = r.now.Add(5 * time.Second)
+	r.step()
+	require.Equal(t, carobreadiness.Leaving, r.readiness("a"), "silent")
+	r.respond(job, leaves)
+	r.step(announcement("a", 5, 2, carobreadiness.Ready))
+	require.Equal(t, carobreadiness.Leaving, r.readiness("a"))
+}
+
 // Guards against a target whose response to a health check says that it leaves, and that gets calls until one of them says so too.
 func TestTargetLeavesByItsHealthCheck(t *testing.T) {
 	r := newRig()
--- a/pkg/carobregistry/system.go
+++ b/pkg/carobregistry/system.go
@@ -36,8 +36,9 @@
 	return &System{announcementTimeout: c.AnnouncementTimeout}
 }
 
-// Run handles the tick's announcements and directives, marks targets without recent announcements as
-// leaving, and removes the admission states of removed targets once they have no jobs.
+// Run handles the tick's announcements and directives, marks targets without recent
+// announcements as leaving, and removes the admission states of removed targets once they
+// have no jobs.
 func (s *System) Run(world *carobworld.World, now carobinstant.Instant) {
 	for _, announcement := range world.Inbox.Announcements {
 		switch {
@@ -77,12 +78,15 @@
 // there was no valid response.
 func handleDirective(world *carobworld.World, id carobtargetid.ID, directive *carobtargetdirective.TargetDirective) {
 	target := world.Targets.Get(id)
-	if directive == nil || !directive.Leaving || target == nil || !world.Owns(target) || target.Readiness == carobreadiness.Leaving {
+	if directive == nil || !directive.Leaving || target == nil || !world.Owns(target) {
 		return
 	}
 	if instance := world.Instances.Get(target.Address); instance != nil && instance.Target == id {
 		instance.Leaving = true
 	}
+	if target.Readiness == carobreadiness.Leaving {
+		return
+	}
 	auditChange(world, id, string(target.Readiness), string(carobreadiness.Leaving))
 	target.Readiness = carobreadiness.Leaving
 	markTargetsChanged(world)
