--- a/pkg/carobprobelimits/probelimits.go
+++ b/pkg/carobprobelimits/probelimits.go
@@ -18,6 +18,17 @@
 	ChecksPerSecond int `json:"checks"`
 }
 
+// usedShare is the share of a bound on health checks that a node uses. The rest is for checks
+// that identify a target.
+const usedShare = 0.8
+
+// Within returns the limits with a rate of health checks that keeps within a bound on the
+// checks per second at a target.
+func (p ProbeLimits) Within(checksPerSecond float64) ProbeLimits {
+	p.ChecksPerSecond = int(usedShare * checksPerSecond)
+	return p
+}
+
 // NewProbeLimits returns the default limits.
 func NewProbeLimits() ProbeLimits {
 	return ProbeLimits{BytesPerSecond: carobrate.Rate(2 * carobsize.KiB), CPUShare: 0.01}
