Read a leave beside a malformed rate limit

Fix: the directive says that the limit could not be read, the one before it stays, and the leave counts.

--- a/pkg/carobadmission/rate.go
+++ b/pkg/carobadmission/rate.go
@@ -27,9 +27,10 @@
 	maxTokenWait = 100 * time.Millisecond
 )
 
-// handleDirective applies what a response of a target requests; nil if there was none.
+// handleDirective applies the rate limit of a target's response. directive is nil if there
+// was no valid response.
 func handleDirective(world *carobworld.World, now carobinstant.Instant, id carobtargetid.ID, state *carobadmissionstate.AdmissionState, directive *carobtargetdirective.TargetDirective) {
-	if directive == nil {
+	if directive == nil || directive.RateLimitUnreadable {
 		return
 	}
 	state.RateLimitRead = true
--- a/pkg/carobtargetdirective/targetdirective.go
+++ b/pkg/carobtargetdirective/targetdirective.go
@@ -9,6 +9,9 @@
 	// RateLimit is the number of calls a second that the target takes from all nodes
 	// together; 0 if it states no limit.
 	RateLimit carobcallrate.CallRate
+	// RateLimitUnreadable is true if the target states a malformed limit. The limit before it
+	// then stays.
+	RateLimitUnreadable bool
 	// Leaving is true if the target leaves and is to get no new calls.
 	Leaving bool
 }
