Start no control message once the transport shuts down

Cause: Shutdown waits for the requests in flight while the control goroutine still sends; a request that begins when none is in flight races with that wait, which may miss it, and new ones can hold the shutdown up without end. Fix: from the beginning of Shutdown on, messages are dropped and counted.

Test: TestMessagesAreDroppedFromShutdownOn hung on the old code until it was killed after 100 s, passes now (five runs with the race detector).

--- a/internal/carobtransport/messages_test.go
+++ b/internal/carobtransport/messages_test.go
@@ -153,3 +153,31 @@
 		}
 	})
 }
+
+// TestMessagesAreDroppedFromShutdownOn guards against a request that starts while Shutdown
+// waits for the others, which it may miss: the control goroutine still sends then.
+func TestMessagesAreDroppedFromShutdownOn(t *testing.T) {
+	sender, receiver := newEndpoint(t), newEndpoint(t)
+	out := &caroboutbox.Outbox{Messages: []carobmessage.Message{fetch(sender, receiver.address)}}
+	started, stop, stopped := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		sender.transport.Execute(out)
+		close(started)
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				sender.transport.Execute(out)
+			}
+		}
+	}()
+	<-started
+	require.NoError(t, sender.transport.Shutdown(t.Context()))
+	close(stop)
+	<-stopped
+	before := sender.transport.Dropped()
+	sender.transport.Execute(out)
+	require.Equal(t, before+1, sender.transport.Dropped())
+}
--- a/internal/carobtransport/transport.go
+++ b/internal/carobtransport/transport.go
@@ -51,10 +51,11 @@
 	mu     sync.Mutex
 	// inFlight has the number of concurrent requests to each address.
 	inFlight map[carobaddress.Address]int
-	// pending counts the requests in flight.
-	pending sync.WaitGroup
+	// pending counts the requests in flight. None is added once stopping is true.
+	pending  sync.WaitGroup
+	stopping bool
 	// dropped counts the messages that were not sent because too many requests to their
-	// node were in flight; rejected counts the received messages that were rejected as
+	// node were in flight, or because of the shutdown; rejected counts the received messages that were rejected as
 	// invalid.
 	dropped, rejected atomic.Uint64
 	// clients has a client for each address that messages were sent to.
@@ -88,7 +89,7 @@
 }
 
 // Dropped returns how many messages were not sent because too many requests to their
-// node were in flight.
+// node were in flight, or because of the shutdown.
 func (t *Transport) Dropped() uint64 { return t.dropped.Load() }
 
 // Rejected returns how many received messages and requests were rejected because they
@@ -96,8 +97,12 @@
 func (t *Transport) Rejected() uint64 { return t.rejected.Load() + t.config.Codec.DecodeErrors() }
 
 // Shutdown waits until all messages have been sent, stops receiving messages and
-// closes all connections. It stops waiting when ctx ends.
+// closes all connections. It stops waiting when ctx ends. Messages that come later are
+// dropped.
 func (t *Transport) Shutdown(ctx context.Context) error {
+	t.mu.Lock()
+	t.stopping = true
+	t.mu.Unlock()
 	sent := make(chan struct{})
 	go func() {
 		t.pending.Wait()
@@ -134,11 +139,12 @@
 	}
 }
 
-// acquire counts a request to an address. It reports false if too many are in flight.
+// acquire counts a request to an address. It reports false if too many are in flight or the
+// transport is shutting down.
 func (t *Transport) acquire(address carobaddress.Address) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.inFlight[address] >= maxInFlight {
+	if t.stopping || t.inFlight[address] >= maxInFlight {
 		return false
 	}
 	t.inFlight[address]++
