Send no pings and compress nothing between nodes

Cause: each connection between nodes was pinged after a second without traffic, and kept for 30 s.

Change: no pings; a connection on which a request gets no response within the timeout is closed and replaced, which takes as long as a ping did. Idle connections are closed after 10 s. No compression.

TestIdleConnectionCarriesNoPings and TestMessagesAreNotCompressed failed before. TestSilentConnectionIsReplaced passed before too and guards the replacement.

--- a/internal/carobtransport/messages_test.go
+++ b/internal/carobtransport/messages_test.go
@@ -181,3 +181,58 @@
 	sender.transport.Execute(out)
 	require.Equal(t, before+1, sender.transport.Dropped())
 }
+
+// TestSilentConnectionIsReplaced guards against a connection that has gone silent without a
+// reset and is used for all later messages: nothing else checks it.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	sender, receiver := newEndpoint(t), newEndpoint(t)
+	proxy := newSilentProxy(t, string(receiver.address))
+	message := fetch(sender, proxy.address())
+	sender.transport.Execute(&caroboutbox.Outbox{Messages: []carobmessage.Message{message}})
+	require.Len(t, receiver.take(t), 1)
+	proxy.silence()
+	require.Eventually(t, func() bool {
+		sender.transport.Execute(&caroboutbox.Outbox{Messages: []carobmessage.Message{message}})
+		return proxy.opened.Load() > 1
+	}, 10*time.Second, 100*time.Millisecond, "a second connection is opened")
+	require.NotEmpty(t, receiver.take(t))
+}
+
+// TestIdleConnectionCarriesNoPings guards against traffic on connections that carry no
+// messages. Each node of a large cluster has connections to many others.
+func TestIdleConnectionCarriesNoPings(t *testing.T) {
+	sender, receiver := newEndpoint(t), newEndpoint(t)
+	proxy := newSilentProxy(t, string(receiver.address))
+	message := fetch(sender, proxy.address())
+	for range 2 {
+		sender.transport.Execute(&caroboutbox.Outbox{Messages: []carobmessage.Message{message}})
+		require.Len(t, receiver.take(t), 1)
+	}
+	require.Eventually(t, func() bool {
+		before := proxy.forwarded.Load()
+		time.Sleep(3 * time.Second)
+		return proxy.forwarded.Load() == before
+	}, 10*time.Second, time.Millisecond)
+}
+
+// TestMessagesAreNotCompressed guards against a compressor for each response, most of which
+// are shorter than a gzip header.
+func TestMessagesAreNotCompressed(t *testing.T) {
+	e := newEndpoint(t)
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	client := &http.Client{Transport: &http.Transport{Protocols: protocols, DisableCompression: true}}
+	codec, err := carobcodec.NewCodec()
+	require.NoError(t, err)
+	data, err := codec.Marshal(&carobbatch.Batch{Messages: []carobmessage.Message{fetch(e, e.address)}})
+	require.NoError(t, err)
+	req, err := http.NewRequest(http.MethodPost, "http://"+string(e.address)+"/carobknot.v1.Peer/Tell", bytes.NewReader(data))
+	require.NoError(t, err)
+	req.Header.Set("Content-Type", "application/cbor")
+	req.Header.Set("Accept-Encoding", "gzip")
+	resp, err := client.Do(req)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Empty(t, resp.Header.Get("Content-Encoding"))
+}
--- a/internal/carobtransport/transport.go
+++ b/internal/carobtransport/transport.go
@@ -21,16 +21,16 @@
 
 const (
 	procedure = "/carobknot.v1.Peer/Tell"
+	// gzip is the compression that the library enables by default. It is disabled: most
+	// messages are shorter than a gzip header, and a compressor takes hundreds of kilobytes.
+	gzip = "gzip"
 	// requestTimeout is the time-out of a request, and of reading the header of one.
 	requestTimeout = 2 * time.Second
-	// pingTimeout is how long a connection may be without traffic before the client
-	// pings the peer, and how long the response to the ping may take.
-	pingTimeout = time.Second
 	// maxInFlight is the largest number of concurrent requests to one node.
 	maxInFlight = 64
 	// idleTimeout is how long the client keeps an idle connection; the server keeps it
-	// twice as long.
-	idleTimeout = 30 * time.Second
+	// twice as long. It is longer than the time between two heartbeats to one node.
+	idleTimeout = 10 * time.Second
 	// maxClients is the largest number of addresses for which a client is kept.
 	maxClients = 4096
 	// maxRequestSize is the size of the largest request that is accepted, in bytes.
@@ -60,6 +60,8 @@
 	dropped, rejected atomic.Uint64
 	// clients has a client for each address that messages were sent to.
 	clients map[carobaddress.Address]*connect.Client[carobbatch.Batch, emptyResponse]
+	// connections has the newest connection to each address, until it is closed.
+	connections map[carobaddress.Address]net.Conn
 }
 
 // emptyResponse is the response to a request.
@@ -69,16 +71,16 @@
 func NewTransport(c Config) *Transport {
 	protocols := &http.Protocols{}
 	protocols.SetUnencryptedHTTP2(true)
-	http2 := &http.HTTP2Config{SendPingTimeout: pingTimeout, PingTimeout: pingTimeout}
 	t := &Transport{
-		config:   c,
-		client:   &http.Client{Transport: &http.Transport{Protocols: protocols, HTTP2: http2, IdleConnTimeout: idleTimeout}},
-		inFlight: map[carobaddress.Address]int{},
-		clients:  map[carobaddress.Address]*connect.Client[carobbatch.Batch, emptyResponse]{},
+		config:      c,
+		inFlight:    map[carobaddress.Address]int{},
+		clients:     map[carobaddress.Address]*connect.Client[carobbatch.Batch, emptyResponse]{},
+		connections: map[carobaddress.Address]net.Conn{},
 	}
+	t.client = &http.Client{Transport: &http.Transport{Protocols: protocols, DialContext: t.dial, IdleConnTimeout: idleTimeout}}
 	mux := http.NewServeMux()
 	mux.Handle(procedure, connect.NewUnaryHandler(procedure, t.receive,
-		connect.WithCodec(c.Codec), connect.WithReadMaxBytes(maxRequestSize)))
+		connect.WithCodec(c.Codec), connect.WithReadMaxBytes(maxRequestSize), connect.WithCompression(gzip, nil, nil)))
 	t.server = &http.Server{Handler: mux, Protocols: protocols, ReadHeaderTimeout: requestTimeout, IdleTimeout: 2 * idleTimeout}
 	return t
 }
@@ -164,12 +166,67 @@
 }
 
 // send sends a batch to one node. It ignores errors: messages may get lost, and systems
-// that need a message delivered repeat it.
+// that need a message delivered repeat it. A connection on which a request gets no response
+// in time is closed, since it may be silent; the next request opens another one. Connections
+// are not checked while no request is sent, or each node would send pings on its connections
+// to most others.
 func (t *Transport) send(address carobaddress.Address, batch *carobbatch.Batch) {
 	defer t.release(address)
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
-	_, _ = t.clientFor(address).CallUnary(ctx, connect.NewRequest(batch))
+	used := t.connection(address)
+	_, err := t.clientFor(address).CallUnary(ctx, connect.NewRequest(batch))
+	if err != nil && ctx.Err() != nil {
+		t.closeSilent(address, used)
+	}
+}
+
+// dial opens a connection and stores it as the newest one to its address.
+func (t *Transport) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	tracked := &trackedConn{Conn: conn, transport: t, address: carobaddress.Address(address)}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.connections[tracked.address] = tracked
+	return tracked, nil
+}
+
+// connection returns the newest connection to an address, or nil if there is none.
+func (t *Transport) connection(address carobaddress.Address) net.Conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.connections[address]
+}
+
+// closeSilent closes the newest connection to an address, unless it was opened after the
+// request that got no response began: used is the newest one at that time, or nil.
+func (t *Transport) closeSilent(address carobaddress.Address, used net.Conn) {
+	conn := t.connection(address)
+	if conn != nil && (used == nil || conn == used) {
+		_ = conn.Close()
+	}
+}
+
+// trackedConn is a connection that removes itself from the transport's table when it is
+// closed.
+type trackedConn struct {
+	net.Conn
+	transport *Transport
+	address   carobaddress.Address
+}
+
+// Close closes the connection.
+func (c *trackedConn) Close() error {
+	c.transport.mu.Lock()
+	if c.transport.connections[c.address] == net.Conn(c) {
+		delete(c.transport.connections, c.address)
+	}
+	c.transport.mu.Unlock()
+	return c.Conn.Close()
 }
 
 // clientFor returns the client for an address. When there are too many clients, all
@@ -182,7 +239,8 @@
 		if len(t.clients) >= maxClients {
 			clear(t.clients)
 		}
-		client = connect.NewClient[carobbatch.Batch, emptyResponse](t.client, "http://"+string(address)+procedure, connect.WithCodec(t.config.Codec))
+		client = connect.NewClient[carobbatch.Batch, emptyResponse](t.client, "http://"+string(address)+procedure,
+			connect.WithCodec(t.config.Codec), connect.WithAcceptCompression(gzip, nil, nil))
 		t.clients[address] = client
 	}
 	return client
