Gossip to a few nodes that change slowly

Cause: each round of gossip went to random nodes of the whole cluster, so that a node that had just started opened a connection to most others within seconds.

Change: rounds choose among nine contacts, drawn again every 10 s, when too few are reachable, and when the number of known nodes has doubled. Reconciliation and heartbeats go where they went.

--- /dev/null
+++ b/pkg/carobdissemination/contactset.go
@@ -0,0 +1,85 @@
+package carobdissemination
+
+import (
+	"time"
+
+	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/carobnodeid"
+	"github.com/carobknot/carobknot/pkg/carobpeer"
+	"github.com/carobknot/carobknot/pkg/carobworld"
+)
+
+const (
+	// nearContacts and farContacts are the numbers of nodes of this data centre and of others
+	// that gossip goes to between two draws.
+	nearContacts, farContacts = 6, 3
+	// drawInterval is the time between two draws.
+	drawInterval = 10 * time.Second
+)
+
+// contactSet has the nodes that rounds of gossip choose from. It changes slowly, so that
+// connections are reused: if each round went to any node, a node of a large cluster that has
+// just started would soon have a connection to most others.
+type contactSet struct {
+	near, far []carobnodeid.ID
+	// nextDraw is when the set is drawn again; Never before the first draw.
+	nextDraw carobinstant.Instant
+	// peerCount is the number of peers at the last draw. A draw is due at once when there are
+	// twice as many, or the first nodes of a cluster would get most gossip of all that follow.
+	peerCount int
+}
+
+// recipients returns random contacts that are not down: most of them in this node's data
+// centre, and at least one elsewhere if there is one.
+func (c *contactSet) recipients(world *carobworld.World, now carobinstant.Instant) []*carobpeer.Peer {
+	near, far := sample(world, c.near), sample(world, c.far)
+	if len(near) < fanout-1 || len(far) == 0 || c.drawIsDue(world, now) {
+		c.draw(world, now)
+		near, far = sample(world, c.near), sample(world, c.far)
+	}
+	return choose(near, far)
+}
+
+func (c *contactSet) drawIsDue(world *carobworld.World, now carobinstant.Instant) bool {
+	return c.nextDraw == carobinstant.Never || c.nextDraw.Reached(now) || world.Peers.Len() > 2*c.peerCount
+}
+
+// draw draws the contacts among all nodes that are not down.
+func (c *contactSet) draw(world *carobworld.World, now carobinstant.Instant) {
+	c.nextDraw, c.peerCount = now.Add(drawInterval), world.Peers.Len()
+	c.near = idsOf(world.SamplePeers(nearContacts, func(peer *carobpeer.Peer) bool {
+		return isReachable(peer) && peer.Member.Centre == world.Self.Centre
+	}))
+	c.far = idsOf(world.SamplePeers(farContacts, func(peer *carobpeer.Peer) bool {
+		return isReachable(peer) && peer.Member.Centre != world.Self.Centre
+	}))
+}
+
+// sample returns up to fanout of the given nodes that are not down, in random order.
+func sample(world *carobworld.World, ids []carobnodeid.ID) []*carobpeer.Peer {
+	var peers []*carobpeer.Peer
+	for _, i := range world.Random.Perm(len(ids)) {
+		if peer := world.Peers.Get(ids[i]); peer != nil && isReachable(peer) && len(peers) < fanout {
+			peers = append(peers, peer)
+		}
+	}
+	return peers
+}
+
+// choose returns fanout nodes, or fewer if there are not as many.
+func choose(near, far []*carobpeer.Peer) []*carobpeer.Peer {
+	fromFar := min(len(far), max(1, fanout-len(near)))
+	return append(far[:fromFar], near[:min(len(near), fanout-fromFar)]...)
+}
+
+func idsOf(peers []*carobpeer.Peer) []carobnodeid.ID {
+	ids := make([]carobnodeid.ID, 0, len(peers))
+	for _, peer := range peers {
+		ids = append(ids, peer.Member.Node)
+	}
+	return ids
+}
+
+func isReachable(peer *carobpeer.Peer) bool {
+	return !peer.Member.Liveness.Down()
+}
--- a/pkg/carobdissemination/system.go
+++ b/pkg/carobdissemination/system.go
@@ -48,6 +48,7 @@
 	sent     int
 	// nextRound is when the next round may start; Never before the first.
 	nextRound carobinstant.Instant
+	contacts  contactSet
 }
 
 // NewSystem returns a System that is throttled to 8 KiB a second, with bursts of 64 KiB.
@@ -61,7 +62,7 @@
 // send heartbeats.
 func (s *System) Run(world *carobworld.World, now carobinstant.Instant) {
 	if world.Outbox.Stopped {
-		announceLeave(world)
+		s.announceLeave(world, now)
 		return
 	}
 	if world.Self.Sequence != s.sequence {
@@ -84,7 +85,7 @@
 	}
 	s.nextRound = now.Add(roundInterval)
 	world.WakeAt(s.nextRound)
-	to := recipients(world)
+	to := s.contacts.recipients(world, now)
 	if len(to) == 0 || !s.throttle.Allow(now, 0) {
 		return
 	}
@@ -163,21 +164,8 @@
 	return rows
 }
 
-// recipients returns random peers that are not down: most of them in this node's data
-// centre, and at least one elsewhere if there is one.
-func recipients(world *carobworld.World) []*carobpeer.Peer {
-	near := world.SamplePeers(fanout, func(peer *carobpeer.Peer) bool { return isReachable(peer) && peer.Member.Centre == world.Self.Centre })
-	far := world.SamplePeers(fanout, func(peer *carobpeer.Peer) bool { return isReachable(peer) && peer.Member.Centre != world.Self.Centre })
-	fromFar := min(len(far), max(1, fanout-len(near)))
-	return append(far[:fromFar], near[:min(len(near), fanout-fromFar)]...)
-}
-
-func isReachable(peer *carobpeer.Peer) bool {
-	return !peer.Member.Liveness.Down()
-}
-
 // announceLeave announces to some random nodes that this node leaves. It does so only once.
-func announceLeave(world *carobworld.World) {
+func (s *System) announceLeave(world *carobworld.World, now carobinstant.Instant) {
 	if world.LeaveAnnounced {
 		return
 	}
@@ -186,7 +174,7 @@
 	member := world.DescribeSelf()
 	member.Liveness = carobliveness.Left
 	world.Audit("member", string(world.Self.Node), "node "+string(world.Self.Node), carobliveness.Alive.String(), member.Liveness.String())
-	for _, peer := range recipients(world) {
+	for _, peer := range s.contacts.recipients(world, now) {
 		send(world, peer.Member, []carobmember.Member{member})
 	}
 }
