Hold reads of the store only for nodes without a route table

Beside the reads that confirm the table in time, each data centre's reader kept a held read open, which confirms nothing more: the confirmations alone bound the delay, and must, since held reads can miss a record. And each node read the table at its start, though others have it.

Change: readers confirm only, a little later than before (0.4 to 0.5 of the timeout for applying; other nodes from 0.55 as before). A node that starts gets the table from another one; the reader of its data centre reads after 0.3 s, the others by themselves after 2 s.

The case 'has no route table' of TestOneNodeOfADataCentreReadsTheStore stated the old rule; TestNodeWithoutTableReadsItselfAfterAWhile states the new one with its bounds.

--- a/internal/carobroutepoller/cluster_test.go
+++ b/internal/carobroutepoller/cluster_test.go
@@ -362,7 +362,7 @@
 
 // Guards against reads of the store, each of which has a price, that grow with the number of nodes.
 func TestConfirmationsTakeFewReads(t *testing.T) {
-	const maxReadsPerSecond = 5
+	const maxReadsPerSecond = 2
 	for _, size := range []int{1, 3, 12, 60} {
 		t.Run(strconv.Itoa(size), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/carobroutepoller/routepoller.go
+++ b/internal/carobroutepoller/routepoller.go
@@ -48,7 +48,7 @@
 type RoutePoller struct {
 	config Config
 	mutex  sync.Mutex
-	// enabled is true while the control goroutine needs tables. cancel ends the read in
+	// enabled is true while the control goroutine waits for a table. cancel ends the read in
 	// progress once it no longer does; nil while there is no such read.
 	enabled bool
 	cancel  context.CancelFunc
@@ -79,10 +79,10 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.meanWait = out.LongPollTimeout
-	if p.enabled == out.ReadingStore {
+	if p.enabled == out.AwaitingTable {
 		return
 	}
-	p.enabled = out.ReadingStore
+	p.enabled = out.AwaitingTable
 	if !p.enabled && p.cancel != nil {
 		p.cancel()
 	}
--- a/internal/carobroutepoller/routepoller_test.go
+++ b/internal/carobroutepoller/routepoller_test.go
@@ -54,7 +54,7 @@
 	})
 	go poller.Run(t.Context())
 	const hold = time.Second
-	poller.Execute(&caroboutbox.Outbox{ReadingStore: true, LongPollTimeout: hold})
+	poller.Execute(&caroboutbox.Outbox{AwaitingTable: true, LongPollTimeout: hold})
 	held := <-routeSource.reads
 	require.GreaterOrEqual(t, held, hold/2, "the store must hold a read that finds nothing")
 	require.LessOrEqual(t, held, hold*3/2, "a read must not be held longer than its jitter allows")
@@ -80,7 +80,7 @@
 	// enabled again.
 	<-routeSource.reads
 	poller.Execute(&caroboutbox.Outbox{})
-	poller.Execute(&caroboutbox.Outbox{ReadingStore: true})
+	poller.Execute(&caroboutbox.Outbox{AwaitingTable: true})
 	<-routeSource.reads
 }
 
@@ -98,7 +98,7 @@
 		return table, nil
 	})
 	poller = carobroutepoller.NewRoutePoller(carobroutepoller.Config{Source: source, Mailbox: mailbox, Timer: timer, Logger: logrus.NewEntry(logger)})
-	poller.Execute(&caroboutbox.Outbox{ReadingStore: true, LongPollTimeout: time.Second})
+	poller.Execute(&caroboutbox.Outbox{AwaitingTable: true, LongPollTimeout: time.Second})
 	go poller.Run(t.Context())
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
--- a/pkg/caroboutbox/outbox.go
+++ b/pkg/caroboutbox/outbox.go
@@ -33,10 +33,12 @@
 	RetriedAppends []carobretriedappend.RetriedAppend
 	// ChangeResults are the results of the profile changes that were applied.
 	ChangeResults []carobchangeresult.ChangeResult
-	// ReadingStore is true while this node reads the operator's records from the store.
+	// ReadingStore is true while this node reads the store for its data centre.
 	ReadingStore bool
+	// AwaitingTable is true while this node waits for a route table with held reads.
+	AwaitingTable bool
 	// LongPollTimeout is how long the store may hold open a long-poll read that finds
-	// nothing new. It is set only if ReadingStore is true.
+	// nothing new. It is set only if AwaitingTable is true.
 	LongPollTimeout time.Duration
 	// ConfirmRoutes requests a read of the store that the store must not hold open.
 	ConfirmRoutes bool
--- a/pkg/carobrouteconfirmation/system.go
+++ b/pkg/carobrouteconfirmation/system.go
@@ -35,7 +35,7 @@
 // have a confirmation of the same age.
 const (
 	// A reader reads when its confirmation has the age readerAge, or up to readerSpread more.
-	readerAge, readerSpread = 0.3, 0.1
+	readerAge, readerSpread = 0.4, 0.1
 	// Another node reads when it has the age maxAge, or up to maxSpread more. This leaves
 	// time for the read.
 	maxAge, maxSpread = 0.55, 0.15
--- a/pkg/carobstorereading/system.go
+++ b/pkg/carobstorereading/system.go
@@ -6,9 +6,13 @@
 // tables, without a vote. A node that cannot read the store announces this in its
 // description, and the next one takes over; two readers at once do no harm.
 //
-// A long-poll read that the store holds open can miss a record. This was observed after
-// the store had been slow, for all readers at once. So no read is held open for long, and
-// the readers' polls end at different times; a record found by one reaches all other nodes.
+// A reader sends short reads only, when the route table has to be confirmed
+// (carobrouteconfirmation). Reads that the store holds open until there is a newer table are
+// for nodes without a table: a held read can miss a record. This was observed after the
+// store had been slow, for all readers at once.
+//
+// A node that starts usually gets the table from another node. It reads the store itself if
+// it is the reader of its data centre, or if it gets no table in time.
 package carobstorereading
 
 import (
@@ -21,11 +25,21 @@
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
-// readInterval is the mean time between the starts of two reads, over all readers together.
-const readInterval = 750 * time.Millisecond
+const (
+	// readInterval is the mean time between the starts of two held reads, over the readers
+	// of all data centres together.
+	readInterval = 750 * time.Millisecond
+	// startDelay is the time that a node that has started takes to learn of other nodes.
+	startDelay = 300 * time.Millisecond
+	// tableTimeout is how long after its start a node without a table relies on the reader of
+	// its data centre.
+	tableTimeout = 2 * time.Second
+)
 
 // System decides whether this node reads from the store.
 type System struct {
+	// startedAt is the instant of the first tick; Never before it.
+	startedAt carobinstant.Instant
 	// readers is the cached number of data centres, and countedAt is 1 above the number of
 	// peer changes at which it was determined; 0 if it was not.
 	readers   int
@@ -37,22 +51,42 @@
 	return &System{}
 }
 
-// Run applies changes in whether the store can be read, and decides whether this node
-// reads from it and for how long each read may be held open.
-func (s *System) Run(world *carobworld.World, _ carobinstant.Instant) {
+// Run applies changes in whether the store can be read, and decides whether this node is the
+// reader of its data centre, and whether it waits for a table with held reads.
+func (s *System) Run(world *carobworld.World, now carobinstant.Instant) {
 	for _, unreadable := range world.Inbox.StoreUnreadable {
 		if unreadable != world.Self.StoreUnreadable {
 			world.Self.StoreUnreadable = unreadable
 			world.Self.Sequence++
 		}
 	}
-	// A node without a route table reads the store itself, even if another node does too.
-	world.Outbox.ReadingStore = !world.Stopping && (world.RouteTable == nil || takesPrecedence(world))
-	if world.Outbox.ReadingStore {
+	if s.startedAt == carobinstant.Never {
+		s.startedAt = now
+	}
+	world.Outbox.ReadingStore = !world.Stopping && takesPrecedence(world)
+	world.Outbox.AwaitingTable = !world.Stopping && s.awaitsTable(world, now)
+	if world.Outbox.AwaitingTable {
 		world.Outbox.LongPollTimeout = readInterval * time.Duration(s.countReaders(world))
 	}
 }
 
+// awaitsTable reports whether a node without a route table reads the store.
+func (s *System) awaitsTable(world *carobworld.World, now carobinstant.Instant) bool {
+	if world.RouteTable != nil {
+		return false
+	}
+	delay := tableTimeout
+	if world.Outbox.ReadingStore {
+		delay = startDelay
+	}
+	due := s.startedAt.Add(delay)
+	if !due.Reached(now) {
+		world.WakeAt(due)
+		return false
+	}
+	return true
+}
+
 // countReaders returns the number of nodes that read from the store: one in each data
 // centre with a live node.
 func (s *System) countReaders(world *carobworld.World) int {
@@ -73,7 +107,7 @@
 // one. A node that can read the store comes before one that cannot; among equals the lower
 // ID does.
 func takesPrecedence(world *carobworld.World) bool {
-	return len(world.SamplePeers(1, func(peer *carobpeer.Peer) bool {
+	return !world.AnyPeer(func(peer *carobpeer.Peer) bool {
 		member := &peer.Member
 		if member.Centre != world.Self.Centre || member.Liveness != carobliveness.Alive || member.Leaving {
 			return false
@@ -82,5 +116,5 @@
 			return world.Self.StoreUnreadable
 		}
 		return member.Node < world.Self.Node
-	})) == 0
+	})
 }
--- a/pkg/carobstorereading/system_test.go
+++ b/pkg/carobstorereading/system_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/carobknot/carobknot/pkg/carobcentre"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/caroblimits"
 	"github.com/carobknot/carobknot/pkg/carobliveness"
 	"github.com/carobknot/carobknot/pkg/carobmember"
@@ -20,7 +21,7 @@
 
 // All nodes of a data centre must select the same reader. A reader that leaves, is
 // suspected, or cannot read the store must be replaced, or new route tables reach the data
-// centre late. A node without routes reads in any case.
+// centre late.
 func TestOneNodeOfADataCentreReadsTheStore(t *testing.T) {
 	member := func(node carobnodeid.ID, centre carobcentre.Centre, change func(m *carobmember.Member)) carobmember.Member {
 		m := carobmember.Member{Node: node, Centre: centre}
@@ -45,7 +46,7 @@
 		{"the lowest ID is suspected", []carobmember.Member{member("a", "x", func(m *carobmember.Member) { m.Liveness = carobliveness.Suspect })}, false, false, true},
 		{"cannot read the store, another can", []carobmember.Member{member("z", "x", nil)}, true, false, false},
 		{"none can read the store, the lowest ID keeps reading", []carobmember.Member{member("z", "x", func(m *carobmember.Member) { m.StoreUnreadable = true })}, true, false, true},
-		{"has no route table", []carobmember.Member{member("a", "x", nil)}, false, true, true},
+		{"has no route table, another has a lower ID", []carobmember.Member{member("a", "x", nil)}, false, true, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			world := carobworld.NewWorld(carobworld.Config{
@@ -67,13 +68,51 @@
 			world.BeginTick(in)
 			carobstorereading.NewSystem().Run(world, 1)
 			require.Equal(t, c.reads, world.Outbox.ReadingStore)
-			require.Equal(t, c.reads, world.Outbox.LongPollTimeout > 0)
+			require.False(t, world.Outbox.AwaitingTable, "reads are held only for nodes without a table")
 			require.Equal(t, c.unreadable, world.Self.Sequence != sequence, "other nodes learn whether it can read the store")
 		})
 	}
 }
 
-// Each read has a cost, so the rate of reads over all readers must not depend on the
+// Reads have a price, and most nodes that start get the table from another node. Guards
+// against nodes that all read the store when they start together, and against a node that
+// relies on a reader that never gets the table.
+func TestNodeWithoutTableReadsItselfAfterAWhile(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		other  carobnodeid.ID
+		within time.Duration
+	}{
+		{"reader of its data centre", "z", 500 * time.Millisecond},
+		{"another node reads", "a", 2500 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			world := carobworld.NewWorld(carobworld.Config{Self: carobmember.Member{Node: "m", Centre: "x"}, Limits: caroblimits.NewLimits()})
+			world.Peers.Put(test.other, carobpeer.Peer{Member: carobmember.Member{Node: test.other, Centre: "x"}})
+			system, start := carobstorereading.NewSystem(), carobinstant.Instant(time.Hour)
+			now := start
+			for {
+				world.BeginTick(carobinbox.Inbox{})
+				system.Run(world, now)
+				if world.Outbox.AwaitingTable {
+					break
+				}
+				require.Positive(t, world.Wake())
+				now = world.Wake()
+			}
+			require.Greater(t, now.Sub(start), test.within/2)
+			require.LessOrEqual(t, now.Sub(start), test.within)
+			table, err := carobroutetable.NewRouteTable(1, nil)
+			require.NoError(t, err)
+			world.RouteTable = table
+			world.BeginTick(carobinbox.Inbox{})
+			system.Run(world, now)
+			require.False(t, world.Outbox.AwaitingTable)
+		})
+	}
+}
+
+// Each read has a cost, so the rate of held reads over all readers must not depend on the
 // number of data centres: each read is held open in proportion to that number.
 func TestMoreReadersHoldTheirReadsForLonger(t *testing.T) {
 	longPollTimeout := func(centres ...carobcentre.Centre) time.Duration {
@@ -83,7 +122,9 @@
 			world.Peers.Put(node, carobpeer.Peer{Member: carobmember.Member{Node: node, Centre: centre}})
 		}
 		world.BeginTick(carobinbox.Inbox{})
-		carobstorereading.NewSystem().Run(world, 1)
+		system := carobstorereading.NewSystem()
+		system.Run(world, 1)
+		system.Run(world, carobinstant.Instant(time.Minute))
 		return world.Outbox.LongPollTimeout
 	}
 	alone := longPollTimeout()
