--- a/pkg/carobadmission/slowness.go
+++ b/pkg/carobadmission/slowness.go
@@ -28,9 +28,12 @@
 	maxReadingAge = 10 * time.Millisecond
 	// maxSlowReadingAge is the age up to which a reading of a slow VM prevents starts.
 	maxSlowReadingAge = 20 * time.Millisecond
-	// baselineDelay is how long a VM must be slow without interruption before that
-	// slowness becomes its baseline.
-	baselineDelay = time.Second
+	// maxBaselineDelay is the longest time for which a VM must be slow without
+	// interruption before that slowness becomes its baseline.
+	maxBaselineDelay = time.Second
+	// maxHeldShare is the share of a job's SLO for which the job may be held while its VM
+	// stays slow.
+	maxHeldShare = 0.9
 	// maxReadingGap is the longest interval between two slow readings for which the VM
 	// is assumed to have been slow in between.
 	maxReadingGap = 100 * time.Millisecond
@@ -63,15 +66,15 @@
 		state.CheckBackoffEnd = now.Add(noReadingBackoff)
 		return
 	}
-	recordReading(state, now, result.TargetLoad.Slowness)
+	recordReading(world, now, result.Target, state, result.TargetLoad.Slowness)
 	state.Limit = jobLimit(state, now)
 	state.ReportDue = true
 }
 
 // recordReading records a slowness reading of a target's VM. A reading that is not slow
-// becomes the baseline at once. If all readings are slow for baselineDelay, at most
+// becomes the baseline at once. If all readings are slow for the baseline delay, at most
 // maxReadingGap apart, their minimum becomes the baseline.
-func recordReading(state *carobadmissionstate.AdmissionState, now carobinstant.Instant, slowness float64) {
+func recordReading(world *carobworld.World, now carobinstant.Instant, id carobtargetid.ID, state *carobadmissionstate.AdmissionState, slowness float64) {
 	previous := state.SlownessReadAt
 	state.Slowness, state.SlownessReadAt = slowness, now
 	switch {
@@ -81,12 +84,24 @@
 		state.SlowSince, state.MinSlowness = now, slowness
 	default:
 		state.MinSlowness = min(state.MinSlowness, slowness)
-		if state.SlowSince.Add(baselineDelay).Reached(now) {
+		if state.SlowSince.Add(baselineDelay(world, id)).Reached(now) {
 			state.Baseline, state.SlowSince = state.MinSlowness, carobinstant.Never
 		}
 	}
 }
 
+// baselineDelay returns how long the VM of a target must be slow without interruption before
+// that slowness becomes its baseline. No queued job is held past its SLO.
+func baselineDelay(world *carobworld.World, id carobtargetid.ID) time.Duration {
+	delay := maxBaselineDelay
+	for _, job := range world.Jobs.All() {
+		if slo := job.Offer.Requirements.SLO; slo > 0 && job.Offer.Target == id && job.StartedAt == carobinstant.Never {
+			delay = min(delay, time.Duration(maxHeldShare*float64(slo)))
+		}
+	}
+	return delay
+}
+
 // isSlow reports whether the newest reading is above slownessThreshold times the
 // baseline.
 func isSlow(state *carobadmissionstate.AdmissionState) bool {
--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -196,7 +196,7 @@
 	state.Running--
 	state.ReportDue = true
 	if load := finish.TargetLoad; load != nil && load.Slowness > 0 {
-		recordReading(state, now, load.Slowness)
+		recordReading(world, now, job.Offer.Target, state, load.Slowness)
 	}
 	state.Limit = jobLimit(state, now)
 	updateLatency(state, job.StartedAt, now)
