Let nested calls not shorten the hold on a slow VM

Change: nested calls do not count for the hold. TestNestedCallDoesNotShortenTheHold fails on the code before. Besides: a test waits on the timer of the test library instead of sleeping.

--- a/internal/carobtransport/messages_test.go
+++ b/internal/carobtransport/messages_test.go
@@ -208,11 +208,16 @@
 		sender.transport.Execute(&caroboutbox.Outbox{Messages: []carobmessage.Message{message}})
 		require.Len(t, receiver.take(t), 1)
 	}
+	const interval, quiet = 100 * time.Millisecond, 30
+	var forwarded int64
+	unchanged := 0
 	require.Eventually(t, func() bool {
-		before := proxy.forwarded.Load()
-		time.Sleep(3 * time.Second)
-		return proxy.forwarded.Load() == before
-	}, 10*time.Second, time.Millisecond)
+		unchanged++
+		if now := proxy.forwarded.Load(); now != forwarded {
+			forwarded, unchanged = now, 0
+		}
+		return unchanged == quiet
+	}, 15*time.Second, interval, "nothing is sent for 3 s")
 }
 
 // TestMessagesAreNotCompressed guards against a compressor for each response, most of which
--- a/pkg/carobadmission/slowness.go
+++ b/pkg/carobadmission/slowness.go
@@ -91,11 +91,14 @@
 }
 
 // baselineDelay returns how long the VM of a target must be slow without interruption before
-// that slowness becomes its baseline. No queued job is held past its SLO.
+// that slowness becomes its baseline: no queued job is held past its SLO. The SLO of nested
+// calls is not counted: it is about as long as a period of slowness, which would become the
+// baseline for all jobs whenever a nested call is queued.
 func baselineDelay(world *carobworld.World, id carobtargetid.ID) time.Duration {
 	delay := maxBaselineDelay
 	for _, job := range world.Jobs.All() {
-		if slo := job.Offer.Requirements.SLO; slo > 0 && job.Offer.Target == id && job.StartedAt == carobinstant.Never {
+		slo := job.Offer.Requirements.SLO
+		if slo > 0 && !isNested(job) && job.Offer.Target == id && job.StartedAt == carobinstant.Never {
 			delay = min(delay, time.Duration(maxHeldShare*float64(slo)))
 		}
 	}
--- a/pkg/carobadmission/slowness_test.go
+++ b/pkg/carobadmission/slowness_test.go
@@ -89,6 +89,19 @@
 	require.Zero(t, r.completeCheck(5), "a fast reading has reset the baseline")
 }
 
+// Guards against nested calls, whose SLO is short, that make a short period of slowness the
+// baseline, so that all jobs start in it and stay slow to their end.
+func TestNestedCallDoesNotShortenTheHold(t *testing.T) {
+	const nestedSLO, slowFor = 120 * time.Millisecond, 400 * time.Millisecond
+	r := newCheckedRig(12, 4)
+	r.offer(requirements(1, nestedSLO))
+	r.offer(requirements(1, usualSLO))
+	for offered := r.now; r.now.Sub(offered) < slowFor; r.stepToWake(t) {
+		require.Zero(t, r.completeCheck(5))
+	}
+	require.Equal(t, 2, r.completeCheck(1))
+}
+
 // Guards against jobs that wait for a slowness reading that cannot be obtained.
 func TestJobStartsWithoutReading(t *testing.T) {
 	for _, c := range []struct {
