End the hold on a slow VM by what a job itself has waited

Cause: the hold ended once the VM had been slow for 0.9 of a queued job's SLO, also if the job had just arrived.

Change: it ends once a job has been held for 0.9 of its own SLO. TestJobIsHeldForItsOwnWait fails on the code before.

--- a/pkg/carobadmission/slowness.go
+++ b/pkg/carobadmission/slowness.go
@@ -72,8 +72,8 @@
 }
 
 // recordReading records a slowness reading of a target's VM. A reading that is not slow
-// becomes the baseline at once. If all readings are slow for the baseline delay, at most
-// maxReadingGap apart, their minimum becomes the baseline.
+// becomes the baseline at once. If the VM stays slow, with readings at most maxReadingGap
+// apart, their minimum becomes the baseline.
 func recordReading(world *carobworld.World, now carobinstant.Instant, id carobtargetid.ID, state *carobadmissionstate.AdmissionState, slowness float64) {
 	previous := state.SlownessReadAt
 	state.Slowness, state.SlownessReadAt = slowness, now
@@ -84,25 +84,30 @@
 		state.SlowSince, state.MinSlowness = now, slowness
 	default:
 		state.MinSlowness = min(state.MinSlowness, slowness)
-		if state.SlowSince.Add(baselineDelay(world, id)).Reached(now) {
+		if staysSlow(world, now, id, state) {
 			state.Baseline, state.SlowSince = state.MinSlowness, carobinstant.Never
 		}
 	}
 }
 
-// baselineDelay returns how long the VM of a target must be slow without interruption before
-// that slowness becomes its baseline: no queued job is held past its SLO. The SLO of nested
-// calls is not counted: it is about as long as a period of slowness, which would become the
-// baseline for all jobs whenever a nested call is queued.
-func baselineDelay(world *carobworld.World, id carobtargetid.ID) time.Duration {
-	delay := maxBaselineDelay
+// staysSlow reports whether the VM of a target has been slow for so long that waiting for it
+// does not help: for maxBaselineDelay, or for most of the SLO of a job that was queued all
+// the while. Nested calls are not counted: their SLO is about as long as a period of
+// slowness, which would become the baseline for all jobs whenever one is queued.
+func staysSlow(world *carobworld.World, now carobinstant.Instant, id carobtargetid.ID, state *carobadmissionstate.AdmissionState) bool {
+	if state.SlowSince.Add(maxBaselineDelay).Reached(now) {
+		return true
+	}
 	for _, job := range world.Jobs.All() {
 		slo := job.Offer.Requirements.SLO
-		if slo > 0 && !isNested(job) && job.Offer.Target == id && job.StartedAt == carobinstant.Never {
-			delay = min(delay, time.Duration(maxHeldShare*float64(slo)))
+		if slo <= 0 || isNested(job) || job.Offer.Target != id || job.StartedAt != carobinstant.Never {
+			continue
+		}
+		if heldSince := max(job.ArrivedAt, state.SlowSince); now.Sub(heldSince) >= time.Duration(maxHeldShare*float64(slo)) {
+			return true
 		}
 	}
-	return delay
+	return false
 }
 
 // isSlow reports whether the newest reading is above slownessThreshold times the
--- a/pkg/carobadmission/slowness_test.go
+++ b/pkg/carobadmission/slowness_test.go
@@ -102,6 +102,21 @@
 	require.Equal(t, 2, r.completeCheck(1))
 }
 
+// Guards against a job that has just arrived and makes a slowness the baseline that began
+// before it: the period may be about to end.
+func TestJobIsHeldForItsOwnWait(t *testing.T) {
+	r := newCheckedRig(12, 4)
+	r.offer(requirements(1, time.Minute))
+	for began := r.now; r.now.Sub(began) < usualSLO; r.stepToWake(t) {
+		require.Zero(t, r.completeCheck(5))
+	}
+	r.offer(requirements(1, usualSLO))
+	for arrived := r.now; r.now.Sub(arrived) < usualSLO/2; r.stepToWake(t) {
+		require.Zero(t, r.completeCheck(5))
+	}
+	require.Equal(t, 2, r.completeCheck(1))
+}
+
 // Guards against jobs that wait for a slowness reading that cannot be obtained.
 func TestJobStartsWithoutReading(t *testing.T) {
 	for _, c := range []struct {
