Count the load while no latency is known, and release claimed keys in time

Routing: without any known latency the tolerance times the lowest latency overflowed, the factor became 0, and the load was ignored, as after a restart of all nodes. The factor is one function now, which stood twice. Claims: a batch without an epoch and without a takeover before it counted as valid; it does not now. A key that was released and claimed again kept all keys claimed after its first claim past the log's retention; the order keeps the offset of each claim now.

--- a/pkg/carobclaimstate/claimstate.go
+++ b/pkg/carobclaimstate/claimstate.go
@@ -39,9 +39,9 @@
 	// copies of batches that were folded before.
 	number   uint64
 	holdings map[carobkey.Key]*carobholding.Holding
-	// claimOrder lists the keys by the offsets of their claims, oldest first.
-	// It may contain keys that are no longer held.
-	claimOrder []carobkey.Key
+	// claimOrder lists the claims by offset, oldest first. It may contain claims whose keys
+	// were released, and claimed again since.
+	claimOrder []claimedKey
 	// storedOrder lists the keys with stored answers, oldest first, and storedBytes
 	// is the total size of those answers.
 	storedOrder []carobkey.Key
@@ -52,6 +52,12 @@
 	overflow caroboffset.Offset
 }
 
+// claimedKey is a key and the offset of its claim.
+type claimedKey struct {
+	key    carobkey.Key
+	offset caroboffset.Offset
+}
+
 // NewClaimState returns the state of a shard whose stream is empty.
 func NewClaimState(c Config) *ClaimState {
 	return &ClaimState{
@@ -91,7 +97,7 @@
 	case batch.Epoch > c.epoch:
 		c.adoptEpoch(batch)
 	}
-	if batch.Epoch == c.epoch && !batch.Takeover && batch.Number > c.number {
+	if batch.Epoch == c.epoch && batch.Epoch != caroboffset.BeforeFirst && !batch.Takeover && batch.Number > c.number {
 		c.number = batch.Number
 		for _, claim := range batch.Claims {
 			c.hold(offset, claim)
@@ -124,7 +130,7 @@
 		return
 	}
 	c.holdings[claim.Key] = &carobholding.Holding{Call: claim.Call, Offset: offset}
-	c.claimOrder = append(c.claimOrder, claim.Key)
+	c.claimOrder = append(c.claimOrder, claimedKey{claim.Key, offset})
 }
 
 // settle records the end of the call that holds a key, and releases the key if the
@@ -164,13 +170,10 @@
 	if c.overflow < first {
 		c.overflow = caroboffset.BeforeFirst
 	}
-	for len(c.claimOrder) > 0 {
-		holding := c.holdings[c.claimOrder[0]]
-		if holding != nil && holding.Offset >= first {
-			return
-		}
-		if holding != nil {
-			c.remove(c.claimOrder[0])
+	for len(c.claimOrder) > 0 && c.claimOrder[0].offset < first {
+		oldest := c.claimOrder[0]
+		if holding := c.holdings[oldest.key]; holding != nil && holding.Offset == oldest.offset {
+			c.remove(oldest.key)
 		}
 		c.claimOrder = c.claimOrder[1:]
 	}
--- a/pkg/carobclaimstate/claimstate_test.go
+++ b/pkg/carobclaimstate/claimstate_test.go
@@ -51,6 +51,7 @@
 		"nothing":                            {},
 		"first claim wins":                   {0, []carobclaimbatch.Batch{takeover("a"), batch("a", 0, 2, k1), batch("a", 0, 3, k2)}, 1, false},
 		"empty batch without a takeover":     {0, []carobclaimbatch.Batch{batch("a", -1, 2)}, 0, false},
+		"claim without a takeover":           {0, []carobclaimbatch.Batch{batch("a", caroboffset.BeforeFirst, 2, k1)}, 0, false},
 		"claim of an old epoch":              {0, []carobclaimbatch.Batch{takeover("a"), takeover("b"), batch("a", 0, 2, k1)}, 0, false},
 		"claims before and after a takeover": {0, []carobclaimbatch.Batch{takeover("a"), batch("a", 0, 2, k1), takeover("b"), batch("b", 2, 2, k2)}, 1, false},
 		"shard taken back":                   {0, []carobclaimbatch.Batch{takeover("a"), takeover("b"), takeover("a"), batch("a", 0, 2, k1), batch("a", 2, 3, k2)}, 2, false},
@@ -131,3 +132,20 @@
 	require.NotNil(t, shard.Holding(claim("l", 1).Key).StoredAnswer)
 	require.NotNil(t, shard.Holding(claim("m", 2).Key).StoredAnswer)
 }
+
+// Guards against keys that stay held although the log no longer keeps their claims, since an
+// older key was released and claimed again.
+func TestReclaimedKeyDoesNotKeepOlderKeys(t *testing.T) {
+	state := carobclaimstate.NewClaimState(carobclaimstate.Config{MaxKeys: 10, MaxStoredBytes: 10})
+	first, other, again := claim("a", 1), claim("b", 2), claim("a", 3)
+	for offset, record := range []carobclaimbatch.Batch{
+		takeover("n"), batch("n", 0, 2, first), settle(first, carobkind.Busy), batch("n", 0, 3, other), batch("n", 0, 4, again),
+	} {
+		state.Fold(caroboffset.Offset(offset), record)
+	}
+	state.DropBefore(4)
+	require.Nil(t, state.Holding(other.Key))
+	require.NotNil(t, state.Holding(again.Key))
+	state.DropBefore(5)
+	require.Nil(t, state.Holding(again.Key))
+}
--- a/pkg/carobrouting/policies_test.go
+++ b/pkg/carobrouting/policies_test.go
@@ -45,6 +45,8 @@
 		{"expected avoids a target of high latency", "expected", []float64{6, 3, 0, 5}, []time.Duration{20 * ms, 20 * ms, 200 * ms, 20 * ms}, []int{1}},
 		{"expected includes the wait for a slot", "expected", []float64{24, 24, 24, 11}, similar, []int{3}},
 		{"expected picks a target of unknown latency", "expected", []float64{6, 3, 0, 5}, []time.Duration{20 * ms, 20 * ms, 0, 20 * ms}, []int{2}},
+		{"expected counts the load if no latency is known", "expected", []float64{24, 0, 24, 24}, []time.Duration{0, 0, 0, 0}, []int{1}},
+		{"local counts the load if no latency is known", "local", []float64{24, 0, 24, 24}, []time.Duration{0, 0, 0, 0}, []int{1}},
 		{"an unknown policy name selects the default", "nosuch", []float64{6, 3, 2, 5}, similar, []int{2}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/pkg/carobrouting/policy_expected.go
+++ b/pkg/carobrouting/policy_expected.go
@@ -1,6 +1,9 @@
 package carobrouting
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // expected picks the target with the lowest expected response time, made up of
 // its latency and the wait for a slot if all are taken. The latencies of
@@ -17,11 +20,16 @@
 func (expected) pick(rng *rand.Rand, candidates []candidate) int {
 	lowest := lowestLatency(candidates)
 	return pickLowest(rng, candidates, func(cd *candidate) float64 {
-		latencyFactor := 1.0
-		if cd.latency > latencyTolerance*lowest {
-			latencyFactor = float64(cd.latency) / float64(lowest)
-		}
 		utilisation := (cd.inFlight + 1) / float64(cd.slots)
-		return latencyFactor * (max(utilisation, 1) + utilisation/float64(cd.slots))
+		return latencyFactor(cd.latency, lowest) * (max(utilisation, 1) + utilisation/float64(cd.slots))
 	})
 }
+
+// latencyFactor returns the ratio of a target's latency to the lowest one, or 1 if the
+// latency is unknown (0) or within the tolerance. lowest is as lowestLatency returns it.
+func latencyFactor(latency, lowest time.Duration) float64 {
+	if latency/latencyTolerance <= lowest {
+		return 1
+	}
+	return float64(latency) / float64(lowest)
+}
--- a/pkg/carobrouting/policy_local.go
+++ b/pkg/carobrouting/policy_local.go
@@ -11,10 +11,6 @@
 func (local) pick(rng *rand.Rand, candidates []candidate) int {
 	lowest := lowestLatency(candidates)
 	return pickLowest(rng, candidates, func(cd *candidate) float64 {
-		latencyFactor := 1.0
-		if cd.latency > latencyTolerance*lowest {
-			latencyFactor = float64(cd.latency) / float64(lowest)
-		}
-		return latencyFactor*(cd.inFlight+1)/float64(cd.slots) + cd.distance
+		return latencyFactor(cd.latency, lowest)*(cd.inFlight+1)/float64(cd.slots) + cd.distance
 	})
 }
--- a/pkg/carobrouting/subset.go
+++ b/pkg/carobrouting/subset.go
@@ -69,7 +69,7 @@
 	lowest := lowestLatency(candidates)
 	for i := range candidates {
 		cd := &candidates[i]
-		if cd.sameCentre && cd.inFlight < maxUtilisation*float64(cd.slots) && (cd.latency == 0 || cd.latency/latencyTolerance <= lowest) {
+		if cd.sameCentre && cd.inFlight < maxUtilisation*float64(cd.slots) && latencyFactor(cd.latency, lowest) == 1 {
 			return slices.DeleteFunc(candidates, func(c candidate) bool { return !c.sameCentre })
 		}
 	}
