Read the log's members before reading the store for a data centre

Change: the log's records keep the data centre; a node without a table waits up to 1.5 s (2 s before) if the log names a node that comes before it.

--- a/pkg/carobjoining/system.go
+++ b/pkg/carobjoining/system.go
@@ -61,10 +61,10 @@
 	return &System{seeds: c.Seeds}
 }
 
-// Run stores the addresses in the log's records, appends the node's own record when it is
+// Run stores the descriptions in the log's records, appends the node's own record when it is
 // due, and contacts some unknown nodes.
 func (s *System) Run(world *carobworld.World, now carobinstant.Instant) {
-	found := storeAddresses(world)
+	found := storeMembers(world)
 	if s.nextRenewal == carobinstant.Never {
 		world.Audit("member", string(world.Self.Node), "node "+string(world.Self.Node), "none", carobliveness.Alive.String())
 	}
@@ -90,9 +90,9 @@
 	return !peer.Member.Liveness.Down()
 }
 
-// storeAddresses stores the addresses of other nodes from the log records of this tick,
+// storeMembers stores the descriptions of other nodes from the log records of this tick,
 // and reports whether there were any. Invalid records are skipped.
-func storeAddresses(world *carobworld.World) bool {
+func storeMembers(world *carobworld.World) bool {
 	found := false
 	for _, record := range world.Inbox.Records {
 		if record.Stream != carobstream.Nodes {
@@ -102,7 +102,7 @@
 		if json.Unmarshal(record.Data, &member) != nil || member.Check() != nil || member.Node == world.Self.Node {
 			continue
 		}
-		world.LoggedAddresses.Put(member.Node, member.PeerAddress)
+		world.LoggedMembers.Put(member.Node, member)
 		found = true
 	}
 	return found
@@ -118,8 +118,8 @@
 	world.Outbox.RetriedAppends = append(world.Outbox.RetriedAppends, carobretriedappend.RetriedAppend{Stream: carobstream.Nodes, Data: data})
 }
 
-// contactUnknown contacts a random sample of the seeds and logged addresses that belong
-// to no known peer, and drops the logged addresses that do.
+// contactUnknown contacts a random sample of the seeds and of the logged members that
+// are no known peers, and drops the logged members that are.
 func (s *System) contactUnknown(world *carobworld.World, isolated bool) {
 	known := map[carobaddress.Address]bool{world.Self.PeerAddress: true}
 	for _, peer := range world.Peers.All() {
@@ -133,12 +133,12 @@
 			unknown = append(unknown, address)
 		}
 	}
-	for id, address := range world.LoggedAddresses.All() {
-		if known[*address] {
-			world.LoggedAddresses.Delete(id)
+	for id, member := range world.LoggedMembers.All() {
+		if known[member.PeerAddress] {
+			world.LoggedMembers.Delete(id)
 			continue
 		}
-		unknown = append(unknown, *address)
+		unknown = append(unknown, member.PeerAddress)
 	}
 	world.Random.Shuffle(len(unknown), func(i, j int) { unknown[i], unknown[j] = unknown[j], unknown[i] })
 	limit := 1
--- a/pkg/carobstorereading/system.go
+++ b/pkg/carobstorereading/system.go
@@ -33,7 +33,7 @@
 	startDelay = 300 * time.Millisecond
 	// tableTimeout is how long after its start a node without a table relies on the reader of
 	// its data centre.
-	tableTimeout = 2 * time.Second
+	tableTimeout = 1500 * time.Millisecond
 )
 
 // System decides whether this node reads from the store.
@@ -76,7 +76,7 @@
 		return false
 	}
 	delay := tableTimeout
-	if world.Outbox.ReadingStore {
+	if world.Outbox.ReadingStore && !otherIsLogged(world) {
 		delay = startDelay
 	}
 	due := s.startedAt.Add(delay)
@@ -87,6 +87,18 @@
 	return true
 }
 
+// otherIsLogged reports whether the log names a node of this data centre that comes before
+// this one if it is alive. When many nodes start together, most know it from the log before
+// they know it as a peer.
+func otherIsLogged(world *carobworld.World) bool {
+	for _, member := range world.LoggedMembers.All() {
+		if member.Centre == world.Self.Centre && member.Node < world.Self.Node {
+			return true
+		}
+	}
+	return false
+}
+
 // countReaders returns the number of nodes that read from the store: one in each data
 // centre with a live node.
 func (s *System) countReaders(world *carobworld.World) int {
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -99,9 +99,9 @@
 	PeerChanges uint64
 	// PendingGossip has the peers whose newest description this node still has to gossip.
 	PendingGossip *carobtable.Table[carobnodeid.ID, struct{}]
-	// LoggedAddresses has the addresses that the log records for nodes that are not known as
+	// LoggedMembers has the descriptions that the log records of nodes that are not known as
 	// peers. A node may no longer be at its address.
-	LoggedAddresses *carobtable.Table[carobnodeid.ID, carobaddress.Address]
+	LoggedMembers *carobtable.Table[carobnodeid.ID, carobmember.Member]
 	// PendingHeartbeats has the heartbeats that have not been answered, by their number.
 	PendingHeartbeats *carobtable.Table[uint64, carobpendingheartbeat.PendingHeartbeat]
 	// LeaveAnnounced is true once this node has announced to other nodes that it leaves.
@@ -236,7 +236,7 @@
 		Loads:             carobtable.NewTable[carobtargetid.ID, carobload.Load](carobtable.Config{Limit: c.Limits.Targets}),
 		AdmissionStates:   carobtable.NewTable[carobtargetid.ID, carobadmissionstate.AdmissionState](carobtable.Config{Limit: c.Limits.Targets}),
 		PendingGossip:     carobtable.NewTable[carobnodeid.ID, struct{}](carobtable.Config{Limit: c.Limits.Peers}),
-		LoggedAddresses:   carobtable.NewTable[carobnodeid.ID, carobaddress.Address](carobtable.Config{Limit: c.Limits.Peers}),
+		LoggedMembers:     carobtable.NewTable[carobnodeid.ID, carobmember.Member](carobtable.Config{Limit: c.Limits.Peers}),
 		PendingHeartbeats: carobtable.NewTable[uint64, carobpendingheartbeat.PendingHeartbeat](carobtable.Config{Limit: maxPendingHeartbeats}),
 		Peers:             carobtable.NewTable[carobnodeid.ID, carobpeer.Peer](carobtable.Config{Limit: c.Limits.Peers}),
 		OpenCallHops:      carobtable.NewTable[carobcallid.ID, carobopenhop.OpenHop](carobtable.Config{Limit: 2 * c.Limits.Calls}),
