Draw contacts of gossip anew only when the set can change

Cause: found by reading the diff as a newcomer: in a cluster of one data centre the set of contacts was drawn in each round, as there are none elsewhere, so that gossip went to random nodes as before; in small clusters too.

--- a/pkg/carobdissemination/contactset.go
+++ b/pkg/carobdissemination/contactset.go
@@ -24,8 +24,7 @@
 	near, far []carobnodeid.ID
 	// nextDraw is when the set is drawn again; Never before the first draw.
 	nextDraw carobinstant.Instant
-	// peerCount is the number of peers at the last draw. A draw is due at once when there are
-	// twice as many, or the first nodes of a cluster would get most gossip of all that follow.
+	// peerCount is the number of peers at the last draw.
 	peerCount int
 }
 
@@ -33,15 +32,21 @@
 // centre, and at least one elsewhere if there is one.
 func (c *contactSet) recipients(world *carobworld.World, now carobinstant.Instant) []*carobpeer.Peer {
 	near, far := sample(world, c.near), sample(world, c.far)
-	if len(near) < fanout-1 || len(far) == 0 || c.drawIsDue(world, now) {
+	lost := len(near) < min(fanout-1, len(c.near)) || len(far) < min(1, len(c.far))
+	if lost || c.drawIsDue(world, now) {
 		c.draw(world, now)
 		near, far = sample(world, c.near), sample(world, c.far)
 	}
 	return choose(near, far)
 }
 
+// drawIsDue reports whether a draw is due: after the interval, if there are other peers while
+// the set has room, and if there are twice as many peers, or the first nodes of a cluster
+// would get most gossip of all that follow.
 func (c *contactSet) drawIsDue(world *carobworld.World, now carobinstant.Instant) bool {
-	return c.nextDraw == carobinstant.Never || c.nextDraw.Reached(now) || world.Peers.Len() > 2*c.peerCount
+	hasRoom := len(c.near) < nearContacts || len(c.far) < farContacts
+	count := world.Peers.Len()
+	return c.nextDraw == carobinstant.Never || c.nextDraw.Reached(now) || count > 2*c.peerCount || hasRoom && count != c.peerCount
 }
 
 // draw draws the contacts among all nodes that are not down.
