--- a/internal/carobnode/node.go
+++ b/internal/carobnode/node.go
@@ -11,22 +11,9 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
-	"github.com/carobknot/carobknot/internal/carobadminserver"
-	"github.com/carobknot/carobknot/internal/carobadmitter"
-	"github.com/carobknot/carobknot/internal/carobclaimlog"
 	"github.com/carobknot/carobknot/internal/carobcontrol"
-	"github.com/carobknot/carobknot/internal/carobeventlog"
-	"github.com/carobknot/carobknot/internal/caroblogclient"
-	"github.com/carobknot/carobknot/internal/caroblogwriter"
 	"github.com/carobknot/carobknot/internal/carobmailbox"
-	"github.com/carobknot/carobknot/internal/carobmembersync"
-	"github.com/carobknot/carobknot/internal/carobmeter"
-	"github.com/carobknot/carobknot/internal/carobroutepoller"
 	"github.com/carobknot/carobknot/internal/carobsettings"
-	"github.com/carobknot/carobknot/internal/carobsplitter"
-	"github.com/carobknot/carobknot/internal/carobtail"
-	"github.com/carobknot/carobknot/internal/carobtimer"
-	"github.com/carobknot/carobknot/internal/carobtransport"
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobannouncement"
 	"github.com/carobknot/carobknot/pkg/carobarrival"
@@ -38,7 +25,6 @@
 	"github.com/carobknot/carobknot/pkg/carobroutetable"
 	"github.com/carobknot/carobknot/pkg/carobsize"
 	"github.com/carobknot/carobknot/pkg/carobstart"
-	"github.com/carobknot/carobknot/pkg/carobstream"
 	"github.com/carobknot/carobknot/pkg/carobtargetdirective"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 	"github.com/carobknot/carobknot/pkg/carobtargetload"
@@ -220,124 +206,6 @@
 	return nil
 }
 
-// discoverTarget identifies and announces the target that may already run on the VM.
-func (n *Node) discoverTarget(ctx context.Context) {
-	if err := do.MustInvoke[*carobadmitter.Admitter](n.injector).Discover(ctx, n.config.LocalTarget); err != nil {
-		n.config.Logger.WithError(err).Info("target: could not be identified before its own announcement")
-	}
-}
-
-// addExecutors connects the control goroutine to the parts that carry out its effects.
-func (n *Node) addExecutors(ctx context.Context) {
-	control := do.MustInvoke[*carobcontrol.Control](n.injector)
-	control.AddExecutor(do.MustInvoke[*carobadmitter.Admitter](n.injector))
-	control.AddExecutor(do.MustInvoke[callServer](n.injector))
-	control.AddExecutor(do.MustInvoke[*carobtransport.Transport](n.injector))
-	control.AddExecutor(do.MustInvoke[*carobmeter.Meter](n.injector))
-	control.AddExecutor(do.MustInvoke[*carobeventlog.EventLog](n.injector))
-	if n.config.Store != nil {
-		control.AddExecutor(do.MustInvoke[*carobmembersync.MemberSync](n.injector))
-		control.AddExecutor(do.MustInvoke[*carobroutepoller.RoutePoller](n.injector))
-	} else {
-		n.addLogExecutors(ctx, control)
-	}
-	control.AddExecutor(n)
-}
-
-// addLogExecutors connects the control goroutine to the parts that write to the log.
-func (n *Node) addLogExecutors(ctx context.Context, control *carobcontrol.Control) {
-	control.AddExecutor(carobclaimlog.NewClaimLog(ctx, carobclaimlog.Config{
-		Log:     do.MustInvoke[*caroblogclient.LogClient](n.injector),
-		Mailbox: do.MustInvoke[*carobmailbox.Mailbox](n.injector),
-		Timer:   do.MustInvoke[*carobtimer.Timer](n.injector),
-		Logger:  logrus.NewEntry(n.config.Logger),
-	}))
-	control.AddExecutor(do.MustInvoke[*caroblogwriter.LogWriter](n.injector))
-}
-
-// startBackground starts the goroutines that run beside the servers.
-func (n *Node) startBackground(ctx context.Context) {
-	go do.MustInvoke[*carobtimer.Timer](n.injector).Run(ctx)
-	go do.MustInvoke[*carobcontrol.Control](n.injector).Run(ctx)
-	go do.MustInvoke[*carobsplitter.Splitter](n.injector).Run(ctx)
-	go do.MustInvoke[*carobeventlog.EventLog](n.injector).Run(ctx)
-	if n.config.Store != nil {
-		go do.MustInvoke[*carobmembersync.MemberSync](n.injector).Run(ctx)
-		go do.MustInvoke[*carobroutepoller.RoutePoller](n.injector).Run(ctx)
-		return
-	}
-	go do.MustInvoke[*caroblogwriter.LogWriter](n.injector).Run(ctx)
-	go n.readStream(ctx, carobstream.Profiles)
-	go n.readStream(ctx, carobstream.Nodes)
-}
-
-// startServers starts the servers. The channel receives the error of the first server
-// that fails.
-func (n *Node) startServers(ctx context.Context) <-chan error {
-	splitter := do.MustInvoke[*carobsplitter.Splitter](n.injector)
-	failed := make(chan error, 1)
-	start := func(server string, run func(net.Listener) error, listener net.Listener) {
-		if err := run(listener); err != nil && ctx.Err() == nil {
-			select {
-			case failed <- carobkind.Wrap(carobkind.Internal, err, "serve "+server):
-			default:
-			}
-		}
-	}
-	go start("calls", do.MustInvoke[callServer](n.injector).Serve, n.callListener)
-	go start("attempts", do.MustInvoke[*attemptServer](n.injector).Serve, splitter.AttemptListener)
-	go start("control messages", do.MustInvoke[*carobtransport.Transport](n.injector).Serve, splitter.ControlListener)
-	go start("admin", do.MustInvoke[*carobadminserver.AdminServer](n.injector).Serve, n.adminListener)
-	return failed
-}
-
-// shutDown shuts the node down gracefully:
-//
-//   - For Settings.MinDrainTime, the node still accepts calls and attempts, since callers and
-//     other nodes may not have noticed that it is shutting down.
-//   - Then callers can open no more connections; calls that have been received are
-//     still answered. The node announces to the other nodes that it leaves and refuses
-//     their attempts, until none has sent an attempt for a while. If an attempt met a
-//     closed connection instead of a refusal, its entry node could not determine
-//     whether it ran.
-//   - Calls that are still in flight after Settings.ShutdownTimeout get a final response.
-//   - Finally the servers are closed, within closeTimeout.
-func (n *Node) shutDown(ctx context.Context) {
-	logger := n.config.Logger.WithField("node", n.config.Settings.Name)
-	logger.Info("node: shutting down")
-	n.shuttingDown.Store(true)
-	mailbox := do.MustInvoke[*carobmailbox.Mailbox](n.injector)
-	shutdownCtx, cancelShutdown := context.WithTimeout(ctx, n.config.Settings.ShutdownTimeout.Duration())
-	defer cancelShutdown()
-	calls := do.MustInvoke[callServer](n.injector)
-	deadline := do.MustInvoke[*carobtimer.Timer](n.injector).Now().Add(n.config.Settings.ShutdownTimeout.Duration())
-	mailbox.Post(func(inbox *carobinbox.Inbox) { inbox.ShutdownDeadline = deadline })
-	calls.Drain()
-	_ = do.MustInvoke[*carobtimer.Timer](n.injector).Wait(shutdownCtx, n.config.Settings.MinDrainTime.Duration())
-	mailbox.Post(func(inbox *carobinbox.Inbox) { inbox.Stop = true })
-	_ = calls.Shutdown(shutdownCtx)
-	select {
-	case <-n.stopped:
-	case <-shutdownCtx.Done():
-	}
-	const divisor = 10
-	closeCtx, cancelClose := context.WithTimeout(ctx, min(closeTimeout, n.config.Settings.ShutdownTimeout.Duration()/divisor))
-	defer cancelClose()
-	if shutdownCtx.Err() != nil {
-		logger.Warn("node: calls still in flight get their last answer")
-		mailbox.Post(func(inbox *carobinbox.Inbox) { inbox.Exit = true })
-		_ = calls.Shutdown(closeCtx)
-	}
-	_ = do.MustInvoke[*carobtimer.Timer](n.injector).Wait(shutdownCtx, finalSendDelay)
-	if n.config.Store == nil {
-		do.MustInvoke[*caroblogwriter.LogWriter](n.injector).Flush(closeCtx)
-	}
-	_ = do.MustInvoke[*attemptServer](n.injector).ShutdownWithContext(closeCtx)
-	_ = do.MustInvoke[*carobtransport.Transport](n.injector).Shutdown(closeCtx)
-	_ = do.MustInvoke[*carobadminserver.AdminServer](n.injector).Shutdown(closeCtx)
-	logger.Info("node: stopped")
-}
-
 // Execute closes stopped when the control goroutine reports the end of a graceful
 // shutdown.
 func (n *Node) Execute(out *caroboutbox.Outbox) {
@@ -351,24 +219,6 @@
 	}
 }
 
-// readStream reads a stream of the platform's log until ctx ends.
-func (n *Node) readStream(ctx context.Context, stream carobstream.Stream) {
-	carobtail.NewTail(carobtail.Config{
-		Stream: stream, Log: do.MustInvoke[*caroblogclient.LogClient](n.injector),
-		Mailbox: do.MustInvoke[*carobmailbox.Mailbox](n.injector),
-		Timer:   do.MustInvoke[*carobtimer.Timer](n.injector), Logger: logrus.NewEntry(n.config.Logger),
-	}).Run(ctx)
-}
-
-// closeListeners closes the listeners that have been opened.
-func (n *Node) closeListeners() {
-	for _, listener := range []net.Listener{n.callListener, n.peerListener, n.adminListener} {
-		if listener != nil {
-			_ = listener.Close()
-		}
-	}
-}
-
 // maxBufferedSize is the largest number of bytes that are buffered for each stream
 // while the log is unavailable.
 const maxBufferedSize = 8 * carobsize.MiB
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -3,15 +3,11 @@
 
 import (
 	"math/rand/v2"
-	"strconv"
 
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobadmissionstate"
-	"github.com/carobknot/carobknot/pkg/carobaudit"
 	"github.com/carobknot/carobknot/pkg/carobcall"
 	"github.com/carobknot/carobknot/pkg/carobcallid"
-	"github.com/carobknot/carobknot/pkg/carobdecision"
-	"github.com/carobknot/carobknot/pkg/carobduration"
 	"github.com/carobknot/carobknot/pkg/carobevictingmap"
 	"github.com/carobknot/carobknot/pkg/carobfinish"
 	"github.com/carobknot/carobknot/pkg/carobgroup"
@@ -27,7 +23,6 @@
 	"github.com/carobknot/carobknot/pkg/carobload"
 	"github.com/carobknot/carobknot/pkg/carobmember"
 	"github.com/carobknot/carobknot/pkg/carobmemberversion"
-	"github.com/carobknot/carobknot/pkg/carobmessage"
 	"github.com/carobknot/carobknot/pkg/carobname"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/caroboffset"
@@ -37,7 +32,6 @@
 	"github.com/carobknot/carobknot/pkg/carobpendingheartbeat"
 	"github.com/carobknot/carobknot/pkg/carobpendingsettlement"
 	"github.com/carobknot/carobknot/pkg/carobprobelimits"
-	"github.com/carobknot/carobknot/pkg/carobprofile"
 	"github.com/carobknot/carobknot/pkg/carobrecord"
 	"github.com/carobknot/carobknot/pkg/carobretrybudget"
 	"github.com/carobknot/carobknot/pkg/carobretrylimits"
@@ -46,7 +40,6 @@
 	"github.com/carobknot/carobknot/pkg/carobrouteversion"
 	"github.com/carobknot/carobknot/pkg/carobservice"
 	"github.com/carobknot/carobknot/pkg/carobshard"
-	"github.com/carobknot/carobknot/pkg/carobsnapshot"
 	"github.com/carobknot/carobknot/pkg/carobtable"
 	"github.com/carobknot/carobknot/pkg/carobtarget"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
@@ -247,96 +240,6 @@
 	return w
 }
 
-// WakeAt requests a tick no later than the given instant.
-func (w *World) WakeAt(at carobinstant.Instant) {
-	w.wake = carobinstant.Earlier(w.wake, at)
-}
-
-// Wake returns when the next tick is due even if no input arrives; Never if no system
-// requested one.
-func (w *World) Wake() carobinstant.Instant {
-	return w.wake
-}
-
-// BeginTick starts a tick: it sets the input, clears the effects and the wake time, and
-// applies a requested shutdown, which increases this node's update sequence.
-func (w *World) BeginTick(input carobinbox.Inbox) {
-	w.Inbox = input
-	w.Outbox = caroboutbox.Outbox{}
-	w.wake = carobinstant.Never
-	if input.ShutdownDeadline != carobinstant.Never {
-		w.ShutdownDeadline = input.ShutdownDeadline
-	}
-	if input.Stop && !w.Stopping {
-		w.Stopping = true
-		w.Self.Sequence++
-	}
-}
-
-// EndTick completes the effects of a tick: it adds the age of the confirmation of the route
-// table to the messages that name the table's version, and the state of the route table for
-// the metrics.
-func (w *World) EndTick(now carobinstant.Instant) {
-	w.Outbox.RoutesVersion = w.RoutesVersion()
-	if w.RoutesConfirmedAt == carobinstant.Never {
-		return
-	}
-	age := carobduration.Duration(max(1, now.Sub(w.RoutesConfirmedAt)))
-	w.Outbox.RoutesAge = age.Duration()
-	for i := range w.Outbox.Messages {
-		if message := &w.Outbox.Messages[i]; message.RoutesVersion == w.RoutesVersion() {
-			message.RoutesAge = age
-		}
-	}
-}
-
-// ProfileOf returns the profile in force for a service. It is nil if no target of the
-// service is known, or if the profile that its targets name is not known or comes from a
-// log that this node has yet to read. Profiles from the settings are in force at once.
-func (w *World) ProfileOf(service carobservice.Service) *carobprofile.Profile {
-	group := w.Groups.Get(service)
-	if group == nil {
-		return nil
-	}
-	revision := w.Profiles.Get(group.Profile)
-	if revision == nil || w.AwaitingLog && revision.Offset != caroboffset.BeforeFirst {
-		return nil
-	}
-	return &revision.Change.Profile
-}
-
-// RetryBudgetOf returns a service's budget of retries and hedges. If the table is full, a
-// service without a row gets an empty budget, which allows none.
-func (w *World) RetryBudgetOf(service carobservice.Service) *carobretrybudget.RetryBudget {
-	if budget := w.RetryBudgets.Get(service); budget != nil {
-		return budget
-	}
-	if budget := w.RetryBudgets.Put(service, carobretrybudget.RetryBudget{Tokens: w.maxRetryTokens()}); budget != nil {
-		return budget
-	}
-	return &carobretrybudget.RetryBudget{}
-}
-
-// CreditRetryBudget credits the budget of a service for a call.
-func (w *World) CreditRetryBudget(service carobservice.Service) {
-	w.RetryBudgetOf(service).AddCall(float64(w.RetryLimits.TokensPerCall), w.maxRetryTokens())
-}
-
-// maxRetryTokens returns the maximum number of retries that this node's budget of a service
-// can accumulate. It depends on the number of nodes.
-func (w *World) maxRetryTokens() float64 {
-	return w.RetryLimits.MaxTokens(w.Peers.Len() + 1)
-}
-
-// TakeSnapshot returns a snapshot of the profiles in force.
-func (w *World) TakeSnapshot() carobsnapshot.Snapshot {
-	snapshot := carobsnapshot.Snapshot{LastOffset: w.ProfilesRead, Revisions: make([]carobrevision.Revision, 0, w.Profiles.Len())}
-	for _, revision := range w.Profiles.All() {
-		snapshot.Revisions = append(snapshot.Revisions, *revision)
-	}
-	return snapshot
-}
-
 // Owns reports whether the target is on this node's VM.
 func (w *World) Owns(target *carobtarget.Target) bool {
 	return target.Node == w.Self.Node
@@ -350,27 +253,3 @@
 	}
 	return w.RouteTable.Version
 }
-
-// AuditRoutes records in the audit trail that a newer route table came from a source.
-func (w *World) AuditRoutes(from string, table *carobroutetable.RouteTable) {
-	w.Audit("routes", from, "route table",
-		strconv.FormatUint(uint64(w.RoutesVersion()), 10), strconv.FormatUint(uint64(table.Version), 10))
-}
-
-// SendMessage enqueues a control message and fills in this node as its sender.
-func (w *World) SendMessage(message carobmessage.Message) {
-	message.From, message.Incarnation, message.ReplyTo = w.Self.Node, w.Self.Incarnation, w.Self.PeerAddress
-	message.RoutesVersion = w.RoutesVersion()
-	w.Outbox.Messages = append(w.Outbox.Messages, message)
-}
-
-// RecordDecision records a decision for later lookup by operators.
-func (w *World) RecordDecision(decision carobdecision.Decision) {
-	w.Outbox.Decisions = append(w.Outbox.Decisions, decision)
-}
-
-// Audit records a change in the audit trail: the component of the system that saw it, who made
-// it, what changed, and the old and new value.
-func (w *World) Audit(component, who, what, from, to string) {
-	w.Outbox.Audits = append(w.Outbox.Audits, carobaudit.Audit{Component: component, Who: who, What: what, From: from, To: to})
-}
