--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins that the cases start: clients, servers and the platform's store.
+set -eu
+cd "$(dirname "$0")/standin"
+go build -o ../bin/standin .
