--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the cases start: clients, servers and the platform's store.
 set -eu
 cd "$(dirname "$0")/standin"
-go build -o ../bin/standin .
+go build -buildvcs=false -o ../bin/standin .
