Keep listeners accepting after errors that pass

Cause: the server of callers returned on any error of Accept, also on "too many open files", and the node ends when one of its servers ends. Places read: each Accept of the product. carobserver and carobsplitter (peers) returned; fasthttp (attempts, admin, control, ready) sleeps for a second after some of these errors and returns on others, and for control and ready that error was swallowed.

Hypotheses: the process was killed from outside (then no "ended with an error" in the log), it ran out of memory (then status 137), a server ended (then "serve calls: accept4: too many open files"). The log of the case has the last.

Change: carobacceptor, a listener that logs such errors at most once a second, backs off and goes on; the node's three listeners and those of the control server use it.

Test: TestNodeOutlivesAShortageOfDescriptors (platform/carobsidecar) takes the descriptors of a real process away by connections to each of its five addresses. Before the change the process ended in the case of callers ("the process goes on"); with it all five cases pass. TestAcceptOutlivesPassingErrors and TestAcceptReturnsLastingErrors hold the parts.

--- a/internal/carobnode/node.go
+++ b/internal/carobnode/node.go
@@ -11,9 +11,11 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"github.com/carobknot/carobknot/internal/carobacceptor"
 	"github.com/carobknot/carobknot/internal/carobcontrol"
 	"github.com/carobknot/carobknot/internal/carobmailbox"
 	"github.com/carobknot/carobknot/internal/carobsettings"
+	"github.com/carobknot/carobknot/internal/carobtimer"
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobannouncement"
 	"github.com/carobknot/carobknot/pkg/carobarrival"
@@ -133,22 +135,36 @@
 // has the kind Invalid if a listener cannot be opened.
 func NewNode(ctx context.Context, c Config) (*Node, error) {
 	n := &Node{config: c, stopped: make(chan struct{})}
+	n.injector = n.provide()
 	listen := net.ListenConfig{KeepAliveConfig: keepAliveConfig}
 	for _, endpoint := range []struct {
+		name    string
 		address carobaddress.Address
 		into    *net.Listener
-	}{{c.Settings.CallAddress, &n.callListener}, {c.Settings.PeerAddress, &n.peerListener}, {c.Settings.AdminAddress, &n.adminListener}} {
+	}{
+		{"calls", c.Settings.CallAddress, &n.callListener},
+		{"peers", c.Settings.PeerAddress, &n.peerListener},
+		{"admin", c.Settings.AdminAddress, &n.adminListener},
+	} {
 		listener, err := listen.Listen(ctx, "tcp", string(endpoint.address))
 		if err != nil {
 			n.closeListeners()
 			return nil, carobkind.Wrap(carobkind.Invalid, err, "listen")
 		}
-		*endpoint.into = listener
+		*endpoint.into = n.Guard(listener, endpoint.name)
 	}
-	n.injector = n.provide()
 	return n, nil
 }
 
+// Guard returns a listener that accepts from the given one and outlives errors of Accept
+// that pass, such as a shortage of descriptors. Its name is used in logs. A server beside
+// the node uses it for its own listeners.
+func (n *Node) Guard(listener net.Listener, name string) net.Listener {
+	return carobacceptor.NewAcceptor(carobacceptor.Config{
+		Listener: listener, Timer: do.MustInvoke[*carobtimer.Timer](n.injector), Logger: logrus.NewEntry(n.config.Logger), Name: name,
+	})
+}
+
 // CallAddress returns the address at which the node receives calls.
 func (n *Node) CallAddress() carobaddress.Address {
 	return carobaddress.Address(n.callListener.Addr().String())
