Close idle connections when they end, and bound their sum

Cause: the pools looked at an idle connection only when a request to the same address took it. Connections to an address that nobody uses any more stayed open for good, also those that the peer had closed, up to 256 for each address. In calm a call that may not run twice put an idle connection back and opened another one each time.

Hypotheses and what tells them apart: callers' connections pile up (then ESTABLISHED at the outbound port), connections to removed nodes do (then CLOSE_WAIT to addresses that are gone), accepted ones of other nodes do (then at the peer port). The count of descriptors by address has the second.

An address without idle connections has no entry. The idle connections to all addresses are bounded by a share of limits.files; beyond it the one idle for longest goes. No walk over connections happens in a tick.

--- a/internal/carobloadgenerator/loadgenerator.go
+++ b/internal/carobloadgenerator/loadgenerator.go
@@ -86,7 +86,7 @@
 // Run sends the load until a limit is reached or ctx ends, waits for the last
 // answer and returns the summary. A load generator runs once.
 func (g *LoadGenerator) Run(ctx context.Context) *carobsummary.Summary {
-	defer g.pool.Close()
+	defer g.pool.CloseIdle()
 	start := g.config.Timer.Now()
 	countFrom := start.Add(g.config.Warmup)
 	next := start
--- a/internal/carobnode/node.go
+++ b/internal/carobnode/node.go
@@ -11,11 +11,9 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
-	"github.com/carobknot/carobknot/internal/carobacceptor"
 	"github.com/carobknot/carobknot/internal/carobcontrol"
 	"github.com/carobknot/carobknot/internal/carobmailbox"
 	"github.com/carobknot/carobknot/internal/carobsettings"
-	"github.com/carobknot/carobknot/internal/carobtimer"
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobannouncement"
 	"github.com/carobknot/carobknot/pkg/carobarrival"
@@ -156,15 +154,6 @@
 	return n, nil
 }
 
-// Guard returns a listener that accepts from the given one and outlives errors of Accept
-// that pass, such as a shortage of descriptors. Its name is used in logs. A server beside
-// the node uses it for its own listeners.
-func (n *Node) Guard(listener net.Listener, name string) net.Listener {
-	return carobacceptor.NewAcceptor(carobacceptor.Config{
-		Listener: listener, Timer: do.MustInvoke[*carobtimer.Timer](n.injector), Logger: logrus.NewEntry(n.config.Logger), Name: name,
-	})
-}
-
 // CallAddress returns the address at which the node receives calls.
 func (n *Node) CallAddress() carobaddress.Address {
 	return carobaddress.Address(n.callListener.Addr().String())
--- a/internal/carobnode/traffic_providers.go
+++ b/internal/carobnode/traffic_providers.go
@@ -33,6 +33,20 @@
 	disconnectCheckInterval = 25 * time.Millisecond
 )
 
+// Shares of Limits.Descriptors, as divisors, for the idle connections to the node's own
+// targets and to other nodes.
+const (
+	targetIdleShare = 16
+	peerIdleShare   = 8
+)
+
+// targetPool and peerPool are the pools of connections to the node's own targets and to
+// other nodes.
+type (
+	targetPool struct{ *carobpool.Pool }
+	peerPool   struct{ *carobpool.Pool }
+)
+
 // attemptServer is the HTTP server for the attempts of other nodes.
 type attemptServer struct {
 	*fasthttp.Server
@@ -46,33 +60,42 @@
 			Timer: do.MustInvoke[*carobtimer.Timer](injector), PollInterval: disconnectCheckInterval,
 		}), nil
 	})
-	do.Provide(injector, func(injector do.Injector) (*carobadmitter.Admitter, error) {
-		poolConfig := carobpool.Config{
-			Timer: do.MustInvoke[*carobtimer.Timer](injector), DialTimeout: dialTimeout, IdleTimeout: targetIdleTimeout, MaxIdleConns: maxIdleConns,
+	do.Provide(injector, func(injector do.Injector) (targetPool, error) {
+		config := carobpool.Config{
+			Timer: do.MustInvoke[*carobtimer.Timer](injector), DialTimeout: dialTimeout, IdleTimeout: targetIdleTimeout,
+			MaxIdleConns: maxIdleConns, MaxIdleTotal: max(1, settings.Limits.Descriptors/targetIdleShare),
 			MaxHeader: int(settings.Limits.HeaderSize), StallTimeout: settings.Limits.StallTimeout.Duration(),
 		}
+		if n.config.Dialect != nil {
+			config.MaxReuseAge, config.KeepAliveInterval, config.AllowCloseDelimited = maxReuseAge, keepAliveInterval, true
+			config.MatchesRequest, config.IsRefusal = n.config.Dialect.MatchesRequest, n.isRefusal
+		}
+		return targetPool{carobpool.NewPool(config)}, nil
+	})
+	do.Provide(injector, func(injector do.Injector) (peerPool, error) {
+		config := carobpool.Config{
+			Timer: do.MustInvoke[*carobtimer.Timer](injector), DialTimeout: dialTimeout, IdleTimeout: peerIdleTimeout, ExpectContinue: true,
+			MaxIdleConns: maxIdleConns, MaxIdleTotal: max(1, settings.Limits.Descriptors/peerIdleShare),
+			MaxHeader: peerHeaderSpace + int(settings.Limits.HeaderSize), StallTimeout: settings.Limits.StallTimeout.Duration(),
+		}
+		if n.config.Dialect != nil {
+			config.DialTimeout, config.MaxReuseAge, config.KeepAliveInterval = peerDialTimeout, maxReuseAge, keepAliveInterval
+		}
+		return peerPool{carobpool.NewPool(config)}, nil
+	})
+	do.Provide(injector, func(injector do.Injector) (*carobadmitter.Admitter, error) {
 		admitterConfig := carobadmitter.Config{
 			Mailbox:         do.MustInvoke[*carobmailbox.Mailbox](injector),
 			DisconnectWatch: do.MustInvoke[*carobdisconnectwatch.DisconnectWatch](injector), Timer: do.MustInvoke[*carobtimer.Timer](injector),
-			StallTimeout: settings.Limits.StallTimeout.Duration(),
+			StallTimeout: settings.Limits.StallTimeout.Duration(), TargetClient: do.MustInvoke[targetPool](injector),
 		}
 		if n.config.Dialect != nil {
-			poolConfig.MaxReuseAge, poolConfig.KeepAliveInterval, poolConfig.AllowCloseDelimited, poolConfig.MatchesRequest = maxReuseAge, keepAliveInterval, true, n.config.Dialect.MatchesRequest
-			poolConfig.IsRefusal = n.isRefusal
 			admitterConfig.Dialect, admitterConfig.MaxBufferedAnswer = n.config.Dialect, maxBufferedResponse
 		}
-		admitterConfig.TargetClient = carobpool.NewPool(poolConfig)
 		return carobadmitter.NewAdmitter(admitterConfig), nil
 	})
 	do.Provide(injector, func(injector do.Injector) (*carobrelay.Relay, error) {
-		poolConfig := carobpool.Config{
-			Timer: do.MustInvoke[*carobtimer.Timer](injector), DialTimeout: dialTimeout, IdleTimeout: peerIdleTimeout, MaxIdleConns: maxIdleConns, ExpectContinue: true,
-			MaxHeader: peerHeaderSpace + int(settings.Limits.HeaderSize), StallTimeout: settings.Limits.StallTimeout.Duration(),
-		}
-		if n.config.Dialect != nil {
-			poolConfig.DialTimeout, poolConfig.MaxReuseAge, poolConfig.KeepAliveInterval = peerDialTimeout, maxReuseAge, keepAliveInterval
-		}
-		return carobrelay.NewRelay(carobrelay.Config{PeerClient: carobpool.NewPool(poolConfig), Local: do.MustInvoke[*carobadmitter.Admitter](injector)}), nil
+		return carobrelay.NewRelay(carobrelay.Config{PeerClient: do.MustInvoke[peerPool](injector), Local: do.MustInvoke[*carobadmitter.Admitter](injector)}), nil
 	})
 	do.Provide(injector, func(injector do.Injector) (callServer, error) {
 		self := do.MustInvoke[carobmember.Member](injector)
--- a/internal/carobpool/pool.go
+++ b/internal/carobpool/pool.go
@@ -37,8 +37,9 @@
 	DialTimeout time.Duration
 	// IdleTimeout is how long an idle connection is kept.
 	IdleTimeout time.Duration
-	// MaxIdleConns is the largest number of idle connections to one address.
-	MaxIdleConns int
+	// MaxIdleConns is the largest number of idle connections to one address, and
+	// MaxIdleTotal of those to all addresses; 0 means no limit of the total.
+	MaxIdleConns, MaxIdleTotal int
 	// MaxHeader is the size of the read buffer of a connection, in bytes. A response
 	// whose header is longer is rejected. It is 4096 at least.
 	MaxHeader int
@@ -73,17 +74,26 @@
 type Pool struct {
 	config Config
 	dialer net.Dialer
-	mu     sync.Mutex
-	// idle has the idle connections of each address, the most recently used one last.
+	// sweepAt sets when the timer calls sweep next.
+	sweepAt func(at carobinstant.Instant)
+	mu      sync.Mutex
+	// idle has the idle connections of each address, the most recently used one last. An
+	// address without idle connections has no entry.
 	idle map[carobaddress.Address][]*pooledConn
+	// total is the number of connections in idle.
+	total int
+	// sweeping is true while a sweep is due.
+	sweeping bool
 }
 
 // pooledConn is a connection with its buffers.
 type pooledConn struct {
 	net.Conn
 	address carobaddress.Address
-	reader  *bufio.Reader
-	writer  *bufio.Writer
+	// fd is the file descriptor of Conn. It must not be used once Conn may be closed.
+	fd     int32
+	reader *bufio.Reader
+	writer *bufio.Writer
 	// idleTimeout is how long the connection may stay idle.
 	idleTimeout time.Duration
 	// lastUsed is when the last exchange ended.
@@ -104,6 +114,7 @@
 // NewPool returns a pool without connections.
 func NewPool(c Config) *Pool {
 	p := &Pool{config: c, dialer: net.Dialer{Timeout: c.DialTimeout}, idle: map[carobaddress.Address][]*pooledConn{}}
+	p.sweepAt = c.Timer.Subscribe(p.sweep)
 	if c.KeepAliveInterval > 0 {
 		p.dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: c.KeepAliveInterval, Interval: c.KeepAliveInterval, Count: keepAliveProbes}
 		p.dialer.Control = setUserTimeout(keepAliveProbes * c.KeepAliveInterval)
@@ -153,83 +164,6 @@
 	}
 }
 
-// get returns an idle connection or opens one. Idle connections that cannot be used
-// any more are closed.
-func (p *Pool) get(ctx context.Context, address carobaddress.Address, nonIdempotent bool) (*pooledConn, error) {
-	for {
-		conn := p.pop(address)
-		if conn == nil {
-			return p.open(ctx, address)
-		}
-		age := p.config.Timer.Now().Sub(conn.lastUsed)
-		if age < conn.idleTimeout && isReusable(conn) {
-			if nonIdempotent && p.config.MaxReuseAge > 0 && age > p.config.MaxReuseAge {
-				p.addIdle(conn)
-				return p.open(ctx, address)
-			}
-			return conn, nil
-		}
-		_ = conn.Close()
-	}
-}
-
-// pop removes and returns the most recently used idle connection to an address, or
-// nil if there is none.
-func (p *Pool) pop(address carobaddress.Address) *pooledConn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	idle := p.idle[address]
-	if len(idle) == 0 {
-		return nil
-	}
-	conn := idle[len(idle)-1]
-	p.idle[address] = idle[:len(idle)-1]
-	return conn
-}
-
-// put returns a connection to the pool after an exchange.
-func (p *Pool) put(conn *pooledConn) {
-	conn.lastUsed = p.config.Timer.Now()
-	_ = conn.SetDeadline(time.Time{})
-	p.addIdle(conn)
-}
-
-// addIdle keeps a connection for a later exchange, or closes it if the pool holds
-// Config.MaxIdleConns idle connections to its address.
-func (p *Pool) addIdle(conn *pooledConn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.idle[conn.address]) >= p.config.MaxIdleConns {
-		_ = conn.Close()
-		return
-	}
-	p.idle[conn.address] = append(p.idle[conn.address], conn)
-}
-
-// open opens a connection.
-func (p *Pool) open(ctx context.Context, address carobaddress.Address) (*pooledConn, error) {
-	conn, err := p.dialer.DialContext(ctx, "tcp", string(address))
-	if err != nil {
-		return nil, err
-	}
-	return &pooledConn{
-		Conn: conn, address: address, idleTimeout: p.config.IdleTimeout,
-		reader: bufio.NewReaderSize(conn, max(p.config.MaxHeader, minReadBufferSize)), writer: bufio.NewWriterSize(conn, writeBufferSize),
-	}, nil
-}
-
-// Close closes the idle connections.
-func (p *Pool) Close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for address, idle := range p.idle {
-		for _, conn := range idle {
-			_ = conn.Close()
-		}
-		delete(p.idle, address)
-	}
-}
-
 // body reads the body of a response and returns its connection to the pool.
 type body struct {
 	pool   *Pool
--- a/internal/carobpool/pool_test.go
+++ b/internal/carobpool/pool_test.go
@@ -69,7 +69,7 @@
 		change(&c)
 	}
 	p := NewPool(c)
-	t.Cleanup(p.Close)
+	t.Cleanup(func() { p.CloseIdle() })
 	return p
 }
 
--- a/pkg/caroblimits/limits.go
+++ b/pkg/caroblimits/limits.go
@@ -22,6 +22,9 @@
 	Peers int `json:"peers"`
 	// Connections is the maximum number of open connections of callers.
 	Connections int `json:"conns"`
+	// Descriptors is the number of file descriptors that the process may use. It bounds the
+	// idle connections that the node keeps to targets and other nodes.
+	Descriptors int `json:"files"`
 	// Cores is the maximum number of processor cores that run the node's goroutines
 	// at once (GOMAXPROCS).
 	Cores int `json:"cores"`
@@ -51,6 +54,7 @@
 		Targets:           4_000,
 		Peers:             4_000,
 		Connections:       4_000,
+		Descriptors:       8_192,
 		Cores:             1,
 		HeaderSize:        16 * carobsize.KiB,
 		BodySize:          1024 * carobsize.MiB,
@@ -72,6 +76,7 @@
 		{"targets", int64(l.Targets)},
 		{"peers", int64(l.Peers)},
 		{"conns", int64(l.Connections)},
+		{"files", int64(l.Descriptors)},
 		{"cores", int64(l.Cores)},
 		{"header", int64(l.HeaderSize)},
 		{"body", int64(l.BodySize)},
