Make idle connections of callers yield to new ones

Cause: the front end of the platform bounded its connections by nothing; only the product's own front end had limits.conns.

If none is idle, its first request is answered 503 with Retry-After at once, and has not run. Connections with a request stay.

--- a/internal/carobdialectfrontend/dialectfrontend.go
+++ b/internal/carobdialectfrontend/dialectfrontend.go
@@ -71,7 +71,7 @@
 	f.server = carobserver.NewServer(carobserver.Config{
 		Handler: f, Timer: c.Timer, MaxHeader: c.Limits.HeaderSize, MaxBody: c.Limits.BodySize,
 		HeaderTimeout: c.Limits.HeaderTimeout.Duration(), StallTimeout: c.Limits.StallTimeout.Duration(), IdleTimeout: c.Limits.IdleTimeout.Duration(),
-		MaxPipelined: maxPipelined,
+		MaxPipelined: maxPipelined, MaxConnections: c.Limits.Connections,
 	})
 	return f
 }
@@ -86,6 +86,11 @@
 	f.server.Drain()
 }
 
+// CloseIdle closes the connections of callers that have no request.
+func (f *DialectFrontEnd) CloseIdle() {
+	f.server.CloseIdle()
+}
+
 // Shutdown stops listening and returns when all connections are closed or ctx
 // ends. The error is always nil.
 func (f *DialectFrontEnd) Shutdown(ctx context.Context) error {
@@ -129,7 +134,8 @@
 
 // Reject fills in the response to bytes that could not be read as a request.
 func (f *DialectFrontEnd) Reject(resp *fasthttp.Response, err error) {
-	f.config.Dialect.WriteRefusal(resp, nil, carobkind.Of(err), 0, err.Error())
+	kind := carobkind.Of(err)
+	f.config.Dialect.WriteRefusal(resp, nil, kind, kind.RetryAfter(), err.Error())
 }
 
 // responder sends the result of a call to its caller.
--- a/internal/carobserver/conn.go
+++ b/internal/carobserver/conn.go
@@ -12,6 +12,7 @@
 
 	"github.com/carobknot/carobknot/internal/carobheader"
 	"github.com/carobknot/carobknot/internal/carobpipelinedrequest"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 )
 
@@ -42,6 +43,12 @@
 	reading bool
 	// closing is true once no further request is accepted.
 	closing bool
+	// idleSince is when the connection last had no request left, or was accepted. It is
+	// guarded by mutex.
+	idleSince carobinstant.Instant
+	// refused is true if the first request is rejected, because the server has no room for
+	// another connection.
+	refused bool
 	// slotFreed signals that a pending request has ended. It has room for one
 	// element.
 	slotFreed chan struct{}
@@ -56,7 +63,7 @@
 
 func newConn(s *Server, netConn net.Conn) *conn {
 	return &conn{
-		Conn: netConn, server: s, lastDone: closedChannel, slotFreed: make(chan struct{}, 1),
+		Conn: netConn, server: s, lastDone: closedChannel, slotFreed: make(chan struct{}, 1), idleSince: s.config.Timer.Now(),
 		reader: bufio.NewReaderSize(netConn, int(s.config.MaxHeader)), writer: bufio.NewWriterSize(netConn, writeBufferSize),
 	}
 }
@@ -89,6 +96,10 @@
 		c.reject(req, err)
 		return false
 	}
+	if c.refused {
+		c.reject(req, carobkind.New(carobkind.Busy, "the limit of %d connections is reached", c.server.config.MaxConnections))
+		return false
+	}
 	if err := c.readBody(req); err != nil {
 		c.reject(req, err)
 		return false
@@ -142,6 +153,7 @@
 // held.
 func (c *conn) setIdleDeadline() {
 	if len(c.pending) == 0 {
+		c.idleSince = c.server.config.Timer.Now()
 		_ = c.SetReadDeadline(c.server.config.Timer.WallTime().Add(c.server.config.IdleTimeout))
 		return
 	}
--- a/internal/carobserver/server.go
+++ b/internal/carobserver/server.go
@@ -44,6 +44,11 @@
 	// MaxPipelined is the maximum number of requests of one connection that run
 	// concurrently.
 	MaxPipelined int
+	// MaxConnections is the number of open connections from which on a new one closes
+	// those that have been idle for longest. If none is idle, its first request is rejected
+	// with the kind Busy. Connections beyond it by more than an eighth are closed at once.
+	// 0 means no limit.
+	MaxConnections int
 }
 
 // Server accepts connections and serves the requests on them.
@@ -119,11 +124,12 @@
 	}
 }
 
-// add records a connection. It returns false if the server is closed.
+// add records a connection. It returns false if the server is closed, or if it has no
+// room for the connection at all.
 func (s *Server) add(c *conn) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.closed {
+	if s.closed || !s.makeRoom(c) {
 		return false
 	}
 	s.conns[c] = struct{}{}
--- a/internal/carobserver/server_test.go
+++ b/internal/carobserver/server_test.go
@@ -78,13 +78,21 @@
 }
 
 func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	return newFixtureWith(t, func(*carobserver.Config) {})
+}
+
+// newFixtureWith returns a fixture whose server has changed parameters.
+func newFixtureWith(t *testing.T, change func(c *carobserver.Config)) *fixture {
 	t.Helper()
 	timer := carobtimer.NewTimer()
 	f := &fixture{t: t, handler: newHandler()}
-	f.server = carobserver.NewServer(carobserver.Config{
+	c := carobserver.Config{
 		Handler: f.handler, Timer: timer, MaxHeader: 4 * carobsize.KiB, MaxBody: 64 * carobsize.KiB,
 		HeaderTimeout: time.Minute, StallTimeout: time.Minute, IdleTimeout: time.Minute, MaxPipelined: 8,
-	})
+	}
+	change(&c)
+	f.server = carobserver.NewServer(c)
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	f.address = listener.Addr().String()
