Drop the rows of targets that are gone

Cause: world.Loads got a row for each target that ever was a candidate and never lost one; a candidate without a row is passed over once the table is full. Read for the same cause: all tables of world.World, the maps of the systems, pool, transport, admitter, meter, member sync. The admitter kept the last report of each lifetime of the node's own target, and the meter three gauges. Peers, targets, admission states, watermarks, jobs, calls, clients of the transport have an owner that removes them or a bound.

Change: when the table of targets changes, rows of targets that are gone and have been no candidates for 10 s are dropped; a late reply adds no row any more. The admitter drops the report of a target that has left. Gauges cannot be removed from the library's registry, so that from 256 targets on the label is "other".

TestGaugesOfTargetsAreBounded (internal/carobmeter).

--- a/internal/carobadmitter/admitter.go
+++ b/internal/carobadmitter/admitter.go
@@ -109,6 +109,9 @@
 	for _, report := range out.Reports {
 		a.reports.Store(report.Target, &report)
 	}
+	for _, target := range out.RemovedTargets {
+		a.reports.Delete(target)
+	}
 	for _, check := range out.HealthChecks {
 		go a.checkHealth(check)
 	}
--- a/internal/carobmeter/meter.go
+++ b/internal/carobmeter/meter.go
@@ -36,6 +36,13 @@
 	routes, routesAge tally.Gauge
 }
 
+const (
+	// maxTargets is the largest number of targets with gauges of their own, because a gauge
+	// cannot be removed again. The label "target" of later ones is otherTargets.
+	maxTargets   = 256
+	otherTargets = "other"
+)
+
 // targetGauges are the gauges of one target.
 type targetGauges struct {
 	running, queued, slots tally.Gauge
@@ -118,6 +125,10 @@
 // gauges returns the gauges of a target, and creates them if needed.
 func (m *Meter) gauges(target carobtargetid.ID) targetGauges {
 	gauges, ok := m.byTarget[target]
+	if !ok && len(m.byTarget) >= maxTargets {
+		target.Name = otherTargets
+		gauges, ok = m.byTarget[target]
+	}
 	if !ok {
 		scope := m.scope.Tagged(map[string]string{"service": string(target.Service), "target": string(target.Name)})
 		gauges = targetGauges{running: scope.Gauge("running"), queued: scope.Gauge("queued"), slots: scope.Gauge("slots")}
--- a/internal/carobmeter/meter_test.go
+++ b/internal/carobmeter/meter_test.go
@@ -1,6 +1,7 @@
 package carobmeter
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"github.com/carobknot/carobknot/pkg/carobconclusion"
 	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/carobname"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobreport"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
@@ -34,3 +36,15 @@
 		require.Contains(t, recorder.Body.String(), line+"\n")
 	}
 }
+
+// Guards against metrics that grow with each lifetime of a target.
+func TestGaugesOfTargetsAreBounded(t *testing.T) {
+	meter := NewMeter()
+	for i := range 2 * maxTargets {
+		meter.Execute(&caroboutbox.Outbox{
+			Reports: []carobreport.Report{{Target: carobtargetid.ID{Service: "lookups", Name: carobname.Name(fmt.Sprintf("i-%d", i))}}},
+		})
+	}
+	require.NoError(t, meter.Close())
+	require.Len(t, meter.byTarget, maxTargets+1)
+}
--- a/pkg/carobgrouping/system.go
+++ b/pkg/carobgrouping/system.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/carobknot/carobknot/pkg/carobgroup"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
@@ -14,6 +15,10 @@
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
+// loadRetention is how long the load of a target that is gone is kept, since the node that
+// announces it may only be unreachable for a moment.
+const loadRetention = 10 * time.Second
+
 // System groups targets by service whenever the table of targets has changed.
 type System struct{}
 
@@ -24,7 +29,7 @@
 
 // Run rebuilds the table of services if the table of targets has changed. This
 // also discards the subsets, which are recomputed when a call needs one.
-func (s *System) Run(world *carobworld.World, _ carobinstant.Instant) {
+func (s *System) Run(world *carobworld.World, now carobinstant.Instant) {
 	if !world.TargetsChanged {
 		return
 	}
@@ -46,6 +51,18 @@
 		slices.SortFunc(group.Targets, func(a, b carobtargetid.ID) int { return cmp.Compare(a.Name, b.Name) })
 		group.Profile = profiles[service].mostCommon()
 	}
+	dropLoads(world, now)
+}
+
+// dropLoads removes the loads of targets that are gone and were no candidates within
+// loadRetention. Each lifetime of a target has a row of its own, and a full table would
+// keep new targets from getting calls.
+func dropLoads(world *carobworld.World, now carobinstant.Instant) {
+	for id, load := range world.Loads.All() {
+		if world.Targets.Get(id) == nil && load.OpenAttempts == 0 && load.LastCandidateAt.Add(loadRetention).Reached(now) {
+			world.Loads.Delete(id)
+		}
+	}
 }
 
 // addTarget adds a target to the row of its service.
--- a/pkg/caroboutbox/outbox.go
+++ b/pkg/caroboutbox/outbox.go
@@ -20,6 +20,7 @@
 	"github.com/carobknot/carobknot/pkg/carobsend"
 	"github.com/carobknot/carobknot/pkg/carobstart"
 	"github.com/carobknot/carobknot/pkg/carobsubscription"
+	"github.com/carobknot/carobknot/pkg/carobtargetid"
 )
 
 // Outbox has one queue for each kind of effect. Systems append to the queues; the traffic
@@ -63,6 +64,8 @@
 	HealthChecks []carobhealthcheck.HealthCheck
 	// Reports are the target loads to attach to answers and refusals from now on.
 	Reports []carobreport.Report
+	// RemovedTargets are the node's own targets that have left and have no jobs any more.
+	RemovedTargets []carobtargetid.ID
 
 	// Entry and routing.
 
--- a/pkg/carobregistry/system.go
+++ b/pkg/carobregistry/system.go
@@ -58,6 +58,7 @@
 			s.checkTimeout(world, now, target)
 		case state.Running == 0 && state.Queued == 0:
 			world.AdmissionStates.Delete(id)
+			world.Outbox.RemovedTargets = append(world.Outbox.RemovedTargets, id)
 		}
 	}
 }
--- a/pkg/carobrouting/replies.go
+++ b/pkg/carobrouting/replies.go
@@ -18,9 +18,10 @@
 // successes and failures.
 const outcomeDecay = time.Second
 
-// recordReply updates the load of a target from a reply to an attempt.
+// recordReply updates the load of a target from a reply to an attempt. A target that has
+// no row any more is gone.
 func recordReply(world *carobworld.World, now carobinstant.Instant, reply carobattemptreply.AttemptReply) {
-	load := loadOf(world, reply.Target)
+	load := world.Loads.Get(reply.Target)
 	if load == nil {
 		return
 	}
