Confirm targets that a node hears of first after its start

Cause: what a node has acknowledged is in its memory only. After a kill the next process took the first heartbeat that arrived for the newest, also one that the server had sent before it left. A leave before any heartbeat was not recorded at all, so that the same happened without a kill.

Hypotheses: the entry nodes use an old description of the target (then attempts come before the late heartbeat and are refused there), the health answer at the start brings it back (then "none -> ready" before the heartbeat, and a 200 of the health path), the late heartbeat does ("none -> ready" in the audit trail with the heartbeat's arrival). The record of the case has the last.

Change: for two announcement timeouts after a node's start, a ready announcement of a target that the process does not know takes effect only once the target itself, asked after it arrived, says that it is healthy under that name, or once its announcements have gone on for an announcement timeout, since a health check may fail falsely. Until then it counts as leaving. Withdrawals are recorded by name, with the incarnation if one is known: an announcement of that incarnation or an earlier one is outdated; if none is known, the target has to be confirmed. A health answer from before a withdrawal brings nothing back. In steady state nothing is asked. A node that is cut off asks its own target, which is on the same VM.

Read for the same cause: heartbeats, the health check at the start, results of health checks, leaves with and without an incarnation or a known target, descriptions of this node from other nodes (mergeSelf takes nothing from them), records in the store (a node's own record is written, not read), attempts under way (refused while the target is leaving).

--- a/internal/carobadmitter/discover.go
+++ b/internal/carobadmitter/discover.go
@@ -44,6 +44,7 @@
 	if err != nil {
 		return err
 	}
+	announcement.Confirmed = true
 	a.config.Mailbox.Post(func(inbox *carobinbox.Inbox) { inbox.Announcements = append(inbox.Announcements, announcement) })
 	return nil
 }
--- a/internal/carobadmitter/health_check.go
+++ b/internal/carobadmitter/health_check.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/carobknot/carobknot/pkg/carobcheckresult"
 	"github.com/carobknot/carobknot/pkg/carobhealthcheck"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
@@ -32,6 +34,8 @@
 	if err != nil {
 		return result
 	}
+	name, _ := a.config.Dialect.ParseIdentity(answer.Response)
+	result.Available = answer.Response.StatusCode() == fasthttp.StatusOK && name == check.Target.Name
 	result.Directive = a.config.Dialect.ParseDirective(answer.Response)
 	if _, result.TargetLoad = a.config.Dialect.Classify(answer.Response); result.TargetLoad == nil {
 		result.TargetLoad = &carobtargetload.TargetLoad{}
--- a/internal/carobnode/providers.go
+++ b/internal/carobnode/providers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"time"
 
 	"github.com/samber/do/v2"
 	"github.com/sirupsen/logrus"
@@ -23,6 +24,10 @@
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
+// confirmationTimeouts is how many announcement timeouts an announcement may be late that
+// a target sent before it withdrew at the process before this one.
+const confirmationTimeouts = 2
+
 // provide returns an injector with the constructors of all parts. A part is made when
 // it is first invoked.
 func (n *Node) provide() do.Injector {
@@ -40,10 +45,14 @@
 	})
 	do.Provide(injector, func(injector do.Injector) (*carobcore.Core, error) {
 		self := do.MustInvoke[carobmember.Member](injector)
+		confirmationPeriod := time.Duration(0)
+		if n.config.LocalTarget.Address != "" {
+			confirmationPeriod = confirmationTimeouts * settings.AnnouncementTimeout.Duration()
+		}
 		return carobcore.NewCore(carobcore.Config{
 			World: carobworld.Config{Self: self, Limits: settings.Limits, ProbeLimits: settings.ProbeLimits, RetryLimits: settings.RetryLimits, Seed: uint64(self.Incarnation)},
 			Seeds: settings.Seeds, Profiles: settings.Profiles, AnnouncementTimeout: settings.AnnouncementTimeout.Duration(),
-			ApplyTimeout: settings.ApplyTimeout.Duration(), NoTracePropagation: n.config.Dialect != nil,
+			ConfirmationPeriod: confirmationPeriod, ApplyTimeout: settings.ApplyTimeout.Duration(), NoTracePropagation: n.config.Dialect != nil,
 		}), nil
 	})
 	do.Provide(injector, func(injector do.Injector) (*carobeventlog.EventLog, error) {
--- a/pkg/carobannouncement/announcement.go
+++ b/pkg/carobannouncement/announcement.go
@@ -22,6 +22,9 @@
 	// Withdrawn states that the target has left. Of the other fields only Target and
 	// Incarnation are then used.
 	Withdrawn bool `json:"-"`
+	// Confirmed is true if the target has just answered a health check, so that the
+	// announcement is not an old one that was delayed.
+	Confirmed bool `json:"-"`
 	// Address is the address at which the node reaches the target.
 	Address carobaddress.Address `json:"address"`
 	// Profile is the routing profile that the service selected.
--- a/pkg/carobcheckresult/checkresult.go
+++ b/pkg/carobcheckresult/checkresult.go
@@ -12,6 +12,9 @@
 	Target carobtargetid.ID
 	// TargetLoad is the load that the target reported; nil if it did not answer.
 	TargetLoad *carobtargetload.TargetLoad
+	// Available is true if the target itself, by the name that was asked for, states that it
+	// is healthy and not leaving.
+	Available bool
 	// Directive is what the response requests; nil if there was no valid response.
 	Directive *carobtargetdirective.TargetDirective
 }
--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -59,6 +59,9 @@
 	// AnnouncementTimeout is how long a target may go without an announcement before it is
 	// marked as leaving; 0 selects the default of 3 s.
 	AnnouncementTimeout time.Duration
+	// ConfirmationPeriod is the time after the start in which targets that are not known yet
+	// have to be confirmed by a health check; 0 if targets have none.
+	ConfirmationPeriod time.Duration
 	// ApplyTimeout is the time within which a route table must be in force after the store has
 	// acknowledged it; 0 selects the default of 2 s.
 	ApplyTimeout time.Duration
@@ -113,7 +116,9 @@
 		world: world,
 		systems: []system{
 			carobpause.NewSystem(carobpause.Config{MaxTickInterval: maxTickInterval, Threshold: pauseThreshold}),
-			carobregistry.NewSystem(carobregistry.Config{AnnouncementTimeout: cmp.Or(c.AnnouncementTimeout, announcementTimeout)}),
+			carobregistry.NewSystem(carobregistry.Config{
+				AnnouncementTimeout: cmp.Or(c.AnnouncementTimeout, announcementTimeout), ConfirmationPeriod: c.ConfirmationPeriod,
+			}),
 			carobjoining.NewSystem(carobjoining.Config{Seeds: c.Seeds}),
 			carobmembership.NewSystem(),
 			carobdetection.NewSystem(),
--- a/pkg/carobinstance/instance.go
+++ b/pkg/carobinstance/instance.go
@@ -4,6 +4,7 @@
 
 import (
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 )
 
@@ -21,6 +22,14 @@
 	// Withdrawn is true if the target has withdrawn: later announcements of this
 	// incarnation are ignored.
 	Withdrawn bool
+	// AnnouncedAt is when the first announcement of this incarnation arrived.
+	AnnouncedAt carobinstant.Instant
+	// Confirmed is true once it is certain that this incarnation has not withdrawn before
+	// the node started. Its announcements make it ready only then.
+	Confirmed bool
+	// AwaitsCheck is true if the newest announcement was ready and takes effect once a
+	// health check confirms the instance.
+	AwaitsCheck bool
 	// Leaving is true if a response of this incarnation has stated that the target leaves.
 	// Its announcements do not make it ready again.
 	Leaving bool
--- a/pkg/carobregistry/system.go
+++ b/pkg/carobregistry/system.go
@@ -21,6 +21,11 @@
 	// AnnouncementTimeout is the time without announcements after which a target is marked as
 	// leaving.
 	AnnouncementTimeout time.Duration
+	// ConfirmationPeriod is the time after the node's start in which the announcements of a
+	// target that the node does not know yet need a confirmation by a health check: the target
+	// may have withdrawn before the start, and the announcement may be late. It is 0 if
+	// targets have no health check.
+	ConfirmationPeriod time.Duration
 }
 
 // removalDelay is the time without announcements after which a target is removed.
@@ -28,18 +33,26 @@
 
 // System handles the announcements of the targets on this node's VM.
 type System struct {
-	announcementTimeout time.Duration
+	config Config
+	// startedAt is when the first tick ran; Never before.
+	startedAt carobinstant.Instant
+	// nextCheck is when the targets that await a health check are checked again; Never if
+	// there are none.
+	nextCheck carobinstant.Instant
 }
 
 // NewSystem returns the system.
 func NewSystem(c Config) *System {
-	return &System{announcementTimeout: c.AnnouncementTimeout}
+	return &System{config: c}
 }
 
 // Run handles the tick's announcements and directives, marks targets without recent
 // announcements as leaving, and removes the admission states of removed targets once they
 // have no jobs.
 func (s *System) Run(world *carobworld.World, now carobinstant.Instant) {
+	if s.startedAt == carobinstant.Never {
+		s.startedAt = now
+	}
 	for _, announcement := range world.Inbox.Announcements {
 		switch {
 		case isOutdated(world, announcement):
@@ -47,10 +60,11 @@
 		case announcement.Withdrawn:
 			handleWithdrawal(world, announcement)
 		default:
-			handleAnnouncement(world, now, announcement)
+			s.handleAnnouncement(world, now, announcement)
 		}
 	}
 	handleDirectives(world)
+	s.confirm(world, now)
 	for id, state := range world.AdmissionStates.All() {
 		target := world.Targets.Get(id)
 		switch {
@@ -95,22 +109,31 @@
 
 // isOutdated reports whether an announcement must be ignored. A withdrawal is outdated
 // if a later incarnation of the target is known; any other announcement if it is not
-// newer than the last one from its address, or if its incarnation has withdrawn.
+// newer than the last one from its address, or if its incarnation or a later one has
+// withdrawn. A health check that confirms an announcement may have been answered before a
+// withdrawal.
 func isOutdated(world *carobworld.World, announcement carobannouncement.Announcement) bool {
 	if announcement.Withdrawn {
 		instance := newestInstance(world, announcement.Target)
 		return instance != nil && announcement.Incarnation > 0 && announcement.Incarnation < instance.Incarnation
 	}
+	withdrawn, ok := world.Withdrawals.Get(announcement.Target.Name)
+	if ok && (announcement.Confirmed || announcement.Incarnation > 0 && announcement.Incarnation <= withdrawn) {
+		return true
+	}
 	instance := world.Instances.Get(announcement.Address)
 	return instance != nil && instance.Outdated(announcement.Incarnation, announcement.Sequence)
 }
 
 // handleWithdrawal removes a target that has withdrawn itself, and records that later
-// announcements of the same incarnation are to be ignored.
+// announcements of the same incarnation are to be ignored. The target need not be known.
 func handleWithdrawal(world *carobworld.World, announcement carobannouncement.Announcement) {
+	withdrawn := announcement.Incarnation
 	if instance := newestInstance(world, announcement.Target); instance != nil {
-		instance.Withdrawn, announcement.Target = true, instance.Target
+		instance.Withdrawn, instance.Confirmed, announcement.Target = true, false, instance.Target
+		withdrawn = max(withdrawn, instance.Incarnation)
 	}
+	world.Withdrawals.Put(announcement.Target.Name, withdrawn)
 	removeTarget(world, announcement)
 }
 
@@ -129,7 +152,7 @@
 // address. If the announcement has an incarnation, another target that had the address
 // before is removed. A target that has restarted has lost its connections and its memory,
 // so its admission state counts as new.
-func recordInstance(world *carobworld.World, now carobinstant.Instant, announcement carobannouncement.Announcement) {
+func (s *System) recordInstance(world *carobworld.World, now carobinstant.Instant, announcement carobannouncement.Announcement) {
 	instance := world.Instances.Get(announcement.Address)
 	if instance != nil && instance.Target != announcement.Target && announcement.Incarnation > 0 {
 		removeTarget(world, carobannouncement.Announcement{Target: instance.Target})
@@ -140,15 +163,24 @@
 			state.AddedAt = now
 		}
 	}
-	next := carobinstance.Instance{Target: announcement.Target, Incarnation: announcement.Incarnation, Sequence: announcement.Sequence}
-	next.Leaving = instance != nil && instance.Leaving && instance.Target == next.Target && instance.Incarnation == next.Incarnation
+	next := carobinstance.Instance{Target: announcement.Target, Incarnation: announcement.Incarnation, Sequence: announcement.Sequence, AnnouncedAt: now}
+	next.Confirmed = announcement.Confirmed || !s.mayHaveWithdrawn(world, now, announcement)
+	if instance != nil && instance.Target == next.Target {
+		next.Confirmed = next.Confirmed || instance.Confirmed
+		if instance.Incarnation == next.Incarnation {
+			next.AnnouncedAt, next.Leaving = instance.AnnouncedAt, instance.Leaving
+		}
+	}
+	// Announcements that were delayed do not go on for long.
+	next.Confirmed = next.Confirmed || next.AnnouncedAt.Add(s.config.AnnouncementTimeout).Reached(now)
 	world.Instances.Put(announcement.Address, next)
 }
 
 // handleAnnouncement adds or updates the target of an announcement and its admission state.
-func handleAnnouncement(world *carobworld.World, now carobinstant.Instant, announcement carobannouncement.Announcement) {
-	recordInstance(world, now, announcement)
-	if instance := world.Instances.Get(announcement.Address); instance != nil && instance.Leaving {
+func (s *System) handleAnnouncement(world *carobworld.World, now carobinstant.Instant, announcement carobannouncement.Announcement) {
+	s.recordInstance(world, now, announcement)
+	if instance := world.Instances.Get(announcement.Address); instance != nil && (instance.Leaving || !instance.Confirmed) {
+		instance.AwaitsCheck = !instance.Confirmed && !instance.Leaving && announcement.Readiness == carobreadiness.Ready
 		announcement.Readiness = carobreadiness.Leaving
 	}
 	next := carobtarget.Target{
@@ -193,7 +225,7 @@
 // checkTimeout marks a target without recent announcements as leaving, and removes it
 // after removalDelay.
 func (s *System) checkTimeout(world *carobworld.World, now carobinstant.Instant, target *carobtarget.Target) {
-	due := target.AnnouncedAt.Add(s.announcementTimeout)
+	due := target.AnnouncedAt.Add(s.config.AnnouncementTimeout)
 	if !due.Reached(now) {
 		world.WakeAt(due)
 		return
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -81,6 +81,9 @@
 	Targets *carobtable.Table[carobtargetid.ID, carobtarget.Target]
 	// Instances has the newest instance of a target at each address on the VM.
 	Instances *carobtable.Table[carobaddress.Address, carobinstance.Instance]
+	// Withdrawals has the incarnations of the targets on the VM that withdrew most recently;
+	// 0 if the withdrawal did not name it and the target was not known.
+	Withdrawals *carobevictingmap.EvictingMap[carobname.Name, carobincarnation.Incarnation]
 	// TargetsChanged is true while Groups is out of date with respect to Targets.
 	TargetsChanged bool
 	// Groups has the targets by service, derived from Targets.
@@ -201,6 +204,9 @@
 // maxPendingHeartbeats is the maximum number of rows of PendingHeartbeats.
 const maxPendingHeartbeats = 64
 
+// maxWithdrawals is the maximum number of rows of Withdrawals.
+const maxWithdrawals = 64
+
 // NewWorld returns a World with empty tables. Zero RetryLimits are replaced by the defaults.
 func NewWorld(c Config) *World {
 	const (
@@ -222,6 +228,7 @@
 		Random:            rand.New(rand.NewPCG(c.Seed, randomStream)), //nolint:gosec // runs must be reproducible from a seed
 		Targets:           carobtable.NewTable[carobtargetid.ID, carobtarget.Target](carobtable.Config{Limit: c.Limits.Targets}),
 		Instances:         carobtable.NewTable[carobaddress.Address, carobinstance.Instance](carobtable.Config{Limit: carobmember.MaxTargets}),
+		Withdrawals:       carobevictingmap.NewEvictingMap[carobname.Name, carobincarnation.Incarnation](carobevictingmap.Config{Limit: maxWithdrawals}),
 		RetryLimits:       c.RetryLimits,
 		Groups:            carobtable.NewTable[carobservice.Service, carobgroup.Group](carobtable.Config{Limit: c.Limits.Targets}),
 		ProbeBuckets:      carobtable.NewTable[carobname.Name, carobtokenbucket.TokenBucket](carobtable.Config{Limit: probeBuckets}),
