Bring routes of more than ten attempts into force

Cause: a route was checked against the bound of the product's own profiles (10 attempts), and one route beyond it makes the whole table fail. Only a warning told of it.

Hypotheses: the record is not read (then no line of the store client), it is read and rejected ("invalid operator configuration ignored" with the reason), it is in force at some nodes only (then carobknot_routes differs). The nodes' logs have the second.

Change: a route has no upper bound of its attempts. What that bound had also held is bounded where it is used: from the tenth attempt on, a retry that reached no target needs a token of the retry budget or a backoff, so that a call of 138 attempts does not meet one busy target after the other at once.

--- a/internal/carobmeter/meter.go
+++ b/internal/carobmeter/meter.go
@@ -34,6 +34,8 @@
 	// routes is the version of the route table in force, and routesAge how many seconds ago
 	// it was last confirmed to be the newest.
 	routes, routesAge tally.Gauge
+	// routesRejected is 1 while the newest route table in the store cannot be read.
+	routesRejected tally.Gauge
 }
 
 const (
@@ -61,6 +63,7 @@
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
 	}, flushInterval)
 	m.routes, m.routesAge = m.scope.Gauge("routes"), m.scope.Gauge("routes_age")
+	m.routesRejected = m.scope.Gauge("routes_rejected")
 	return m
 }
 
@@ -96,6 +99,10 @@
 		m.routes.Update(float64(out.RoutesVersion))
 		m.routesAge.Update(out.RoutesAge.Seconds())
 	}
+	m.routesRejected.Update(0)
+	if out.RoutesRejected {
+		m.routesRejected.Update(1)
+	}
 	m.add("attempts", len(out.Sends))
 	m.add("starts", len(out.Starts))
 	m.add("checks", len(out.HealthChecks))
--- a/internal/carobroutepoller/routepoller.go
+++ b/internal/carobroutepoller/routepoller.go
@@ -15,6 +15,7 @@
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
+	"github.com/carobknot/carobknot/pkg/carobrouterejection"
 	"github.com/carobknot/carobknot/pkg/carobroutetable"
 )
 
@@ -25,6 +26,12 @@
 	AwaitRoutes(ctx context.Context, wait time.Duration) (*carobroutetable.RouteTable, error)
 }
 
+// rejecter is a source that can tell which table it could not read.
+type rejecter interface {
+	// Rejection returns the newest table if it cannot be used, and nil otherwise.
+	Rejection() *carobrouterejection.RouteRejection
+}
+
 // Config holds the parameters of a poller.
 type Config struct {
 	Source  source
@@ -57,6 +64,8 @@
 	// changed holds one element after enabled or unreadable has changed, and confirmDue one after a read
 	// was requested that is not held.
 	changed, confirmDue chan struct{}
+	// rejection is the newest one that was posted; nil if there is none.
+	rejection *carobrouterejection.RouteRejection
 	// failures is the number of consecutive failed reads.
 	failures int
 	// unreadable is true from the failure that reaches failureThreshold to the next
@@ -193,8 +202,12 @@
 	if err != nil {
 		return err
 	}
+	rejection, changed := p.newRejection()
 	p.config.Mailbox.Post(func(in *carobinbox.Inbox) {
 		in.StoreReads = append(in.StoreReads, startedAt)
+		if changed {
+			in.RouteRejections = append(in.RouteRejections, rejection)
+		}
 		if routes != nil {
 			in.RouteTables = append(in.RouteTables, routes)
 		}
@@ -202,6 +215,20 @@
 	return nil
 }
 
+// newRejection returns the table that the source rejects at present, and whether it has
+// changed since the last call.
+func (p *RoutePoller) newRejection() (*carobrouterejection.RouteRejection, bool) {
+	source, ok := p.config.Source.(rejecter)
+	if !ok {
+		return nil, false
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	before := p.rejection
+	p.rejection = source.Rejection()
+	return p.rejection, p.rejection != before
+}
+
 // logFailure logs a failed read. Every one is logged, because the backoff limits their rate.
 func (p *RoutePoller) logFailure(err error, wait time.Duration, startedAt carobinstant.Instant) {
 	p.config.Logger.WithError(err).WithFields(logrus.Fields{
--- a/internal/carobstatus/status.go
+++ b/internal/carobstatus/status.go
@@ -16,6 +16,8 @@
 	"github.com/carobknot/carobknot/pkg/carobprobing"
 	"github.com/carobknot/carobknot/pkg/carobreadiness"
 	"github.com/carobknot/carobknot/pkg/carobregion"
+	"github.com/carobknot/carobknot/pkg/carobrouterejection"
+	"github.com/carobknot/carobknot/pkg/carobrouteversion"
 	"github.com/carobknot/carobknot/pkg/carobtarget"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 	"github.com/carobknot/carobknot/pkg/carobworld"
@@ -32,6 +34,10 @@
 	// Calls and Jobs count those in flight.
 	Calls int `json:"calls"`
 	Jobs  int `json:"jobs"`
+	// Routes is the version of the route table in force; None if there is none.
+	Routes carobrouteversion.Version `json:"routes"`
+	// Rejected is the newest published route table if it cannot be read; nil otherwise.
+	Rejected *carobrouterejection.RouteRejection `json:"rejected,omitempty"`
 	// Targets, Peers and Profiles are sorted by name.
 	Targets  []target  `json:"targets"`
 	Peers    []peer    `json:"peers"`
@@ -95,6 +101,7 @@
 	status := Status{
 		Node: w.Self.Node, Incarnation: w.Self.Incarnation, Region: w.Self.Region, Centre: w.Self.Centre,
 		Stopping: w.Stopping, Calls: w.Calls.Len(), Jobs: w.Jobs.Len(),
+		Routes: w.RoutesVersion(), Rejected: w.RouteRejection,
 		Targets: []target{}, Peers: []peer{}, Profiles: []profile{},
 	}
 	for id, tg := range w.Targets.All() {
--- a/internal/carobstatus/write.go
+++ b/internal/carobstatus/write.go
@@ -6,6 +6,8 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/carobknot/carobknot/pkg/carobrouteversion"
+
 	"github.com/carobknot/carobknot/pkg/carobduration"
 )
 
@@ -15,6 +17,12 @@
 	printRow := func(format string, args ...any) { _, _ = fmt.Fprintf(table, format+"\n", args...) }
 	printRow("node %s, incarnation %d, %s/%s, stopping %t, calls %d, jobs %d",
 		s.Node, s.Incarnation, s.Region, s.Centre, s.Stopping, s.Calls, s.Jobs)
+	if s.Routes != carobrouteversion.None {
+		printRow("routes %d", s.Routes)
+	}
+	if s.Rejected != nil {
+		printRow("routes %d cannot be used: %s", s.Rejected.Version, s.Rejected.Reason)
+	}
 	printRow("")
 	printRow("TARGET\tNODE\tPROFILE\tSTATE\tSLOTS\tRUNNING\tQUEUED\tLATENCY\tREPORT AGE\tEJECTED")
 	for _, t := range s.Targets {
--- a/pkg/carobentry/retry.go
+++ b/pkg/carobentry/retry.go
@@ -87,9 +87,9 @@
 }
 
 // retryIsFree reports whether another attempt at a call needs no token of the retry
-// budget, because no attempt ran and the last one did not reach a target.
+// budget, because no attempt ran, the last one did not reach a target, and there were few.
 func retryIsFree(call *carobcall.Call) bool {
-	return call.NotRun() && call.LastKind != carobkind.Shed && call.LastKind != carobkind.Misdirected
+	return call.NotRun() && len(call.Attempts) < maxFreeAttempts && call.LastKind != carobkind.Shed && call.LastKind != carobkind.Misdirected
 }
 
 // backOff starts a jittered backoff of a call that all tried targets refused as
@@ -97,7 +97,7 @@
 // avoids refusing a caller that has time left. The backoff grows, so that calls
 // above the capacity of the targets cause few refused attempts.
 func backOff(world *carobworld.World, now carobinstant.Instant, call *carobcall.Call) {
-	doublings := min(len(call.Attempts)-call.Profile.Attempts, maxBackoffDoublings)
+	doublings := min(len(call.Attempts)-min(call.Profile.Attempts, maxFreeAttempts), maxBackoffDoublings)
 	backoff := initialBackoff << max(0, doublings)
 	call.BackoffEnd = now.Add(backoff/2 + time.Duration(world.Random.Int64N(int64(backoff))))
 	call.Stage = carobstage.Waiting
--- a/pkg/carobentry/route_test.go
+++ b/pkg/carobentry/route_test.go
@@ -239,3 +239,19 @@
 	require.NotPanics(t, r.refuseAttempts)
 	require.Equal(t, carobkind.Busy, r.world.Outbox.Conclusions[0].Kind)
 }
+
+// Guards against a call that is refused by one busy target after the other without a pause, because its route allows many attempts.
+func TestManyAttemptsDoNotRepeatRefusedOnesAtOnce(t *testing.T) {
+	const attempts, atOnce = 138, 10
+	r := newRig(t, carobguarantee.Idempotent)
+	r.setRoute(carobguarantee.Idempotent)
+	r.world.RouteTable.Routes[0].Attempts = attempts
+	r.arriveAt("/one/x")
+	sent := 1
+	for len(r.world.Outbox.Sends) > 0 {
+		r.reply(sent, carobkind.Busy)
+		sent += len(r.world.Outbox.Sends)
+	}
+	require.Equal(t, atOnce, sent, "attempts before the first pause")
+	r.requireOpen()
+}
--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -31,6 +31,9 @@
 	// sloDivisor bounds waits by the SLO: no backoff starts after 1/sloDivisor of it,
 	// and the mean time after which a refused caller should retry is at most that.
 	sloDivisor = 8
+	// maxFreeAttempts is the number of attempts from which on a retry costs a token of the
+	// retry budget, or comes after a backoff, even if the last attempt reached no target.
+	maxFreeAttempts = carobprofile.MaxAttempts
 	// maxBusyAttempts is the number of attempts from which on a call that was refused
 	// as Busy does not back off any more.
 	maxBusyAttempts = 100
--- a/pkg/carobinbox/inbox.go
+++ b/pkg/carobinbox/inbox.go
@@ -14,6 +14,7 @@
 	"github.com/carobknot/carobknot/pkg/carobmessage"
 	"github.com/carobknot/carobknot/pkg/caroboffer"
 	"github.com/carobknot/carobknot/pkg/carobrecord"
+	"github.com/carobknot/carobknot/pkg/carobrouterejection"
 	"github.com/carobknot/carobknot/pkg/carobroutetable"
 	"github.com/carobknot/carobknot/pkg/carobstreambounds"
 )
@@ -33,6 +34,9 @@
 	StreamBounds []carobstreambounds.StreamBounds
 	// RouteTables are the route tables read from the store.
 	RouteTables []*carobroutetable.RouteTable
+	// RouteRejections has a value for each change of the table that the store has and that
+	// cannot be read; nil once there is none.
+	RouteRejections []*carobrouterejection.RouteRejection
 	// StoreReads are the instants at which successful reads of the store began. What they
 	// found is in RouteTables.
 	StoreReads []carobinstant.Instant
--- a/pkg/carobregistry/system.go
+++ b/pkg/carobregistry/system.go
@@ -163,17 +163,24 @@
 			state.AddedAt = now
 		}
 	}
+	world.Instances.Put(announcement.Address, s.nextInstance(world, now, instance, announcement))
+}
+
+// nextInstance returns the record of the target of an announcement. instance is the record
+// of the address before it; nil if there is none.
+func (s *System) nextInstance(world *carobworld.World, now carobinstant.Instant, instance *carobinstance.Instance, announcement carobannouncement.Announcement) carobinstance.Instance {
 	next := carobinstance.Instance{Target: announcement.Target, Incarnation: announcement.Incarnation, Sequence: announcement.Sequence, AnnouncedAt: now}
 	next.Confirmed = announcement.Confirmed || !s.mayHaveWithdrawn(world, now, announcement)
-	if instance != nil && instance.Target == next.Target {
-		next.Confirmed = next.Confirmed || instance.Confirmed
-		if instance.Incarnation == next.Incarnation {
-			next.AnnouncedAt, next.Leaving = instance.AnnouncedAt, instance.Leaving
-		}
+	if instance == nil || instance.Target != next.Target {
+		return next
+	}
+	next.Confirmed = next.Confirmed || instance.Confirmed
+	if instance.Incarnation == next.Incarnation {
+		next.AnnouncedAt, next.Leaving = instance.AnnouncedAt, instance.Leaving
+		// Announcements that were delayed do not go on for long.
+		next.Confirmed = next.Confirmed || next.AnnouncedAt.Add(s.config.AnnouncementTimeout).Reached(now)
 	}
-	// Announcements that were delayed do not go on for long.
-	next.Confirmed = next.Confirmed || next.AnnouncedAt.Add(s.config.AnnouncementTimeout).Reached(now)
-	world.Instances.Put(announcement.Address, next)
+	return next
 }
 
 // handleAnnouncement adds or updates the target of an announcement and its admission state.
--- a/pkg/carobroute/route.go
+++ b/pkg/carobroute/route.go
@@ -23,7 +23,9 @@
 	Prefix string `json:"prefix"`
 	// Guarantee states how often a call may run.
 	Guarantee carobguarantee.Guarantee `json:"once"`
-	// Attempts is the maximum number of targets that a call may run on, at least 1.
+	// Attempts is the maximum number of targets that a call may run on, at least 1. It may
+	// exceed the bound of profiles: the operator sets it, and calls end by their deadline and
+	// the retry budget.
 	Attempts int `json:"tries"`
 	// Timeout limits the time until a call's final response. If it is 0, the
 	// caller's timeout applies, or the profile's deadline if the caller sets none.
@@ -43,8 +45,8 @@
 		return carobkind.New(carobkind.Invalid, "route %s: no host", r.Name)
 	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
 		return carobkind.New(carobkind.Invalid, "route %s: prefix %q does not begin and end with a slash", r.Name, r.Prefix)
-	case r.Attempts < 1 || r.Attempts > carobprofile.MaxAttempts:
-		return carobkind.New(carobkind.Invalid, "route %s: tries: %d is not between 1 and %d", r.Name, r.Attempts, carobprofile.MaxAttempts)
+	case r.Attempts < 1:
+		return carobkind.New(carobkind.Invalid, "route %s: tries: %d is less than 1", r.Name, r.Attempts)
 	case len(r.WeightedServices) == 0:
 		return carobkind.New(carobkind.Invalid, "route %s: no service", r.Name)
 	}
--- a/pkg/carobroutesync/system.go
+++ b/pkg/carobroutesync/system.go
@@ -44,6 +44,9 @@
 // Run applies newer tables, answers requests, and requests a newer table if a peer has
 // one.
 func (s *System) Run(world *carobworld.World, now carobinstant.Instant) {
+	for _, rejection := range world.Inbox.RouteRejections {
+		world.RouteRejection = rejection
+	}
 	for _, table := range world.Inbox.RouteTables {
 		if apply(world, table, "store") {
 			announce(world)
@@ -70,6 +73,9 @@
 	}
 	world.AuditRoutes(from, table)
 	world.RouteTable = table
+	if world.RouteRejection != nil && world.RouteRejection.Version <= table.Version {
+		world.RouteRejection = nil
+	}
 	return true
 }
 
--- a/pkg/carobroutesync/system_test.go
+++ b/pkg/carobroutesync/system_test.go
@@ -16,6 +16,7 @@
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/carobpeer"
 	"github.com/carobknot/carobknot/pkg/carobroutefetch"
+	"github.com/carobknot/carobknot/pkg/carobrouterejection"
 	"github.com/carobknot/carobknot/pkg/carobroutesync"
 	"github.com/carobknot/carobknot/pkg/carobroutetable"
 	"github.com/carobknot/carobknot/pkg/carobrouteversion"
@@ -135,3 +136,18 @@
 	require.Len(t, sent, 1)
 	require.EqualValues(t, 9, sent[0].RouteTable.Version)
 }
+
+// Guards against operators who cannot see that the newest table in the store is not in force.
+func TestRejectedTableIsShownUntilANewerOneIsInForce(t *testing.T) {
+	r := newRig(t)
+	r.step(0, carobinbox.Inbox{RouteTables: []*carobroutetable.RouteTable{table(t, 4)}})
+	rejection := &carobrouterejection.RouteRejection{Version: 6, Reason: "route r: no service"}
+	r.step(0, carobinbox.Inbox{RouteRejections: []*carobrouterejection.RouteRejection{rejection}})
+	r.step(0, carobinbox.Inbox{RouteTables: []*carobroutetable.RouteTable{table(t, 5)}})
+	r.world.EndTick(r.now)
+	require.True(t, r.world.Outbox.RoutesRejected)
+	require.Equal(t, rejection, r.world.RouteRejection)
+	r.step(0, carobinbox.Inbox{RouteTables: []*carobroutetable.RouteTable{table(t, 7)}})
+	r.world.EndTick(r.now)
+	require.False(t, r.world.Outbox.RoutesRejected)
+}
--- a/pkg/carobworld/ticks.go
+++ b/pkg/carobworld/ticks.go
@@ -37,7 +37,7 @@
 // table to the messages that name the table's version, and the state of the route table for
 // the metrics.
 func (w *World) EndTick(now carobinstant.Instant) {
-	w.Outbox.RoutesVersion = w.RoutesVersion()
+	w.Outbox.RoutesVersion, w.Outbox.RoutesRejected = w.RoutesVersion(), w.RouteRejection != nil
 	if w.RoutesConfirmedAt == carobinstant.Never {
 		return
 	}
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -36,6 +36,7 @@
 	"github.com/carobknot/carobknot/pkg/carobretrybudget"
 	"github.com/carobknot/carobknot/pkg/carobretrylimits"
 	"github.com/carobknot/carobknot/pkg/carobrevision"
+	"github.com/carobknot/carobknot/pkg/carobrouterejection"
 	"github.com/carobknot/carobknot/pkg/carobroutetable"
 	"github.com/carobknot/carobknot/pkg/carobrouteversion"
 	"github.com/carobknot/carobknot/pkg/carobservice"
@@ -152,6 +153,8 @@
 	// RouteTable is the route table in force; nil if none is known. Its version never
 	// decreases.
 	RouteTable *carobroutetable.RouteTable
+	// RouteRejection is the newest table in the store if it cannot be read; nil otherwise.
+	RouteRejection *carobrouterejection.RouteRejection
 	// RoutesConfirmedAt is an instant at which the store had no newer route table than
 	// RouteTable; Never if none is known. It never decreases.
 	RoutesConfirmedAt carobinstant.Instant
