Bound the memory of buffered answers by their sum

What operators of other systems saw: a faulty server sent bytes without end, the machine that had called it kept them and ran out of memory, and other clients' requests ended.

Whether it can happen here: heads, interim responses, chunk sizes, extensions, trailers and a single body are bounded for each connection (TestBytesWithoutEndAreCutOff). A faulty store could send pages without end, and a faulty node a response to a control message.

Change: buffered bytes of answers are reserved from one budget (limits.kept), step by step as they are read, and released when the body is closed; an answer without room is forwarded as it is received.

Not played: peers that send control responses without end.

--- a/internal/carobadmitter/admitter.go
+++ b/internal/carobadmitter/admitter.go
@@ -12,6 +12,7 @@
 
 	"github.com/carobknot/carobknot/internal/carobanswer"
 	"github.com/carobknot/carobknot/internal/carobbody"
+	"github.com/carobknot/carobknot/internal/carobbytebudget"
 	"github.com/carobknot/carobknot/internal/carobdisconnectwatch"
 	"github.com/carobknot/carobknot/internal/carobdispatcher"
 	"github.com/carobknot/carobknot/internal/carobheader"
@@ -70,6 +71,8 @@
 	// end before the response is forwarded; 0 means that every response is forwarded as
 	// it is received.
 	MaxBufferedAnswer carobsize.Size
+	// AnswerBudget bounds the buffered bytes of all responses; nil means no limit.
+	AnswerBudget *carobbytebudget.ByteBudget
 	// DisconnectWatch detects that entry nodes close their connections.
 	DisconnectWatch *carobdisconnectwatch.DisconnectWatch
 	Timer           *carobtimer.Timer
@@ -177,7 +180,7 @@
 		finish.Directive = a.config.Dialect.ParseDirective(answer.Response)
 	}
 	if limit := int(a.config.MaxBufferedAnswer); limit > 0 && answer.Length <= limit {
-		if errBuffer := answer.Buffer(limit); errBuffer != nil && kind == carobkind.None {
+		if errBuffer := answer.Buffer(carobanswer.BufferConfig{MaxSize: limit, Budget: a.config.AnswerBudget}); errBuffer != nil && kind == carobkind.None {
 			kind = carobkind.ConnectionLost
 		}
 	}
--- a/internal/carobexchange/exchanges.go
+++ b/internal/carobexchange/exchanges.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/carobknot/carobknot/internal/carobanswer"
+	"github.com/carobknot/carobknot/internal/carobbytebudget"
 	"github.com/carobknot/carobknot/internal/carobdispatcher"
 	"github.com/carobknot/carobknot/internal/carobmailbox"
 	"github.com/carobknot/carobknot/internal/carobrequestbody"
@@ -56,6 +57,8 @@
 	// before it is reported to the control goroutine. If such an answer is cut off, the
 	// call can still be retried. 0 means that every answer is streamed.
 	MaxBufferedAnswer carobsize.Size
+	// AnswerBudget bounds the buffered bytes of all answers; nil means no limit.
+	AnswerBudget *carobbytebudget.ByteBudget
 }
 
 // Exchanges holds the calls that traffic goroutines are carrying out.
--- a/internal/carobnode/traffic_providers.go
+++ b/internal/carobnode/traffic_providers.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/carobknot/carobknot/internal/carobadmitter"
+	"github.com/carobknot/carobknot/internal/carobbytebudget"
 	"github.com/carobknot/carobknot/internal/carobcontrol"
 	"github.com/carobknot/carobknot/internal/carobdialectfrontend"
 	"github.com/carobknot/carobknot/internal/carobdisconnectwatch"
@@ -60,6 +61,7 @@
 			Timer: do.MustInvoke[*carobtimer.Timer](injector), PollInterval: disconnectCheckInterval,
 		}), nil
 	})
+	do.ProvideValue(injector, carobbytebudget.NewByteBudget(carobbytebudget.Config{Limit: settings.Limits.TotalBufferedSize}))
 	do.Provide(injector, func(injector do.Injector) (targetPool, error) {
 		config := carobpool.Config{
 			Timer: do.MustInvoke[*carobtimer.Timer](injector), DialTimeout: dialTimeout, IdleTimeout: targetIdleTimeout,
@@ -91,6 +93,7 @@
 		}
 		if n.config.Dialect != nil {
 			admitterConfig.Dialect, admitterConfig.MaxBufferedAnswer = n.config.Dialect, maxBufferedResponse
+			admitterConfig.AnswerBudget = do.MustInvoke[*carobbytebudget.ByteBudget](injector)
 		}
 		return carobadmitter.NewAdmitter(admitterConfig), nil
 	})
@@ -112,6 +115,7 @@
 			Exchanges: carobexchange.NewExchanges(carobexchange.Config{
 				Mailbox: do.MustInvoke[*carobmailbox.Mailbox](injector), Relay: do.MustInvoke[*carobrelay.Relay](injector),
 				Timer: do.MustInvoke[*carobtimer.Timer](injector), MaxBufferedAnswer: maxBufferedResponse,
+				AnswerBudget: do.MustInvoke[*carobbytebudget.ByteBudget](injector),
 			}),
 			Timer: do.MustInvoke[*carobtimer.Timer](injector),
 		}), nil
--- a/internal/carobtransport/transport.go
+++ b/internal/carobtransport/transport.go
@@ -35,6 +35,9 @@
 	maxClients = 4096
 	// maxRequestSize is the size of the largest request that is accepted, in bytes.
 	maxRequestSize = 4 << 20
+	// maxResponseSize is the size of the largest body of a response, and of its header, in
+	// bytes. Responses are empty.
+	maxResponseSize = 16 << 10
 )
 
 // Config holds the parameters of a transport.
@@ -77,7 +80,7 @@
 		clients:     map[carobaddress.Address]*connect.Client[carobbatch.Batch, emptyResponse]{},
 		connections: map[carobaddress.Address]net.Conn{},
 	}
-	t.client = &http.Client{Transport: &http.Transport{Protocols: protocols, DialContext: t.dial, IdleConnTimeout: idleTimeout}}
+	t.client = &http.Client{Transport: &http.Transport{Protocols: protocols, DialContext: t.dial, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxResponseSize}}
 	mux := http.NewServeMux()
 	mux.Handle(procedure, connect.NewUnaryHandler(procedure, t.receive,
 		connect.WithCodec(c.Codec), connect.WithReadMaxBytes(maxRequestSize), connect.WithCompression(gzip, nil, nil)))
@@ -240,7 +243,7 @@
 			clear(t.clients)
 		}
 		client = connect.NewClient[carobbatch.Batch, emptyResponse](t.client, "http://"+string(address)+procedure,
-			connect.WithCodec(t.config.Codec), connect.WithAcceptCompression(gzip, nil, nil))
+			connect.WithCodec(t.config.Codec), connect.WithAcceptCompression(gzip, nil, nil), connect.WithReadMaxBytes(maxResponseSize))
 		t.clients[address] = client
 	}
 	return client
