Remove an answered request before the next answer begins

What callers saw: the last answer of a draining connection may lack "Connection: close".

Cause: finish woke the next answer before it removed the answered request, so that ClosesAfter of the next one could still count two.

Change: the two statements are swapped.

--- a/internal/carobpipelinedrequest/pipelinedrequest.go
+++ b/internal/carobpipelinedrequest/pipelinedrequest.go
@@ -116,9 +116,11 @@
 	return carobkind.None
 }
 
+// finish removes the request before the next answer may begin, which closes a draining
+// connection if no other request is pending.
 func (p *PipelinedRequest) finish(complete bool) {
-	close(p.done)
 	p.config.Connection.Remove(p, complete)
+	close(p.done)
 }
 
 // prepareHeader sets the headers that concern the connection.
