Hold the budget of probes over each second, restarts included

First hypothesis, not confirmed: messages of different sizes let a token bucket exceed the rate within a second by their difference. Second, confirmed by the sums (five messages of some 414 bytes, the last one within 1 ms to 2 ms of a restart): a process that starts has a full bucket and does not know what the one before it has sent.

Change: the exact window stays, as the first hypothesis is a fault of its own, and it counts the whole budget as spent at the start, so that nothing is sent in the first second.

Test: TestNoSecondExceedsTheBudget (pkg/carobprobing; 30 restarts, two sizes) fails with the change taken out. Open: TestKeys, a call that is refused after the end of all faults.

--- a/pkg/carobprobing/system.go
+++ b/pkg/carobprobing/system.go
@@ -55,6 +55,8 @@
 	// nextScan is when reports are scanned next; Never while no target is in
 	// use.
 	nextScan carobinstant.Instant
+	// started is true after the first tick.
+	started bool
 }
 
 // NewSystem returns a System whose first scan is due at once.
@@ -65,6 +67,11 @@
 // Run answers the probes and stores the reports in the inbox. If a scan is due,
 // it probes the target with the oldest report.
 func (s *System) Run(world *carobworld.World, now carobinstant.Instant) {
+	if !s.started {
+		s.started = true
+		// The process before this one may have spent all of the last second's bytes.
+		world.ProbeBytes.Add(now, float64(world.ProbeLimits.BytesPerSecond))
+	}
 	for _, message := range world.Inbox.Messages {
 		switch {
 		case message.LoadProbe != nil:
@@ -167,15 +174,17 @@
 	size := MessageBytes(world, id)
 	refill(bytes, now, float64(world.ProbeLimits.BytesPerSecond), size)
 	refill(seconds, now, float64(world.ProbeLimits.CPUShare), cpuPerMessage.Seconds())
-	if bytes.Tokens < size || seconds.Tokens < cpuPerMessage.Seconds() {
+	if bytes.Tokens < size || seconds.Tokens < cpuPerMessage.Seconds() || !world.ProbeBytes.Fits(now, size, float64(world.ProbeLimits.BytesPerSecond)) {
 		bytes.Denied++
 		return false
 	}
+	world.ProbeBytes.Add(now, size)
 	return bytes.Take(size) && seconds.Take(cpuPerMessage.Seconds())
 }
 
 // refill refills a bucket that holds at most one message. The size of that
-// message is subtracted from the rate, so that no second exceeds the rate. A
+// message is subtracted from the rate, so that no second exceeds the rate if all
+// messages have the same size; World.ProbeBytes holds it for those that differ. A
 // rate below two messages a second is halved instead, which keeps longer
 // periods below the cap. If the rate is below one message a second, the bucket
 // stays empty.
--- a/pkg/carobprobing/system_test.go
+++ b/pkg/carobprobing/system_test.go
@@ -44,6 +44,13 @@
 	return world
 }
 
+// startedSystem returns a system that has run for more than a second.
+func startedSystem(world *carobworld.World, now carobinstant.Instant) *System {
+	s := NewSystem()
+	tick(s, world, now.Add(-2*time.Second))
+	return s
+}
+
 // tick runs the system on the messages and returns the messages it sends.
 func tick(s *System, world *carobworld.World, now carobinstant.Instant, messages ...carobmessage.Message) []carobmessage.Message {
 	world.BeginTick(carobinbox.Inbox{Messages: messages})
@@ -54,8 +61,9 @@
 // Guards against routing by old reports, against a second probe while one is
 // pending, and against probes of targets that receive no calls.
 func TestProbesTargetsInUseWithOldReports(t *testing.T) {
-	second := carobinstant.Instant(time.Second)
-	s, world := NewSystem(), newWorld(2048)
+	second := carobinstant.Instant(time.Hour)
+	world := newWorld(2048)
+	s := startedSystem(world, second)
 	load := world.Loads.Put(other, carobload.Load{LastCandidateAt: second, ReportedAt: second})
 	require.Empty(t, tick(s, world, second))
 	require.NotEqual(t, carobinstant.Never, world.Wake())
@@ -73,7 +81,8 @@
 // targets of other nodes.
 func TestProbeIsAnsweredWithReport(t *testing.T) {
 	now := carobinstant.Instant(time.Minute)
-	s, world := NewSystem(), newWorld(2048)
+	world := newWorld(2048)
+	s := startedSystem(world, now)
 	own := carobtargetid.ID{Service: "lookups", Name: "a"}
 	world.Targets.Put(own, carobtarget.Target{ID: own, Node: "one"})
 	world.AdmissionStates.Put(own, carobadmissionstate.AdmissionState{Limit: 12, Running: 3, Queued: 1, Latency: time.Second, LatencyStart: now.Add(-time.Minute)})
@@ -101,3 +110,37 @@
 		require.LessOrEqual(t, float64(sent)*cpuPerMessage.Seconds(), cpuPerMessage.Seconds()+0.01*now.Sub(start).Seconds())
 	})
 }
+
+// Guards against a second in which a node sends more than its budget, because it has restarted in it, or because the names of targets and so the sizes of messages differ.
+func TestNoSecondExceedsTheBudget(t *testing.T) {
+	const rate = 2048
+	type sent struct {
+		at    carobinstant.Instant
+		bytes float64
+	}
+	var all []sent
+	now := carobinstant.Instant(time.Hour)
+	for restart := range 30 {
+		world := newWorld(rate)
+		s := NewSystem()
+		ids := []carobtargetid.ID{other, {Service: "lookups", Name: "a-much-longer-name-than-the-other"}}
+		world.Targets.Put(ids[1], carobtarget.Target{ID: ids[1], Node: "two"})
+		for step := range 200 + 7*restart {
+			now = now.Add(10 * time.Millisecond)
+			id := ids[step%2]
+			world.Loads.Delete(ids[1-step%2])
+			world.Loads.Put(id, carobload.Load{LastCandidateAt: now, ReportedAt: 1})
+			for range tick(s, world, now) {
+				all = append(all, sent{now, MessageBytes(world, id)})
+			}
+		}
+	}
+	require.Greater(t, len(all), 20)
+	for i, last := range all {
+		sum := 0.0
+		for j := i; j >= 0 && last.at.Sub(all[j].at) < time.Second; j-- {
+			sum += all[j].bytes
+		}
+		require.LessOrEqual(t, sum, float64(rate))
+	}
+}
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -41,6 +41,7 @@
 	"github.com/carobknot/carobknot/pkg/carobrouteversion"
 	"github.com/carobknot/carobknot/pkg/carobservice"
 	"github.com/carobknot/carobknot/pkg/carobshard"
+	"github.com/carobknot/carobknot/pkg/carobspendingwindow"
 	"github.com/carobknot/carobknot/pkg/carobtable"
 	"github.com/carobknot/carobknot/pkg/carobtarget"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
@@ -113,6 +114,8 @@
 	NextEjectionEnd carobinstant.Instant
 	// ProbeBuckets has the token buckets that limit the cost of probing.
 	ProbeBuckets *carobtable.Table[carobname.Name, carobtokenbucket.TokenBucket]
+	// ProbeBytes has the bytes sent for probing within the last second.
+	ProbeBytes carobspendingwindow.SpendingWindow
 	// Latencies has the latency statistics of each service.
 	Latencies *carobtable.Table[carobservice.Service, caroblatency.Latency]
 
--- a/test/fuzz/fuzz_test.go
+++ b/test/fuzz/fuzz_test.go
@@ -170,6 +170,26 @@
 	t.Log(total.String())
 }
 
+// TestSeedsThatFailed plays the seeds with which TestLong has failed.
+func TestSeedsThatFailed(t *testing.T) {
+	fixed := flag.Lookup("rapid.seed").Value.String()
+	defer func() { require.NoError(t, flag.Set("rapid.seed", fixed)) }()
+	for _, c := range []struct {
+		name, seed string
+		plan       plan
+	}{
+		{"more than the budget of probes after a restart", "1796471199331391511", plan{}},
+		{"the same with keys", "1796471301303422367", plan{reuseKeys: true}},
+		{"the same with health checks", "1796487481595824156", plan{healthChecks: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			require.NoError(t, flag.Set("rapid.seed", c.seed))
+			var total summary
+			rapid.Check(t, func(rt *rapid.T) { runSimulation(rt, c.plan, &total) })
+		})
+	}
+}
+
 // TestLong runs the tests above with new seeds until the time of -long is over.
 func TestLong(t *testing.T) {
 	if *longDuration == 0 {
