Give the answers' buffer its bounds as parameters

Change: Buffer takes the largest size and the budget; no effect on behaviour.

Result: the check of exported types and the tests of the package pass.

--- a/internal/carobadmitter/admitter.go
+++ b/internal/carobadmitter/admitter.go
@@ -180,7 +180,7 @@
 		finish.Directive = a.config.Dialect.ParseDirective(answer.Response)
 	}
 	if limit := int(a.config.MaxBufferedAnswer); limit > 0 && answer.Length <= limit {
-		if errBuffer := answer.Buffer(carobanswer.BufferConfig{MaxSize: limit, Budget: a.config.AnswerBudget}); errBuffer != nil && kind == carobkind.None {
+		if errBuffer := answer.Buffer(limit, a.config.AnswerBudget); errBuffer != nil && kind == carobkind.None {
 			kind = carobkind.ConnectionLost
 		}
 	}
--- a/internal/carobadmitter/discover.go
+++ b/internal/carobadmitter/discover.go
@@ -74,5 +74,5 @@
 		return nil, err
 	}
 	defer func() { _ = answer.Body.Close() }()
-	return answer, answer.Buffer(carobanswer.BufferConfig{MaxSize: maxHealthCheckBody})
+	return answer, answer.Buffer(maxHealthCheckBody, nil)
 }
--- a/internal/carobanswer/answer.go
+++ b/internal/carobanswer/answer.go
@@ -28,23 +28,15 @@
 	Report *carobreport.Report
 }
 
-// BufferConfig holds the bounds of buffering an answer.
-type BufferConfig struct {
-	// MaxSize is the largest body that is buffered, in bytes.
-	MaxSize int
-	// Budget bounds the buffered bytes of all answers together; nil means no limit.
-	Budget *carobbytebudget.ByteBudget
-}
-
-// Buffer reads a body completely, so that an answer that is cut off is detected before
+// Buffer reads a body of at most maxSize bytes completely, so that an answer that is cut off is detected before
 // any of it is forwarded. If the body is cut off, Buffer closes it and returns the error.
-// A body that is longer than allowed, or for which the budget has no room, can still be
-// read from its beginning. The budget is released when the body is closed.
-func (a *Answer) Buffer(c BufferConfig) error {
-	if a.NoBody || a.Length > c.MaxSize {
+// A longer body, or one for which the budget of all answers has no room, can still be read
+// from its beginning. The budget is released when the body is closed; nil has no limit.
+func (a *Answer) Buffer(maxSize int, budget *carobbytebudget.ByteBudget) error {
+	if a.NoBody || a.Length > maxSize {
 		return nil
 	}
-	buffer := &bodyBuffer{config: c}
+	buffer := &bodyBuffer{maxSize: maxSize, budget: budget}
 	complete, err := buffer.read(a.Body, a.Length)
 	if err == nil && complete && a.Length >= 0 && len(buffer.data) != a.Length {
 		err = io.ErrUnexpectedEOF
@@ -65,8 +57,10 @@
 
 // bodyBuffer is the part of a body that has been read.
 type bodyBuffer struct {
-	config BufferConfig
-	data   []byte
+	// maxSize is the largest body that is buffered, in bytes.
+	maxSize int
+	budget  *carobbytebudget.ByteBudget
+	data    []byte
 	// reserved is what the buffer holds of the budget, at least cap(data).
 	reserved int
 }
@@ -77,7 +71,7 @@
 // read reads a body of the given length, negative if it is unknown. It returns false if
 // the body is longer than allowed, or if the budget has no room for it.
 func (b *bodyBuffer) read(body io.Reader, length int) (complete bool, err error) {
-	size := min(minBuffer, b.config.MaxSize+1)
+	size := min(minBuffer, b.maxSize+1)
 	if length >= 0 {
 		size = length + 1
 	}
@@ -95,17 +89,17 @@
 				return false, err
 			}
 		}
-		if len(b.data) > b.config.MaxSize {
+		if len(b.data) > b.maxSize {
 			return false, nil
 		}
-		size = min(2*len(b.data), b.config.MaxSize+1)
+		size = min(2*len(b.data), b.maxSize+1)
 	}
 }
 
 // grow gives the buffer the given capacity. It reports false, and leaves the buffer as it
 // is, if the budget has no room for that.
 func (b *bodyBuffer) grow(size int) bool {
-	if !b.config.Budget.Reserve(size - b.reserved) {
+	if !b.budget.Reserve(size - b.reserved) {
 		return false
 	}
 	b.reserved = size
@@ -114,7 +108,7 @@
 }
 
 func (b *bodyBuffer) release() {
-	b.config.Budget.Release(b.reserved)
+	b.budget.Release(b.reserved)
 	b.reserved = 0
 }
 
--- a/internal/carobanswer/answer_test.go
+++ b/internal/carobanswer/answer_test.go
@@ -46,7 +46,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			source := &countingBody{Reader: io.MultiReader(strings.NewReader(c.text), &errorReader{c.end})}
 			answer := &carobanswer.Answer{Length: c.length, Body: source}
-			require.ErrorIs(t, answer.Buffer(carobanswer.BufferConfig{MaxSize: c.maxSize}), c.err)
+			require.ErrorIs(t, answer.Buffer(c.maxSize, nil), c.err)
 			require.Equal(t, c.closed, source.closed)
 			if c.err != nil {
 				return
--- a/internal/carobanswer/budget_test.go
+++ b/internal/carobanswer/budget_test.go
@@ -31,7 +31,7 @@
 	var open []*carobanswer.Answer
 	for range answers {
 		answer := &carobanswer.Answer{Length: -1, Body: endlessBody{&read}}
-		require.NoError(t, answer.Buffer(carobanswer.BufferConfig{MaxSize: limit / 4, Budget: budget}))
+		require.NoError(t, answer.Buffer(limit / 4, budget))
 		open = append(open, answer)
 	}
 	require.LessOrEqual(t, read, limit)
@@ -51,7 +51,7 @@
 			budget := carobbytebudget.NewByteBudget(carobbytebudget.Config{Limit: 1 << 10})
 			require.True(t, budget.Reserve(1<<10-limit))
 			answer := &carobanswer.Answer{Length: length, Body: io.NopCloser(strings.NewReader(text))}
-			if err := answer.Buffer(carobanswer.BufferConfig{MaxSize: 64, Budget: budget}); err == nil {
+			if err := answer.Buffer(64, budget); err == nil {
 				got, err := io.ReadAll(answer.Body)
 				require.NoError(t, err)
 				require.Equal(t, text, string(got))
--- a/internal/carobexchange/exchange.go
+++ b/internal/carobexchange/exchange.go
@@ -102,7 +102,7 @@
 	go func() {
 		answer, report, err := x.exchanges.config.Relay.Do(ctx, send, req)
 		if maxSize := int(x.exchanges.config.MaxBufferedAnswer); answer != nil && maxSize > 0 {
-			if bufferErr := answer.Buffer(carobanswer.BufferConfig{MaxSize: maxSize, Budget: x.exchanges.config.AnswerBudget}); bufferErr != nil {
+			if bufferErr := answer.Buffer(maxSize, x.exchanges.config.AnswerBudget); bufferErr != nil {
 				answer, err = nil, carobkind.Wrap(carobkind.ConnectionLost, bufferErr, "read answer")
 			}
 		}
