--- a/internal/carobanswer/budget_test.go
+++ b/internal/carobanswer/budget_test.go
@@ -31,7 +31,7 @@
 	var open []*carobanswer.Answer
 	for range answers {
 		answer := &carobanswer.Answer{Length: -1, Body: endlessBody{&read}}
-		require.NoError(t, answer.Buffer(limit / 4, budget))
+		require.NoError(t, answer.Buffer(limit/4, budget))
 		open = append(open, answer)
 	}
 	require.LessOrEqual(t, read, limit)
