--- a/pkg/carobroute/route.go
+++ b/pkg/carobroute/route.go
@@ -34,6 +34,8 @@
 	SLO carobduration.Duration `json:"slo"`
 	// Priority is the priority, 0 the highest.
 	Priority int `json:"rank"`
+	// Anonymous is true if calls need no API key although the table has organisations.
+	Anonymous bool `json:"anonymous,omitempty"`
 	// WeightedServices has at least one entry.
 	WeightedServices []carobweightedservice.WeightedService `json:"split"`
 }
