Send changes to other data centres only from the node that made them

Cause: each node that learned a description forwarded it up to six times, some of them to other data centres, so that a change crossed between data centres about as often as there are nodes.

Change: gossip is forwarded within the data centre only. The node that made a change (its own description, or a liveness state that it set) sends it to two nodes of each other data centre; a node that leaves announces it there too. Reconciliation by heartbeats repairs what is lost, as before.

Ruled out: forwarding with a small probability, whose number of copies varies from none to many; fewer heartbeats, which failure detection needs.

Measured: bytes to other data centres for one change, by the new test: 37,787 to 3,121 with 30 nodes, 138,058 to 4,497 with 120. The test fails on the code before.

--- a/pkg/carobdetection/system.go
+++ b/pkg/carobdetection/system.go
@@ -206,7 +206,7 @@
 // schedules it for gossip.
 func setLiveness(world *carobworld.World, now carobinstant.Instant, peer *carobpeer.Peer, liveness carobliveness.Liveness) {
 	world.Audit("member", string(world.Self.Node), "node "+string(peer.Member.Node), peer.Member.Liveness.String(), liveness.String())
-	peer.Member.Liveness, peer.LivenessSince, peer.GossipCount = liveness, now, 0
+	peer.Member.Liveness, peer.LivenessSince, peer.GossipCount, peer.Originated = liveness, now, 0, true
 	world.PeerChanges++
 	world.PendingGossip.Put(peer.Member.Node, struct{}{})
 }
--- a/pkg/carobdissemination/contactset.go
+++ b/pkg/carobdissemination/contactset.go
@@ -10,54 +10,47 @@
 )
 
 const (
-	// nearContacts and farContacts are the numbers of nodes of this data centre and of others
-	// that gossip goes to between two draws.
-	nearContacts, farContacts = 6, 3
+	// maxContacts is the number of nodes that gossip goes to between two draws.
+	maxContacts = 6
 	// drawInterval is the time between two draws.
 	drawInterval = 10 * time.Second
 )
 
-// contactSet has the nodes that rounds of gossip choose from. It changes slowly, so that
+// contactSet has the nodes of this data centre that rounds of gossip choose from. It changes slowly, so that
 // connections are reused: if each round went to any node, a node of a large cluster that has
 // just started would soon have a connection to most others.
 type contactSet struct {
-	near, far []carobnodeid.ID
+	nodes []carobnodeid.ID
 	// nextDraw is when the set is drawn again; Never before the first draw.
 	nextDraw carobinstant.Instant
 	// peerCount is the number of peers at the last draw.
 	peerCount int
 }
 
-// recipients returns random contacts that are not down: most of them in this node's data
-// centre, and at least one elsewhere if there is one.
+// recipients returns up to fanout random contacts that are not down.
 func (c *contactSet) recipients(world *carobworld.World, now carobinstant.Instant) []*carobpeer.Peer {
-	near, far := sample(world, c.near), sample(world, c.far)
-	lost := len(near) < min(fanout-1, len(c.near)) || len(far) < min(1, len(c.far))
-	if lost || c.drawIsDue(world, now) {
+	peers := sample(world, c.nodes)
+	if len(peers) < min(fanout, len(c.nodes)) || c.drawIsDue(world, now) {
 		c.draw(world, now)
-		near, far = sample(world, c.near), sample(world, c.far)
+		peers = sample(world, c.nodes)
 	}
-	return choose(near, far)
+	return peers
 }
 
 // drawIsDue reports whether a draw is due: after the interval, if there are other peers while
 // the set has room, and if there are twice as many peers, or the first nodes of a cluster
 // would get most gossip of all that follow.
 func (c *contactSet) drawIsDue(world *carobworld.World, now carobinstant.Instant) bool {
-	hasRoom := len(c.near) < nearContacts || len(c.far) < farContacts
 	count := world.Peers.Len()
-	return c.nextDraw == carobinstant.Never || c.nextDraw.Reached(now) || count > 2*c.peerCount || hasRoom && count != c.peerCount
+	return c.nextDraw == carobinstant.Never || c.nextDraw.Reached(now) || count > 2*c.peerCount || len(c.nodes) < maxContacts && count != c.peerCount
 }
 
-// draw draws the contacts among all nodes that are not down.
+// draw draws the contacts among the nodes of this data centre that are not down.
 func (c *contactSet) draw(world *carobworld.World, now carobinstant.Instant) {
 	c.nextDraw, c.peerCount = now.Add(drawInterval), world.Peers.Len()
-	c.near = idsOf(world.SamplePeers(nearContacts, func(peer *carobpeer.Peer) bool {
+	c.nodes = idsOf(world.SamplePeers(maxContacts, func(peer *carobpeer.Peer) bool {
 		return isReachable(peer) && peer.Member.Centre == world.Self.Centre
 	}))
-	c.far = idsOf(world.SamplePeers(farContacts, func(peer *carobpeer.Peer) bool {
-		return isReachable(peer) && peer.Member.Centre != world.Self.Centre
-	}))
 }
 
 // sample returns up to fanout of the given nodes that are not down, in random order.
@@ -71,12 +64,6 @@
 	return peers
 }
 
-// choose returns fanout nodes, or fewer if there are not as many.
-func choose(near, far []*carobpeer.Peer) []*carobpeer.Peer {
-	fromFar := min(len(far), max(1, fanout-len(near)))
-	return append(far[:fromFar], near[:min(len(near), fanout-fromFar)]...)
-}
-
 func idsOf(peers []*carobpeer.Peer) []carobnodeid.ID {
 	ids := make([]carobnodeid.ID, 0, len(peers))
 	for _, peer := range peers {
--- a/pkg/carobdissemination/system.go
+++ b/pkg/carobdissemination/system.go
@@ -1,10 +1,14 @@
 // Package carobdissemination gossips changes in the descriptions of nodes.
 //
-// Each node that learns a description forwards it a limited number of times: at once to a
-// few random nodes, and then along with heartbeats, which are sent anyway. A description
-// thus reaches nearly all nodes in a number of steps that grows with the logarithm of the
-// cluster size; reconciliation covers the rest. Nothing is sent while no change is
-// pending, and a throttle limits the bandwidth that many changes take.
+// Each node that learns a description forwards it a limited number of times within its data
+// centre: at once to a few random nodes, and then along with heartbeats, which are sent
+// anyway. A description thus reaches nearly all nodes in a number of steps that grows with
+// the logarithm of the cluster size; reconciliation covers the rest. Nothing is sent while no
+// change is pending, and a throttle limits the bandwidth that many changes take.
+//
+// Only the node that made a change sends it to other data centres, to a few nodes of each.
+// If all nodes forwarded it there, the bytes between data centres, which are expensive, would
+// grow with the number of nodes for each change.
 package carobdissemination
 
 import (
@@ -12,6 +16,7 @@
 	"slices"
 	"time"
 
+	"github.com/carobknot/carobknot/pkg/carobcentre"
 	"github.com/carobknot/carobknot/pkg/carobgossip"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobliveness"
@@ -37,6 +42,9 @@
 	// sent in a round and along with a heartbeat, in bytes.
 	roundSize     = 4096
 	piggybackSize = 1024
+	// centreCopies is the number of nodes of each other data centre that the node that made a
+	// change sends it to. More than one, since a node may have failed unnoticed.
+	centreCopies = 2
 )
 
 // System gossips pending changes.
@@ -49,11 +57,12 @@
 	// nextRound is when the next round may start; Never before the first.
 	nextRound carobinstant.Instant
 	contacts  contactSet
+	centres   centreSet
 }
 
 // NewSystem returns a System that is throttled to 8 KiB a second, with bursts of 64 KiB.
 func NewSystem() *System {
-	return &System{throttle: carobthrottle.NewThrottle(carobthrottle.Config{
+	return &System{centres: centreSet{informed: map[carobcentre.Centre]bool{}}, throttle: carobthrottle.NewThrottle(carobthrottle.Config{
 		Rate: carobrate.Rate(8 * carobsize.KiB), Burst: 64 * carobsize.KiB,
 	})}
 }
@@ -67,9 +76,11 @@
 	}
 	if world.Self.Sequence != s.sequence {
 		s.sequence, s.sent = world.Self.Sequence, 0
+		s.centres.reset()
 	}
 	s.piggyback(world)
 	s.startRound(world, now)
+	s.sendToCentres(world, now)
 }
 
 // startRound starts a round: it sends the pending descriptions to some random nodes. A
@@ -86,6 +97,9 @@
 	s.nextRound = now.Add(roundInterval)
 	world.WakeAt(s.nextRound)
 	to := s.contacts.recipients(world, now)
+	if len(to) == 0 && world.Peers.Len() > 0 {
+		s.dropPending(world)
+	}
 	if len(to) == 0 || !s.throttle.Allow(now, 0) {
 		return
 	}
@@ -96,6 +110,66 @@
 	}
 }
 
+// dropPending marks all descriptions as sent, since there is no other node in this data centre.
+func (s *System) dropPending(world *carobworld.World) {
+	s.sent = maxSends
+	for id := range world.PendingGossip.All() {
+		if peer := world.Peers.Get(id); peer == nil || !peer.Originated {
+			world.PendingGossip.Delete(id)
+		}
+	}
+}
+
+// sendToCentres sends the changes that this node made to a few nodes of each other data
+// centre: its own description, and the liveness states that it set.
+func (s *System) sendToCentres(world *carobworld.World, now carobinstant.Instant) {
+	due := s.centres.isDue(world)
+	if !due && !anyOriginated(world) {
+		return
+	}
+	if !s.throttle.Allow(now, 0) {
+		world.WakeAt(now.Add(roundInterval))
+		return
+	}
+	changes, to := takeOriginated(world), s.centres.recipients(world)
+	for _, peer := range to {
+		members := changes
+		if due && !s.centres.informed[peer.Member.Centre] {
+			members = append([]carobmember.Member{world.DescribeSelf()}, changes...)
+		}
+		if len(members) > 0 {
+			send(world, peer.Member, members)
+			s.throttle.Allow(now, totalSize(members))
+		}
+	}
+	s.centres.markInformed(to)
+}
+
+// anyOriginated reports whether a liveness state that this node set is still to be sent to
+// other data centres.
+func anyOriginated(world *carobworld.World) bool {
+	for id := range world.PendingGossip.All() {
+		if peer := world.Peers.Get(id); peer != nil && peer.Originated {
+			return true
+		}
+	}
+	return false
+}
+
+// takeOriginated returns the descriptions whose liveness state this node set, as many as fit
+// into a message beside its own, and counts them as sent to other data centres.
+func takeOriginated(world *carobworld.World) []carobmember.Member {
+	var members []carobmember.Member
+	for id := range world.PendingGossip.All() {
+		peer := world.Peers.Get(id)
+		if peer != nil && peer.Originated && len(members) < carobgossip.MaxMembers-1 {
+			peer.Originated = false
+			members = append(members, peer.Member)
+		}
+	}
+	return members
+}
+
 // hasPending reports whether a description is still to be sent in a round.
 func (s *System) hasPending(world *carobworld.World) bool {
 	if s.sent < maxRoundSends {
@@ -109,13 +183,14 @@
 	return false
 }
 
-// piggyback sends pending descriptions along with the heartbeats of this tick.
+// piggyback sends pending descriptions along with the heartbeats of this tick to nodes of this
+// data centre.
 func (s *System) piggyback(world *carobworld.World) {
 	if s.sent >= maxSends && world.PendingGossip.Len() == 0 {
 		return
 	}
 	for _, message := range world.Outbox.Messages {
-		if message.Heartbeat == nil {
+		if message.Heartbeat == nil || !isNear(world, &message) {
 			continue
 		}
 		if members := s.takePending(world, maxSends, piggybackSize); len(members) > 0 {
@@ -124,6 +199,12 @@
 	}
 }
 
+// isNear reports whether a heartbeat goes directly to a node of this data centre.
+func isNear(world *carobworld.World, message *carobmessage.Message) bool {
+	peer := world.Peers.Get(message.Heartbeat.Node)
+	return peer != nil && peer.Member.Centre == world.Self.Centre && peer.Member.PeerAddress == message.To
+}
+
 // takePending returns descriptions that were sent fewer than maxSent times, those sent
 // least often first, and counts them as sent. They take up to space bytes, or more if
 // the first one alone does.
@@ -164,7 +245,8 @@
 	return rows
 }
 
-// announceLeave announces to some random nodes that this node leaves. It does so only once.
+// announceLeave announces to some random nodes of each data centre that this node leaves. It
+// does so only once.
 func (s *System) announceLeave(world *carobworld.World, now carobinstant.Instant) {
 	if world.LeaveAnnounced {
 		return
@@ -174,7 +256,7 @@
 	member := world.DescribeSelf()
 	member.Liveness = carobliveness.Left
 	world.Audit("member", string(world.Self.Node), "node "+string(world.Self.Node), carobliveness.Alive.String(), member.Liveness.String())
-	for _, peer := range s.contacts.recipients(world, now) {
+	for _, peer := range append(s.contacts.recipients(world, now), s.centres.recipients(world)...) {
 		send(world, peer.Member, []carobmember.Member{member})
 	}
 }
--- a/pkg/carobpeer/peer.go
+++ b/pkg/carobpeer/peer.go
@@ -21,4 +21,7 @@
 	// GossipCount is the number of times that this node has sent the current description by
 	// gossip.
 	GossipCount int
+	// Originated is true if this node changed the liveness state and has not yet sent the
+	// description to other data centres.
+	Originated bool
 }
