Tell targets the organisation of a call, and keep its key at the entry

Cause: the target needs the organisation's name and must not get the key; organisations have a priority before that of routes.

If the table in force at arrival requires keys, the entry removes Authorization and X-Tenant from every attempt. The offer header carries the organisation and its priority in the field of the flags, where a caller cannot write; the target's node sets X-Tenant from it. Offers of other calls are the same bytes as before. Queues order by the organisation's priority before the route's. Decisions name the organisation, and the number of organisations in force is a metric.

Ruled out: the organisation beside the request ID, which a caller chooses; a header of its own, which a node of an earlier version would ignore and run the call without X-Tenant; removing the headers when the request is read, because only the control goroutine knows the table in force.

--- a/internal/carobeventlog/eventlog.go
+++ b/internal/carobeventlog/eventlog.go
@@ -128,6 +128,9 @@
 	}
 	decision := ln.decision
 	fields := logrus.Fields{"id": string(decision.Request), "call": decision.Call.String()}
+	if decision.Organisation != "" {
+		fields["organisation"] = string(decision.Organisation)
+	}
 	if decision.Attempt > 0 {
 		fields["attempt"] = decision.Attempt
 	}
--- a/internal/carobeventlog/eventlog_test.go
+++ b/internal/carobeventlog/eventlog_test.go
@@ -29,7 +29,7 @@
 	}
 	for range 3 {
 		out.Decisions = append(out.Decisions, carobdecision.Decision{
-			Component: "entry", Text: "call ended", Request: "r2", Kind: carobkind.Busy,
+			Component: "entry", Text: "call ended", Request: "r2", Organisation: "clinic", Kind: carobkind.Busy,
 			Inputs: []carobinput.Input{{Name: "agems", Value: 12.5}},
 		})
 	}
@@ -47,6 +47,8 @@
 	require.Equal(t, "entry: call ended", last.Message)
 	require.Equal(t, "busy", last.Data["outcome"])
 	require.Equal(t, "r2", last.Data["id"])
+	require.Equal(t, "clinic", last.Data["organisation"])
+	require.NotContains(t, first.Data, "organisation")
 	require.InDelta(t, 12.5, last.Data["agems"], 0.001)
 	require.Zero(t, eventLog.Dropped())
 }
--- a/internal/carobexchange/exchange.go
+++ b/internal/carobexchange/exchange.go
@@ -92,6 +92,9 @@
 	req := &fasthttp.Request{}
 	x.request.Header.CopyTo(&req.Header)
 	carobheader.CleanRequest(&req.Header)
+	if send.RemoveIdentity && x.exchanges.config.Dialect != nil {
+		x.exchanges.config.Dialect.RemoveIdentity(&req.Header)
+	}
 	if err := x.body.Attach(req); err != nil {
 		x.postReply(carobattemptreply.AttemptReply{Job: send.Job, Target: send.Target, Kind: carobkind.Of(err)})
 		return
--- a/internal/carobexchange/exchanges.go
+++ b/internal/carobexchange/exchanges.go
@@ -33,6 +33,12 @@
 	Do(ctx context.Context, send carobsend.Send, req *fasthttp.Request) (*carobanswer.Answer, *carobreport.Report, error)
 }
 
+// dialect is the HTTP interface of the callers.
+type dialect interface {
+	// RemoveIdentity removes the headers by which a caller identifies its organisation.
+	RemoveIdentity(header *fasthttp.RequestHeader)
+}
+
 // responder sends the result of a call to its caller. Exactly one of its methods
 // is called.
 type responder interface {
@@ -53,6 +59,9 @@
 	Mailbox *carobmailbox.Mailbox
 	Relay   relay
 	Timer   *carobtimer.Timer
+	// Dialect is the HTTP interface of the callers; nil if they do not identify
+	// organisations.
+	Dialect dialect
 	// MaxBufferedAnswer is the size in bytes up to which an answer is read completely
 	// before it is reported to the control goroutine. If such an answer is cut off, the
 	// call can still be retried. 0 means that every answer is streamed.
--- a/internal/carobheader/offer.go
+++ b/internal/carobheader/offer.go
@@ -11,6 +11,7 @@
 	"github.com/carobknot/carobknot/pkg/carobjobid"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroboffer"
+	"github.com/carobknot/carobknot/pkg/caroborganisationid"
 	"github.com/carobknot/carobknot/pkg/carobrequestid"
 	"github.com/carobknot/carobknot/pkg/carobrequirements"
 	"github.com/carobknot/carobknot/pkg/carobsend"
@@ -20,11 +21,19 @@
 	numberBase, numberBits = 36, 64
 	// offerFields is the number of required fields: call, attempt, target,
 	// incarnation, time left, priority, time left until the SLO is missed, SLO,
-	// execution guarantee, and whether the call may move to another target. The
-	// request ID follows if there is one.
+	// execution guarantee, and the flags. The request ID follows if there is one.
 	offerFields = 10
 )
 
+// The flags of an offer are flagMovable or flagFixed. If the call has an organisation, the
+// priority and the name of the organisation follow, each behind a flagSeparator. A caller
+// cannot set them, as it could if they were beside the request ID. Names may contain the
+// separator.
+const (
+	flagMovable, flagFixed = "t", "f"
+	flagSeparator          = ","
+)
+
 // FormatOffer encodes the description of an attempt for the target's node. It is
 // a single header to save bytes, because traffic between data centres is
 // expensive. Numbers are in base 36, and durations in microseconds.
@@ -34,7 +43,7 @@
 		send.Job.Call.String(), number(int64(send.Job.Attempt)), send.Target.String(),
 		strconv.FormatUint(uint64(send.Incarnation), numberBase), number(send.TimeLeft.Microseconds()),
 		number(int64(send.Requirements.Priority)), number(send.Requirements.SLOTimeLeft.Microseconds()), number(send.Requirements.SLO.Microseconds()),
-		string(send.Requirements.Guarantee), strconv.FormatBool(send.Requirements.Movable)[:1],
+		string(send.Requirements.Guarantee), formatFlags(&send.Requirements),
 	}, " ")
 	if send.Requirements.Request == "" {
 		return text
@@ -69,16 +78,15 @@
 	if numbers[0] < 1 {
 		return offer, carobkind.New(carobkind.Invalid, "offer: the attempt must be at least 1")
 	}
-	movable, err := strconv.ParseBool(fields[9])
-	if err != nil {
-		return offer, carobkind.New(carobkind.Invalid, "offer: %q is not a boolean", fields[9])
-	}
 	offer.Job = carobjobid.ID{Call: call, Attempt: int(numbers[0])}
 	offer.Incarnation = carobincarnation.Incarnation(incarnation)
 	offer.TimeLeft = microseconds(numbers[1])
 	offer.Requirements = carobrequirements.Requirements{
 		Priority: int(numbers[2]), SLOTimeLeft: microseconds(numbers[3]), SLO: microseconds(numbers[4]),
-		Guarantee: carobguarantee.Guarantee(fields[8]), Movable: movable,
+		Guarantee: carobguarantee.Guarantee(fields[8]),
+	}
+	if err := parseFlags(fields[9], &offer.Requirements); err != nil {
+		return offer, err
 	}
 	if len(fields) > offerFields {
 		offer.Requirements.Request = carobrequestid.ID(fields[offerFields])
@@ -86,6 +94,37 @@
 	return offer, nil
 }
 
+// formatFlags encodes whether the call may move to another target, and its organisation.
+func formatFlags(requirements *carobrequirements.Requirements) string {
+	flags := flagFixed
+	if requirements.Movable {
+		flags = flagMovable
+	}
+	if requirements.Organisation == "" {
+		return flags
+	}
+	return flags + flagSeparator + strconv.FormatInt(int64(requirements.OrganisationPriority), numberBase) + flagSeparator + string(requirements.Organisation)
+}
+
+// parseFlags decodes what formatFlags encodes. The error has kind Invalid.
+func parseFlags(text string, requirements *carobrequirements.Requirements) error {
+	flag, organisation, hasOrganisation := strings.Cut(text, flagSeparator)
+	if flag != flagMovable && flag != flagFixed {
+		return carobkind.New(carobkind.Invalid, "offer: %q is no flag", flag)
+	}
+	requirements.Movable = flag == flagMovable
+	if !hasOrganisation {
+		return nil
+	}
+	priority, name, _ := strings.Cut(organisation, flagSeparator)
+	number, err := strconv.ParseInt(priority, numberBase, numberBits)
+	if err != nil {
+		return carobkind.New(carobkind.Invalid, "offer: %q is not the priority of an organisation", priority)
+	}
+	requirements.Organisation, requirements.OrganisationPriority = caroborganisationid.ID(name), int(number)
+	return requirements.Organisation.Check()
+}
+
 func microseconds(n int64) time.Duration {
 	return time.Duration(n) * time.Microsecond
 }
--- a/internal/carobmeter/meter.go
+++ b/internal/carobmeter/meter.go
@@ -34,6 +34,8 @@
 	// routes is the version of the route table in force, and routesAge how many seconds ago
 	// it was last confirmed to be the newest.
 	routes, routesAge tally.Gauge
+	// organisations is the number of organisations in the route table in force.
+	organisations tally.Gauge
 	// routesRejected is 1 while the newest route table in the store cannot be read.
 	routesRejected tally.Gauge
 }
@@ -63,7 +65,7 @@
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
 	}, flushInterval)
 	m.routes, m.routesAge = m.scope.Gauge("routes"), m.scope.Gauge("routes_age")
-	m.routesRejected = m.scope.Gauge("routes_rejected")
+	m.routesRejected, m.organisations = m.scope.Gauge("routes_rejected"), m.scope.Gauge("organisations")
 	return m
 }
 
@@ -97,6 +99,7 @@
 	}
 	if out.RoutesVersion != carobrouteversion.None {
 		m.routes.Update(float64(out.RoutesVersion))
+		m.organisations.Update(float64(out.Organisations))
 		m.routesAge.Update(out.RoutesAge.Seconds())
 	}
 	m.routesRejected.Update(0)
--- a/internal/carobnode/node.go
+++ b/internal/carobnode/node.go
@@ -45,10 +45,11 @@
 }
 
 // dialect is the HTTP interface to a platform's callers and targets. The interfaces
-// of the same name in carobdialectfrontend and carobadmitter describe the methods.
+// of the same name in carobdialectfrontend, carobexchange and carobadmitter describe the methods.
 type dialect interface {
 	ParseArrival(req *fasthttp.Request) (carobarrival.Arrival, error)
 	WriteRefusal(resp *fasthttp.Response, req *fasthttp.Request, kind carobkind.Kind, after time.Duration, detail string)
+	RemoveIdentity(header *fasthttp.RequestHeader)
 	PrepareRequest(req *fasthttp.Request, start *carobstart.Start, target carobtargetid.ID)
 	PrepareHealthCheck(req *fasthttp.Request, address carobaddress.Address)
 	ParseIdentity(resp *fasthttp.Response) (carobname.Name, int)
--- a/internal/carobnode/traffic_providers.go
+++ b/internal/carobnode/traffic_providers.go
@@ -114,7 +114,7 @@
 			Node: self.Node, Incarnation: self.Incarnation, Limits: settings.Limits, Dialect: n.config.Dialect,
 			Exchanges: carobexchange.NewExchanges(carobexchange.Config{
 				Mailbox: do.MustInvoke[*carobmailbox.Mailbox](injector), Relay: do.MustInvoke[*carobrelay.Relay](injector),
-				Timer: do.MustInvoke[*carobtimer.Timer](injector), MaxBufferedAnswer: maxBufferedResponse,
+				Timer: do.MustInvoke[*carobtimer.Timer](injector), Dialect: n.config.Dialect, MaxBufferedAnswer: maxBufferedResponse,
 				AnswerBudget: do.MustInvoke[*carobbytebudget.ByteBudget](injector),
 			}),
 			Timer: do.MustInvoke[*carobtimer.Timer](injector),
--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -116,7 +116,7 @@
 // shed refuses a queued job with kind Busy and records the reason as a decision.
 func shed(world *carobworld.World, now carobinstant.Instant, job *carobjob.Job, state *carobadmissionstate.AdmissionState, reason string) {
 	world.RecordDecision(carobdecision.Decision{
-		Component: "admit", Text: reason, Request: job.Offer.Requirements.Request, Call: job.Offer.Job.Call,
+		Component: "admit", Text: reason, Request: job.Offer.Requirements.Request, Organisation: job.Offer.Requirements.Organisation, Call: job.Offer.Job.Call,
 		Attempt: job.Offer.Job.Attempt, Target: job.Offer.Target, Kind: carobkind.Busy, Inputs: decisionInputs(state, now, job.ArrivedAt),
 	})
 	carobfencing.RefuseQueued(world, job, carobkind.Busy)
@@ -176,7 +176,7 @@
 	})
 	world.Outbox.Starts = append(world.Outbox.Starts, carobstart.Start{
 		Job: job.Offer.Job, Address: target.Address, TimeLeft: job.Deadline.Sub(now),
-		Guarantee: job.Offer.Requirements.Guarantee,
+		Guarantee: job.Offer.Requirements.Guarantee, Organisation: job.Offer.Requirements.Organisation,
 	})
 }
 
@@ -275,7 +275,7 @@
 func refuse(world *carobworld.World, offer caroboffer.Offer, kind carobkind.Kind) {
 	world.Outbox.Refusals = append(world.Outbox.Refusals, carobrefusal.Refusal{Job: offer.Job, Kind: kind})
 	world.RecordDecision(carobdecision.Decision{
-		Component: "admit", Text: "job refused", Request: offer.Requirements.Request, Call: offer.Job.Call,
+		Component: "admit", Text: "job refused", Request: offer.Requirements.Request, Organisation: offer.Requirements.Organisation, Call: offer.Job.Call,
 		Attempt: offer.Job.Attempt, Target: offer.Target, Kind: kind,
 	})
 }
--- a/pkg/carobadmission/urgency.go
+++ b/pkg/carobadmission/urgency.go
@@ -46,12 +46,13 @@
 //   - nested calls precede others, because the job that made the call holds a slot
 //     until the call is answered. A nested call is never late: without its response
 //     the outer call fails too, which may still be in time;
-//   - then the lower priority number precedes, then the earlier due time, then the earlier
-//     arrival.
+//   - then the lower priority number of the organisation precedes, then that of the route,
+//     then the earlier due time, then the earlier arrival.
 func compareUrgency(now carobinstant.Instant, a, b *carobjob.Job) int {
 	return cmp.Or(
 		cmp.Compare(boolToInt(isLate(now, a)), boolToInt(isLate(now, b))),
 		cmp.Compare(boolToInt(!isNested(a)), boolToInt(!isNested(b))),
+		cmp.Compare(a.Offer.Requirements.OrganisationPriority, b.Offer.Requirements.OrganisationPriority),
 		cmp.Compare(a.Offer.Requirements.Priority, b.Offer.Requirements.Priority),
 		cmp.Compare(dueAt(a), dueAt(b)),
 		cmp.Compare(a.ArrivedAt, b.ArrivedAt),
--- a/pkg/carobadmission/urgency_test.go
+++ b/pkg/carobadmission/urgency_test.go
@@ -82,6 +82,12 @@
 	return carobrequirements.Requirements{Priority: priority, SLOTimeLeft: slo, SLO: slo}
 }
 
+// fromOrganisation returns required with an organisation of the given priority.
+func fromOrganisation(priority int, required carobrequirements.Requirements) carobrequirements.Requirements {
+	required.Organisation, required.OrganisationPriority = "clinic", priority
+	return required
+}
+
 // Guards against a queue that starts jobs in another order than by urgency.
 func TestMostUrgentJobStartsFirst(t *testing.T) {
 	const usual = 500 * time.Millisecond
@@ -92,6 +98,13 @@
 	}{
 		{"rank", requirements(2, usual), requirements(1, usual), true},
 		{"rank, in order of arrival", requirements(1, usual), requirements(2, usual), false},
+		{"organisation before rank", fromOrganisation(2, requirements(1, usual)), fromOrganisation(1, requirements(2, usual)), true},
+		{"organisation in order of arrival", fromOrganisation(1, requirements(2, usual)), fromOrganisation(2, requirements(1, usual)), false},
+		{"rank within a priority of organisations", fromOrganisation(1, requirements(2, usual)), fromOrganisation(1, requirements(1, usual)), true},
+		{"no organisation counts as 0", fromOrganisation(1, requirements(1, usual)), requirements(2, usual), true},
+		{"no organisation and one of 0", requirements(2, usual), fromOrganisation(0, requirements(1, usual)), true},
+		{"nested call before organisation", fromOrganisation(0, requirements(1, usual)), fromOrganisation(9, requirements(2, 120*time.Millisecond)), true},
+		{"call past its SLO after organisation", fromOrganisation(0, carobrequirements.Requirements{Priority: 1, SLOTimeLeft: -1, SLO: usual}), fromOrganisation(9, requirements(2, usual)), true},
 		{"nested call", requirements(1, usual), requirements(2, 120*time.Millisecond), true},
 		{"due sooner", requirements(1, time.Second), requirements(1, usual), true},
 		{"nested call past its SLO", requirements(1, usual), carobrequirements.Requirements{Priority: 2, SLOTimeLeft: -1, SLO: 120 * time.Millisecond}, true},
@@ -125,6 +138,21 @@
 	require.Equal(t, last, r.world.Outbox.Refusals[0].Job, "the offered job is refused at once if it is the least urgent")
 }
 
+// Guards against a target that is not told whose call it runs, and against refusals that an
+// operator cannot assign to an organisation.
+func TestStartsAndRefusalsNameTheOrganisation(t *testing.T) {
+	r := newRig(1, 0)
+	r.offer(fromOrganisation(1, requirements(1, time.Second)))
+	require.Len(t, r.world.Outbox.Starts, 1)
+	require.EqualValues(t, "clinic", r.world.Outbox.Starts[0].Organisation)
+	r.offer(fromOrganisation(1, requirements(1, time.Second)))
+	require.Len(t, r.world.Outbox.Refusals, 1)
+	require.EqualValues(t, "clinic", r.world.Outbox.Decisions[0].Organisation)
+	r = newRig(1, 0)
+	r.offer(requirements(1, time.Second))
+	require.Empty(t, r.world.Outbox.Starts[0].Organisation)
+}
+
 // Guards against jobs that start on a slow VM and delay the jobs that already run.
 func TestSlowVMGetsFewerSlots(t *testing.T) {
 	r := newRig(10, 20)
--- a/pkg/carobcall/call.go
+++ b/pkg/carobcall/call.go
@@ -9,6 +9,7 @@
 	"github.com/carobknot/carobknot/pkg/carobkey"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroborganisation"
+	"github.com/carobknot/carobknot/pkg/caroborganisationid"
 	"github.com/carobknot/carobknot/pkg/carobprofile"
 	"github.com/carobknot/carobknot/pkg/carobrequirements"
 	"github.com/carobknot/carobknot/pkg/carobroute"
@@ -102,12 +103,24 @@
 // an attempt that is sent at now.
 func (c *Call) Requirements(now carobinstant.Instant) carobrequirements.Requirements {
 	requirements := carobrequirements.Requirements{Request: c.Arrival.Request, Priority: c.Priority(), Guarantee: c.Profile.Guarantee}
+	if c.Organisation != nil {
+		requirements.Organisation, requirements.OrganisationPriority = c.Organisation.ID, c.Organisation.Priority
+	}
 	if c.SLODeadline != carobinstant.Never {
 		requirements.SLOTimeLeft, requirements.SLO = c.SLODeadline.Sub(now), c.SLODeadline.Sub(c.ArrivedAt)
 	}
 	return requirements
 }
 
+// OrganisationID returns the ID of the organisation that makes the call; empty if there is
+// none.
+func (c *Call) OrganisationID() caroborganisationid.ID {
+	if c.Organisation == nil {
+		return ""
+	}
+	return c.Organisation.ID
+}
+
 // Priority returns the priority of the call, from its route; 0 is the highest.
 func (c *Call) Priority() int {
 	if c.Route == nil {
--- a/pkg/carobdecision/decision.go
+++ b/pkg/carobdecision/decision.go
@@ -5,6 +5,7 @@
 	"github.com/carobknot/carobknot/pkg/carobcallid"
 	"github.com/carobknot/carobknot/pkg/carobinput"
 	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/caroborganisationid"
 	"github.com/carobknot/carobknot/pkg/carobrequestid"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 )
@@ -16,6 +17,8 @@
 	Component, Text string
 	// Request is the caller's ID of the call.
 	Request carobrequestid.ID
+	// Organisation is the organisation that makes the call; empty if it has none.
+	Organisation caroborganisationid.ID
 	// Call is the system's ID of the call.
 	Call carobcallid.ID
 	// Attempt is the number of the attempt, from 1; 0 if the decision concerns none.
--- a/pkg/carobentry/authenticate_test.go
+++ b/pkg/carobentry/authenticate_test.go
@@ -12,6 +12,7 @@
 	"github.com/carobknot/carobknot/pkg/carobkeydigest"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroborganisation"
+	"github.com/carobknot/carobknot/pkg/caroborganisationid"
 	"github.com/carobknot/carobknot/pkg/carobroute"
 	"github.com/carobknot/carobknot/pkg/carobroutetable"
 	"github.com/carobknot/carobknot/pkg/carobrouteversion"
@@ -131,3 +132,50 @@
 	r.requireSent(1)
 	require.NotNil(t, r.world.Calls.Get(first), "the call under way goes on")
 }
+
+// Guards against a key that leaves the node although it must not, or that is removed although
+// the table requires no keys, and against offers that name no organisation or another one.
+func TestAttemptsCarryTheOrganisation(t *testing.T) {
+	for _, c := range []struct {
+		name, path   string
+		requiresKey  bool
+		organisation caroborganisationid.ID
+		priority     int
+	}{
+		{"route", "/one/x", true, "clinic", 2},
+		{"anonymous route", "/open/x", true, "", 0},
+		{"table without keys", "/one/x", false, "", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, carobguarantee.OncePerCall)
+			r.world.RouteTable = keyedTable(t, 1, clinic("key"))
+			r.world.RouteTable.RequiresKey = c.requiresKey
+			r.arriveWith(c.path, credential("key"))
+			// The table in force at the arrival counts, also for later attempts.
+			r.world.RouteTable = keyedTable(t, 2)
+			r.world.RouteTable.RequiresKey = !c.requiresKey
+			for attempt := 1; attempt <= 2; attempt++ {
+				r.requireSent(attempt)
+				send := r.world.Outbox.Sends[0]
+				require.Equal(t, c.requiresKey, send.RemoveIdentity)
+				require.Equal(t, c.organisation, send.Requirements.Organisation)
+				require.Equal(t, c.priority, send.Requirements.OrganisationPriority)
+				r.reply(attempt, carobkind.Busy)
+			}
+		})
+	}
+}
+
+// Guards against refused calls of an organisation that an operator cannot tell from those of
+// others.
+func TestRefusalNamesTheOrganisation(t *testing.T) {
+	r := newRig(t, carobguarantee.OncePerCall)
+	r.world.RouteTable = keyedTable(t, 1, clinic("key"))
+	r.world.Groups.Delete(service)
+	r.arriveWith("/one/x", credential("key"))
+	r.requireConcluded(carobkind.NoTarget)
+	require.Len(t, r.world.Outbox.Decisions, 1)
+	require.EqualValues(t, "clinic", r.world.Outbox.Decisions[0].Organisation)
+	r.arriveWith("/one/x", credential("other"))
+	require.Empty(t, r.world.Outbox.Decisions[0].Organisation)
+}
--- a/pkg/carobentry/conclude.go
+++ b/pkg/carobentry/conclude.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/carobknot/carobknot/pkg/carobarrival"
 	"github.com/carobknot/carobknot/pkg/carobcall"
 	"github.com/carobknot/carobknot/pkg/carobconclusion"
 	"github.com/carobknot/carobknot/pkg/carobdecision"
@@ -110,11 +109,12 @@
 	}
 }
 
-// refuse concludes a call that is not accepted. The caller may retry after the
+// refuse concludes a call that is not accepted; its row needs no more fields than Arrival and
+// Organisation. The caller may retry after the
 // given time; if that is 0, the kind's own retry time applies.
-func refuse(world *carobworld.World, now carobinstant.Instant, arrival carobarrival.Arrival, kind carobkind.Kind, after time.Duration) {
+func refuse(world *carobworld.World, now carobinstant.Instant, call *carobcall.Call, kind carobkind.Kind, after time.Duration) {
 	world.Outbox.Conclusions = append(world.Outbox.Conclusions, carobconclusion.Conclusion{
-		Call: arrival.Call, Kind: kind, RetryAfter: after,
+		Call: call.Arrival.Call, Kind: kind, RetryAfter: after,
 	})
 	inputs := []carobinput.Input{
 		{Name: "routes", Value: float64(world.RoutesVersion())}, {Name: "services", Value: float64(world.Groups.Len())},
@@ -123,6 +123,7 @@
 		inputs = append(inputs, carobinput.Input{Name: "endsms", Value: float64(world.ShutdownDeadline.Sub(now).Milliseconds())})
 	}
 	world.RecordDecision(carobdecision.Decision{
-		Component: "entry", Text: "call turned away", Request: arrival.Request, Call: arrival.Call, Kind: kind, Inputs: inputs,
+		Component: "entry", Text: "call turned away", Request: call.Arrival.Request, Organisation: call.OrganisationID(), Call: call.Arrival.Call,
+		Kind: kind, Inputs: inputs,
 	})
 }
--- a/pkg/carobentry/log.go
+++ b/pkg/carobentry/log.go
@@ -15,7 +15,7 @@
 // caller gets; 0 if the kind's own applies.
 func logEnd(world *carobworld.World, now carobinstant.Instant, call *carobcall.Call, text string, kind carobkind.Kind, after time.Duration) {
 	decision := carobdecision.Decision{
-		Component: "entry", Text: text, Request: call.Arrival.Request, Call: call.Arrival.Call, Kind: kind,
+		Component: "entry", Text: text, Request: call.Arrival.Request, Organisation: call.OrganisationID(), Call: call.Arrival.Call, Kind: kind,
 		Attempt: len(call.Attempts),
 		Inputs: []carobinput.Input{
 			{Name: "routes", Value: float64(world.RoutesVersion())},
--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -98,25 +98,25 @@
 	var route *carobroute.Route
 	if arrival.Service == "" {
 		if route = findRoute(world, &arrival); route == nil {
-			refuse(world, now, arrival, noRouteKind(world), 0)
+			refuse(world, now, &carobcall.Call{Arrival: arrival}, noRouteKind(world), 0)
 			return
 		}
 	}
 	organisation, authenticated := authenticate(world, arrival, route)
 	if !authenticated {
-		refuse(world, now, arrival, carobkind.Unauthenticated, 0)
+		refuse(world, now, &carobcall.Call{Arrival: arrival}, carobkind.Unauthenticated, 0)
 		return
 	}
 	kind := refusalKind(world, arrival)
 	if kind != carobkind.None {
-		refuse(world, now, arrival, kind, 0)
+		refuse(world, now, &carobcall.Call{Arrival: arrival, Organisation: organisation}, kind, 0)
 		return
 	}
 	call := newCall(world, now, arrival, route)
 	call.Organisation, call.RequiresKey = organisation, requiresKey(world)
 	if world.ShutdownDeadline.Before(call.Deadline) {
 		// The node may exit before the call is answered. Another node can answer it.
-		refuse(world, now, arrival, carobkind.Leaving, retryAfter(world, &call, carobkind.Leaving))
+		refuse(world, now, &call, carobkind.Leaving, retryAfter(world, &call, carobkind.Leaving))
 		return
 	}
 	world.CreditRetryBudget(arrival.Service)
--- a/pkg/caroboutbox/outbox.go
+++ b/pkg/caroboutbox/outbox.go
@@ -45,6 +45,8 @@
 	ConfirmRoutes bool
 	// RoutesVersion is the version of the route table in force; None if there is no table.
 	RoutesVersion carobrouteversion.Version
+	// Organisations is the number of organisations in the route table in force.
+	Organisations int
 	// RoutesRejected is true if the newest route table in the store cannot be read.
 	RoutesRejected bool
 	// RoutesAge is how long ago the route table in force was last confirmed to be the newest;
--- a/pkg/carobrequirements/requirements.go
+++ b/pkg/carobrequirements/requirements.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/carobknot/carobknot/pkg/carobguarantee"
+	"github.com/carobknot/carobknot/pkg/caroborganisationid"
 	"github.com/carobknot/carobknot/pkg/carobrequestid"
 )
 
@@ -14,6 +15,11 @@
 type Requirements struct {
 	// Request is the caller's ID of the request; empty if it sent none.
 	Request carobrequestid.ID
+	// Organisation is the organisation that makes the call; empty if the call has none.
+	Organisation caroborganisationid.ID
+	// OrganisationPriority is the priority of the organisation, which precedes Priority; 0 is
+	// the highest, and that of a call without an organisation.
+	OrganisationPriority int
 	// Priority is the priority of the call; 0 is the highest.
 	Priority int
 	// SLOTimeLeft is the time left until the SLO of the call is missed, negative if
--- a/pkg/carobrouting/system.go
+++ b/pkg/carobrouting/system.go
@@ -237,6 +237,6 @@
 		Job:    carobjobid.ID{Call: call.Arrival.Call, Attempt: len(call.Attempts)},
 		Target: chosen.targetID, PeerAddress: chosen.peerAddress, Incarnation: chosen.incarnation, TimeLeft: call.Deadline.Sub(now),
 		Guarantee: call.Profile.Guarantee, Requirements: requirements,
-		RateLimit: chosen.load.Report.RateLimit,
+		RemoveIdentity: call.RequiresKey, RateLimit: chosen.load.Report.RateLimit,
 	})
 }
--- a/pkg/carobsend/send.go
+++ b/pkg/carobsend/send.go
@@ -29,6 +29,9 @@
 	// Requirements holds the priority and the SLO, by which the target's node orders
 	// its queue.
 	Requirements carobrequirements.Requirements
+	// RemoveIdentity is set if the headers by which the caller identifies its organisation
+	// must not leave this node.
+	RemoveIdentity bool
 	// RateLimit is the target's rate limit in its newest report; 0 if there is none.
 	RateLimit carobcallrate.CallRate
 	// Traceparent is the W3C traceparent header for the target's node.
--- a/pkg/carobstart/start.go
+++ b/pkg/carobstart/start.go
@@ -7,6 +7,7 @@
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobguarantee"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
+	"github.com/carobknot/carobknot/pkg/caroborganisationid"
 )
 
 // Start orders the traffic goroutines to send a job to its target.
@@ -18,6 +19,9 @@
 	TimeLeft time.Duration
 	// Guarantee states how often the call may run.
 	Guarantee carobguarantee.Guarantee
+	// Organisation is the organisation that makes the call, which the target is told; empty if
+	// the call has none.
+	Organisation caroborganisationid.ID
 	// Traceparent is the trace context for the target in W3C format; empty if it is not
 	// propagated.
 	Traceparent string
--- a/pkg/carobworld/ticks.go
+++ b/pkg/carobworld/ticks.go
@@ -38,6 +38,9 @@
 // the metrics.
 func (w *World) EndTick(now carobinstant.Instant) {
 	w.Outbox.RoutesVersion, w.Outbox.RoutesRejected = w.RoutesVersion(), w.RouteRejection != nil
+	if w.RouteTable != nil {
+		w.Outbox.Organisations = len(w.RouteTable.Organisations)
+	}
 	if w.RoutesConfirmedAt == carobinstant.Never {
 		return
 	}
