Limit the calls of cold targets at the node beside them

A target that has started, or has become cold in the middle of its load, crashes if it gets many more calls than the operator's cold-per-s. Nothing limited them: beside a cold target of 4 calls a second, two real nodes started 122 calls within a second (bound: 14).

The node beside the target limits the starts by a token bucket of the rule's rate with a quarter of a second's burst, and by the number of starts within the last second, so that calls from before the target became cold count. A target counts as warm only after a heartbeat of its incarnation or a health check that was ordered since its state was last in doubt. The node orders that health check itself, within the budget. Load reports carry the lower limit; entries ignore one that comes from the rule once the report is 2 s old.

--- a/internal/carobadmitter/health_check.go
+++ b/internal/carobadmitter/health_check.go
@@ -29,7 +29,7 @@
 // fetchLoad returns the result of a health check. Its load is nil if there is no response,
 // and zero if the response reports none.
 func (a *Admitter) fetchLoad(check carobhealthcheck.HealthCheck) carobcheckresult.CheckResult {
-	result := carobcheckresult.CheckResult{Target: check.Target}
+	result := carobcheckresult.CheckResult{Target: check.Target, OrderedAt: check.OrderedAt}
 	answer, err := a.requestHealth(context.Background(), check.Address, healthCheckTimeout)
 	if err != nil {
 		return result
--- a/internal/carobmeter/meter.go
+++ b/internal/carobmeter/meter.go
@@ -13,6 +13,7 @@
 
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
+	"github.com/carobknot/carobknot/pkg/carobreport"
 	"github.com/carobknot/carobknot/pkg/carobrouteversion"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 )
@@ -27,10 +28,12 @@
 	scope    tally.Scope
 	closer   io.Closer
 	// Only the goroutine that calls Execute uses the maps.
-	calls     map[carobkind.Kind]tally.Counter
-	refusals  map[carobkind.Kind]tally.Counter
-	byTarget  map[carobtargetid.ID]targetGauges
-	durations map[string]tally.Histogram
+	calls    map[carobkind.Kind]tally.Counter
+	refusals map[carobkind.Kind]tally.Counter
+	byTarget map[carobtargetid.ID]targetGauges
+	// coldLimits has the gauges of targets that were cold under a limit.
+	coldLimits map[carobtargetid.ID]tally.Gauge
+	durations  map[string]tally.Histogram
 	// routes is the version of the route table in force, and routesAge how many seconds ago
 	// it was last confirmed to be the newest.
 	routes, routesAge tally.Gauge
@@ -56,7 +59,7 @@
 	m := &Meter{
 		reporter: prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry}),
 		calls:    map[carobkind.Kind]tally.Counter{}, refusals: map[carobkind.Kind]tally.Counter{},
-		byTarget: map[carobtargetid.ID]targetGauges{}, durations: map[string]tally.Histogram{},
+		byTarget: map[carobtargetid.ID]targetGauges{}, coldLimits: map[carobtargetid.ID]tally.Gauge{}, durations: map[string]tally.Histogram{},
 	}
 	m.scope, m.closer = tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "carobknot", CachedReporter: m.reporter, Separator: prometheus.DefaultSeparator,
@@ -91,6 +94,7 @@
 		gauges.running.Update(float64(report.Running))
 		gauges.queued.Update(float64(report.Queued))
 		gauges.slots.Update(float64(report.Slots))
+		m.updateColdLimit(report)
 	}
 	for i := range out.Hops {
 		m.histogram(out.Hops[i].Role).RecordDuration(out.Hops[i].Duration.Duration())
@@ -111,6 +115,20 @@
 	m.add("audits", len(out.Audits))
 }
 
+// updateColdLimit sets the limit of a target that counts as cold. The gauge first appears with a
+// limit.
+func (m *Meter) updateColdLimit(report *carobreport.Report) {
+	gauge, ok := m.coldLimits[report.Target]
+	if !ok && (report.ColdLimit == 0 || len(m.coldLimits) >= maxTargets) {
+		return
+	}
+	if !ok {
+		gauge = m.scope.Tagged(map[string]string{"service": string(report.Target.Service), "target": string(report.Target.Name)}).Gauge("cold_limit")
+		m.coldLimits[report.Target] = gauge
+	}
+	gauge.Update(float64(report.ColdLimit))
+}
+
 // add adds n to a counter without labels. The counter first appears with a count above
 // zero.
 func (m *Meter) add(name string, n int) {
--- a/pkg/carobadmission/rate.go
+++ b/pkg/carobadmission/rate.go
@@ -1,6 +1,7 @@
 package carobadmission
 
 import (
+	"math"
 	"time"
 
 	"github.com/carobknot/carobknot/pkg/carobadmissionstate"
@@ -38,9 +39,10 @@
 }
 
 // adoptRateLimit applies the limit that an entry node knows, until the target itself has
-// responded.
+// responded. The limit of a cold target is not adopted as long as the node knows the
+// operator's rule, because the node then knows by itself whether the limit applies.
 func adoptRateLimit(world *carobworld.World, now carobinstant.Instant, id carobtargetid.ID, state *carobadmissionstate.AdmissionState, limit carobcallrate.CallRate) {
-	if !state.RateLimitRead && limit > 0 {
+	if !state.RateLimitRead && limit > 0 && limit != state.ColdRate {
 		setRateLimit(world, now, id, state, limit)
 	}
 }
@@ -71,9 +73,13 @@
 	return float64(state.RateLimit) * maxRateBurst.Seconds()
 }
 
-// hasToken reports whether the rate limit allows a job to start now. Some tokens are
-// reserved for nested calls, as slots are.
+// hasToken reports whether the rate limit and the limit of a cold target allow a job to start
+// now. Some tokens are reserved for nested calls, as slots are.
 func hasToken(world *carobworld.World, now carobinstant.Instant, state *carobadmissionstate.AdmissionState, nested bool) bool {
+	return hasRateToken(world, now, state, nested) && hasColdToken(world, now, state, nested)
+}
+
+func hasRateToken(world *carobworld.World, now carobinstant.Instant, state *carobadmissionstate.AdmissionState, nested bool) bool {
 	if state.RateLimit == 0 {
 		return true
 	}
@@ -89,8 +95,16 @@
 	return false
 }
 
-// tokensSoon returns how many jobs the rate limit allows to start within maxTokenWait.
+// tokensSoon returns how many jobs the rate limit and the limit of a cold target allow to
+// start within maxTokenWait.
 func tokensSoon(state *carobadmissionstate.AdmissionState, now carobinstant.Instant) int {
-	fillRateBudget(state, now)
-	return int(state.RateBudget.Tokens + float64(state.RateLimit)*maxTokenWait.Seconds())
+	soon := math.MaxInt
+	if state.RateLimit > 0 {
+		fillRateBudget(state, now)
+		soon = int(state.RateBudget.Tokens + float64(state.RateLimit)*maxTokenWait.Seconds())
+	}
+	if state.ColdLimit > 0 {
+		soon = min(soon, coldTokensSoon(state, now))
+	}
+	return soon
 }
--- a/pkg/carobadmission/slowness.go
+++ b/pkg/carobadmission/slowness.go
@@ -57,6 +57,7 @@
 		return
 	}
 	handleDirective(world, now, result.Target, state, result.Directive)
+	handleWarmth(now, state, result)
 	state.CheckSentAt = carobinstant.Never
 	switch {
 	case result.TargetLoad == nil:
@@ -143,12 +144,17 @@
 		world.WakeAt(now.Add(maxSlowReadingAge))
 		return !isSlow(state) || now.Sub(state.SlownessReadAt) >= maxReadingGap
 	}
-	state.CheckSentAt = now
-	world.Outbox.HealthChecks = append(world.Outbox.HealthChecks, carobhealthcheck.HealthCheck{Target: target.ID, Address: target.Address})
+	orderCheck(world, now, target, state)
 	world.WakeAt(now.Add(checkTimeout))
 	return false
 }
 
+// orderCheck orders a health check of a target.
+func orderCheck(world *carobworld.World, now carobinstant.Instant, target *carobtarget.Target, state *carobadmissionstate.AdmissionState) {
+	state.CheckSentAt = now
+	world.Outbox.HealthChecks = append(world.Outbox.HealthChecks, carobhealthcheck.HealthCheck{Target: target.ID, Address: target.Address, OrderedAt: now})
+}
+
 // refuseMovable refuses the queued jobs that can move to another target while this
 // target's VM is slow, because another target may run them sooner.
 func refuseMovable(world *carobworld.World, now carobinstant.Instant, id carobtargetid.ID, state *carobadmissionstate.AdmissionState) {
--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -44,6 +44,12 @@
 	for _, result := range world.Inbox.CheckResults {
 		handleCheckResult(world, now, result)
 	}
+	for id, state := range world.AdmissionStates.All() {
+		if world.Paused {
+			state.ForgetWarmth(now)
+		}
+		updateColdLimit(world, now, id, state)
+	}
 	for _, offer := range world.Inbox.Offers {
 		handleOffer(world, now, offer)
 	}
@@ -108,7 +114,7 @@
 	switch {
 	case state.Queued > queueLimit(world, target)+max(0, state.Limit-state.Running):
 		shed(world, now, leastUrgent(world, now, target.ID), state, "queue full")
-	case state.RateLimit > 0 && state.Queued > tokensSoon(state, now):
+	case state.CallLimit() > 0 && state.Queued > tokensSoon(state, now):
 		shed(world, now, leastUrgent(world, now, target.ID), state, "rate limit reached")
 	}
 }
@@ -167,9 +173,7 @@
 func startJob(world *carobworld.World, now carobinstant.Instant, job *carobjob.Job, target *carobtarget.Target, state *carobadmissionstate.AdmissionState) {
 	job.StartedAt = now
 	state.Running++
-	if state.RateLimit > 0 {
-		state.RateBudget.Take(1)
-	}
+	recordStart(state, now)
 	world.RecordDecision(carobdecision.Decision{
 		Component: "admit", Text: "job started", Request: job.Offer.Requirements.Request, Call: job.Offer.Job.Call,
 		Attempt: job.Offer.Job.Attempt, Target: job.Offer.Target, Inputs: decisionInputs(state, now, job.ArrivedAt),
@@ -200,6 +204,10 @@
 	}
 	state.Limit = jobLimit(state, now)
 	updateLatency(state, job.StartedAt, now)
+	if finish.Kind == carobkind.Unreachable {
+		// The target may restart, and answer before its first announcement.
+		state.ForgetWarmth(now)
+	}
 	carobfencing.RecordEnded(world, finish)
 	world.Jobs.Delete(finish.Job)
 }
@@ -282,7 +290,7 @@
 
 // decisionInputs returns the values that admission decisions are based on.
 func decisionInputs(state *carobadmissionstate.AdmissionState, now, arrived carobinstant.Instant) []carobinput.Input {
-	return []carobinput.Input{
+	inputs := []carobinput.Input{
 		{Name: "running", Value: float64(state.Running)},
 		{Name: "queued", Value: float64(state.Queued)},
 		{Name: "limit", Value: float64(state.Limit)},
@@ -290,6 +298,10 @@
 		{Name: "slowness", Value: state.Slowness},
 		carobinput.Age("toldms", now, state.SlownessReadAt), carobinput.Age("waitedms", now, arrived),
 	}
+	if state.ColdRate > 0 {
+		inputs = append(inputs, carobinput.Input{Name: "cold", Value: float64(state.ColdLimit)})
+	}
+	return inputs
 }
 
 // publishReports adds a report to the outbox for each target whose load changed.
@@ -301,7 +313,7 @@
 		state.ReportDue = false
 		world.Outbox.Reports = append(world.Outbox.Reports, carobreport.Report{
 			Target: id, Running: state.Running, Queued: state.Queued, Slots: state.Limit, Latency: carobduration.Duration(state.Latency),
-			RateLimit: state.RateLimit,
+			RateLimit: state.CallLimit(), ColdLimit: state.ColdLimit,
 		})
 	}
 }
--- a/pkg/carobadmissionstate/admissionstate.go
+++ b/pkg/carobadmissionstate/admissionstate.go
@@ -7,6 +7,7 @@
 
 	"github.com/carobknot/carobknot/pkg/carobcallrate"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/carobspendingwindow"
 	"github.com/carobknot/carobknot/pkg/carobtokenbucket"
 )
 
@@ -50,6 +51,28 @@
 	RateLimitRead bool
 	// RateBudget has a token for each job that the rate limit allows to start.
 	RateBudget carobtokenbucket.TokenBucket
+	// Warm is true if the target, in its present incarnation, has last said that it is not
+	// cold. A target that has said nothing counts as cold.
+	Warm bool
+	// WarmProofStart is the instant from which a health check must have been ordered for its
+	// response to show that the target is warm.
+	WarmProofStart carobinstant.Instant
+	// ColdEnd is when the target will be warm by what it has last said; Never if it has not
+	// said so.
+	ColdEnd carobinstant.Instant
+	// ColdCheckDue is when the next health check that asks a cold target for its state may be
+	// ordered.
+	ColdCheckDue carobinstant.Instant
+	// ColdRate is the number of calls a second that the operator allows the target while it is
+	// cold; 0 if there is no limit.
+	ColdRate carobcallrate.CallRate
+	// ColdLimit is ColdRate while the target counts as cold, and 0 otherwise.
+	ColdLimit carobcallrate.CallRate
+	// ColdBudget has a token for each job that ColdLimit allows to start.
+	ColdBudget carobtokenbucket.TokenBucket
+	// RecentStarts has the jobs that started within the last second. It is empty if ColdRate
+	// is 0.
+	RecentStarts carobspendingwindow.SpendingWindow
 	// LastNestedAt is when the newest nested call arrived, that is, a call for which another
 	// job waits; Never before the first.
 	LastNestedAt carobinstant.Instant
@@ -62,3 +85,25 @@
 	// before come from an earlier incarnation.
 	AddedAt carobinstant.Instant
 }
+
+// CallLimit returns the lower one of RateLimit and ColdLimit; 0 if there is no limit.
+func (a *AdmissionState) CallLimit() carobcallrate.CallRate {
+	if a.RateLimit == 0 || a.ColdLimit == 0 {
+		return max(a.RateLimit, a.ColdLimit)
+	}
+	return min(a.RateLimit, a.ColdLimit)
+}
+
+// SetWarmupLeft records how much longer the target has said that it is cold; 0 if it is warm.
+func (a *AdmissionState) SetWarmupLeft(now carobinstant.Instant, left time.Duration) {
+	a.Warm, a.ColdEnd = left <= 0, carobinstant.Never
+	if left > 0 {
+		a.WarmProofStart, a.ColdEnd = now, now.Add(left)
+	}
+}
+
+// ForgetWarmth records that it is not known whether the target is cold. What it has said
+// before no longer counts.
+func (a *AdmissionState) ForgetWarmth(now carobinstant.Instant) {
+	a.Warm, a.ColdEnd, a.WarmProofStart, a.ColdCheckDue = false, carobinstant.Never, now, now
+}
--- a/pkg/carobhealthcheck/healthcheck.go
+++ b/pkg/carobhealthcheck/healthcheck.go
@@ -4,6 +4,7 @@
 
 import (
 	"github.com/carobknot/carobknot/pkg/carobaddress"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 )
 
@@ -12,4 +13,6 @@
 type HealthCheck struct {
 	Target  carobtargetid.ID
 	Address carobaddress.Address
+	// OrderedAt is when the health check was ordered.
+	OrderedAt carobinstant.Instant
 }
--- a/pkg/carobregistry/confirmation.go
+++ b/pkg/carobregistry/confirmation.go
@@ -48,7 +48,7 @@
 		}
 		awaiting = true
 		if due {
-			world.Outbox.HealthChecks = append(world.Outbox.HealthChecks, carobhealthcheck.HealthCheck{Target: instance.Target, Address: address})
+			world.Outbox.HealthChecks = append(world.Outbox.HealthChecks, carobhealthcheck.HealthCheck{Target: instance.Target, Address: address, OrderedAt: now})
 		}
 	}
 	switch {
--- a/pkg/carobregistry/system.go
+++ b/pkg/carobregistry/system.go
@@ -161,6 +161,7 @@
 		auditChange(world, announcement.Target, "earlier life", "new life")
 		if state := world.AdmissionStates.Get(announcement.Target); state != nil {
 			state.AddedAt = now
+			state.ForgetWarmth(now)
 		}
 	}
 	world.Instances.Put(announcement.Address, s.nextInstance(world, now, instance, announcement))
@@ -205,7 +206,11 @@
 	}
 	state := world.AdmissionStates.Get(announcement.Target)
 	if state == nil {
-		state = world.AdmissionStates.Put(announcement.Target, carobadmissionstate.AdmissionState{AddedAt: now})
+		state = world.AdmissionStates.Put(announcement.Target, carobadmissionstate.AdmissionState{AddedAt: now, WarmProofStart: now})
+	}
+	if !announcement.Confirmed {
+		// A confirmed announcement is the node's own, and does not show whether the target is cold.
+		state.SetWarmupLeft(now, announcement.WarmupLeft.Duration())
 	}
 	if state.Slots != announcement.Slots {
 		state.Slots, state.Limit = announcement.Slots, announcement.Slots
--- a/pkg/carobreport/report.go
+++ b/pkg/carobreport/report.go
@@ -22,4 +22,7 @@
 	// RateLimit is the number of calls a second that the target takes from all nodes
 	// together; 0 if there is no limit.
 	RateLimit carobcallrate.CallRate `json:"rate,omitempty"`
+	// ColdLimit is the limit that applies because the target counts as cold, for the metrics
+	// of its own node; 0 if there is none.
+	ColdLimit carobcallrate.CallRate `json:"-"`
 }
--- a/pkg/carobrouting/system.go
+++ b/pkg/carobrouting/system.go
@@ -8,6 +8,7 @@
 
 	"github.com/carobknot/carobknot/pkg/carobattempt"
 	"github.com/carobknot/carobknot/pkg/carobcall"
+	"github.com/carobknot/carobknot/pkg/carobcallrate"
 	"github.com/carobknot/carobknot/pkg/carobdecision"
 	"github.com/carobknot/carobknot/pkg/carobinput"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
@@ -190,14 +191,37 @@
 func setReportedLoad(world *carobworld.World, now carobinstant.Instant, target *carobtarget.Target, added *candidate) {
 	if state := world.AdmissionStates.Get(target.ID); state != nil && world.Owns(target) {
 		added.reportedCalls, added.latency, added.reportedAt = float64(state.Running+state.Queued), state.Latency, now
-		added.limitSlots(state.RateLimit)
+		added.limitSlots(state.CallLimit())
 		return
 	}
 	report := &added.load.Report
 	added.reportedCalls = float64(report.Running + report.Queued + added.load.SentSinceReport)
 	added.reportAge = now.Sub(added.load.ReportedAt)
 	added.latency = report.Latency.Duration()
-	added.limitSlots(report.RateLimit)
+	if !isColdLimit(world, target.ID, report.RateLimit) || added.reportAge <= maxColdReportAge {
+		added.limitSlots(report.RateLimit)
+	}
+}
+
+// maxColdReportAge is the age up to which a report of a cold target's limit lowers the
+// number of its slots. The target may have become warm since, and an entry that sends it
+// nothing would not learn that. Heartbeats and health checks tell within about that time.
+const maxColdReportAge = 2 * time.Second
+
+// isColdLimit reports whether a target's limit is the one of a cold target by the
+// operator's rule, and not one that the target names.
+func isColdLimit(world *carobworld.World, target carobtargetid.ID, limit carobcallrate.CallRate) bool {
+	return limit > 0 && limit == world.ColdRate(target.Service)
+}
+
+// knownLimit returns the rate limit of a target as this node knows it. A target without a
+// report may be cold, which its node may not know either if it has just started and has no
+// route table.
+func knownLimit(world *carobworld.World, chosen *candidate) carobcallrate.CallRate {
+	if chosen.load.ReportedAt == carobinstant.Never {
+		return world.ColdRate(chosen.targetID.Service)
+	}
+	return chosen.load.Report.RateLimit
 }
 
 // tried reports whether an attempt of the call was already sent to the target.
@@ -237,6 +261,6 @@
 		Job:    carobjobid.ID{Call: call.Arrival.Call, Attempt: len(call.Attempts)},
 		Target: chosen.targetID, PeerAddress: chosen.peerAddress, Incarnation: chosen.incarnation, TimeLeft: call.Deadline.Sub(now),
 		Guarantee: call.Profile.Guarantee, Requirements: requirements,
-		RateLimit: chosen.load.Report.RateLimit,
+		RateLimit: knownLimit(world, &chosen),
 	})
 }
--- a/pkg/carobspendingwindow/spendingwindow.go
+++ b/pkg/carobspendingwindow/spendingwindow.go
@@ -34,8 +34,24 @@
 	return w.sum+amount <= limit
 }
 
+// FitsAt returns the earliest instant, not before now, at which an amount can be spent as by
+// Fits if nothing else is spent before. The amount must be at most limit.
+func (w *SpendingWindow) FitsAt(now carobinstant.Instant, amount, limit float64) carobinstant.Instant {
+	w.expire(now)
+	sum := w.sum
+	for i := range w.spent {
+		if sum+amount <= limit {
+			break
+		}
+		sum -= w.spent[i].amount
+		now = w.spent[i].at.Add(Length + 1)
+	}
+	return now
+}
+
 // Add records that an amount is spent now.
 func (w *SpendingWindow) Add(now carobinstant.Instant, amount float64) {
+	w.expire(now)
 	w.spent = append(w.spent, expense{now, amount})
 	w.sum += amount
 }
--- a/pkg/carobtargetdirective/targetdirective.go
+++ b/pkg/carobtargetdirective/targetdirective.go
@@ -1,7 +1,11 @@
 // Package carobtargetdirective holds what a target requests of the nodes in its responses.
 package carobtargetdirective
 
-import "github.com/carobknot/carobknot/pkg/carobcallrate"
+import (
+	"time"
+
+	"github.com/carobknot/carobknot/pkg/carobcallrate"
+)
 
 // TargetDirective is what one response of a target requests. It holds until the next
 // response.
@@ -14,4 +18,10 @@
 	RateLimitUnreadable bool
 	// Leaving is true if the target leaves and is to get no new calls.
 	Leaving bool
+	// WarmupLeft is how much longer the target is cold; 0 if it does not say that it is. Only
+	// responses to health checks are expected to say it.
+	WarmupLeft time.Duration
+	// WarmupUnreadable is true if the target states a malformed time. The response then does
+	// not show whether the target is cold.
+	WarmupUnreadable bool
 }
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -8,6 +8,7 @@
 	"github.com/carobknot/carobknot/pkg/carobadmissionstate"
 	"github.com/carobknot/carobknot/pkg/carobcall"
 	"github.com/carobknot/carobknot/pkg/carobcallid"
+	"github.com/carobknot/carobknot/pkg/carobcallrate"
 	"github.com/carobknot/carobknot/pkg/carobevictingmap"
 	"github.com/carobknot/carobknot/pkg/carobfinish"
 	"github.com/carobknot/carobknot/pkg/carobgroup"
@@ -266,3 +267,15 @@
 	}
 	return w.RouteTable.Version
 }
+
+// ColdRate returns the number of calls a second that a cold target of a service may get by the
+// route table in force; 0 if there is no limit.
+func (w *World) ColdRate(service carobservice.Service) carobcallrate.CallRate {
+	if w.RouteTable == nil {
+		return 0
+	}
+	if rule := w.RouteTable.ServiceRule(service); rule != nil {
+		return rule.ColdRate
+	}
+	return 0
+}
