Identify the organisation of a call by its API key

Cause: a route table may require API keys, and the entry admitted every call.

Change: an arrival has a credential, the digest of its key. The entry looks up the organisation in the table in force after the route and before anything else, keeps it in the row of the call, and refuses other calls with the new kind unauthenticated (401, not run). No front end reads keys yet.

--- a/pkg/carobarrival/arrival.go
+++ b/pkg/carobarrival/arrival.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/carobknot/carobknot/pkg/carobcallid"
+	"github.com/carobknot/carobknot/pkg/carobcredential"
 	"github.com/carobknot/carobknot/pkg/carobrequestid"
 	"github.com/carobknot/carobknot/pkg/carobservice"
 	"github.com/carobknot/carobknot/pkg/carobsize"
@@ -30,6 +31,8 @@
 	// Streamed is set if the body is not buffered for another attempt, because it is
 	// too long or the memory for buffers is used up.
 	Streamed bool
+	// Credential is the API key that the request carries, as a digest.
+	Credential carobcredential.Credential
 	// Traceparent is the caller's W3C traceparent header; empty if there was none.
 	Traceparent string
 }
--- a/pkg/carobcall/call.go
+++ b/pkg/carobcall/call.go
@@ -8,6 +8,7 @@
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobkey"
 	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/caroborganisation"
 	"github.com/carobknot/carobknot/pkg/carobprofile"
 	"github.com/carobknot/carobknot/pkg/carobrequirements"
 	"github.com/carobknot/carobknot/pkg/carobroute"
@@ -25,6 +26,12 @@
 	Profile carobprofile.Profile
 	// Route is the route that the call matched; nil if the caller named the service.
 	Route *carobroute.Route
+	// Organisation is the organisation whose API key the call carries, from the route table
+	// in force at arrival; nil if the call has none, as on anonymous routes.
+	Organisation *caroborganisation.Organisation
+	// RequiresKey is set if the route table in force at arrival requires API keys, also if
+	// the call's own route is anonymous. The key must not leave this node then.
+	RequiresKey bool
 	// SLODeadline is the instant by which the caller should have its answer, from
 	// the SLO of the route; Never if there is none.
 	SLODeadline carobinstant.Instant
--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -102,12 +102,18 @@
 			return
 		}
 	}
+	organisation, authenticated := authenticate(world, arrival, route)
+	if !authenticated {
+		refuse(world, now, arrival, carobkind.Unauthenticated, 0)
+		return
+	}
 	kind := refusalKind(world, arrival)
 	if kind != carobkind.None {
 		refuse(world, now, arrival, kind, 0)
 		return
 	}
 	call := newCall(world, now, arrival, route)
+	call.Organisation, call.RequiresKey = organisation, requiresKey(world)
 	if world.ShutdownDeadline.Before(call.Deadline) {
 		// The node may exit before the call is answered. Another node can answer it.
 		refuse(world, now, arrival, carobkind.Leaving, retryAfter(world, &call, carobkind.Leaving))
--- a/pkg/carobkind/kind.go
+++ b/pkg/carobkind/kind.go
@@ -35,6 +35,9 @@
 	NotResendable Kind = "spent"
 	// NotReady means that the node has no profile or no view of the targets yet.
 	NotReady Kind = "not-ready"
+	// Unauthenticated means that the call needs an API key of an organisation and has none
+	// that is known.
+	Unauthenticated Kind = "unauthenticated"
 	// NoRoute means that the route table in force has no route for the call.
 	NoRoute Kind = "no-route"
 	// Shed means that the target reported that it did not run the call.
@@ -109,6 +112,7 @@
 	RequestTimeout:   {http.StatusRequestTimeout, caroboutcome.NotRun, shortRetry, logrus.InfoLevel},
 	NotResendable:    {http.StatusServiceUnavailable, caroboutcome.NotRun, shortRetry, logrus.InfoLevel},
 	NotReady:         {http.StatusServiceUnavailable, caroboutcome.NotRun, shortRetry, logrus.WarnLevel},
+	Unauthenticated:  {http.StatusUnauthorized, caroboutcome.NotRun, 0, logrus.InfoLevel},
 	NoRoute:          {http.StatusNotFound, caroboutcome.NotRun, 0, logrus.InfoLevel},
 	Shed:             {http.StatusServiceUnavailable, caroboutcome.NotRun, shortRetry, logrus.InfoLevel},
 	Misdirected:      {http.StatusServiceUnavailable, caroboutcome.NotRun, shortRetry, logrus.WarnLevel},
