Keep quotas of organisations with tokens that an allocator grants

Cause: a route table may limit the calls of an organisation, and no node kept the limit.

Change: each node lends its share of all quotas to an allocator under a lease and requests tokens from it; a call of a limited organisation waits at the entry for a token, in a new stage. The systems carobquotacounting, carobquotaallocation and carobquotalending run before carobentry. Calls beyond the quota end as the new kind quota (429, not run). Without limited organisations the systems return after one check.

--- a/pkg/carobcall/call.go
+++ b/pkg/carobcall/call.go
@@ -45,6 +45,11 @@
 	// KeyHeld is set once a claim reply states that another call holds the
 	// idempotency key.
 	KeyHeld bool
+	// TokenDeadline is until when the call waits for a token of its organisation's quota; Never
+	// if it does not.
+	TokenDeadline carobinstant.Instant
+	// TokenTakenAt is when the call took a token; Never if it has none.
+	TokenTakenAt carobinstant.Instant
 	// GraceEnd is the instant at which a call that is past its deadline is concluded
 	// even if fence replies are missing; Never before the deadline.
 	GraceEnd carobinstant.Instant
--- /dev/null
+++ b/pkg/carobcapacity/capacity.go
@@ -0,0 +1,19 @@
+// Package carobcapacity defines the processor capacity of a node.
+package carobcapacity
+
+import "github.com/carobknot/carobknot/pkg/carobkind"
+
+// Capacity is the processor time that a node may use, in thousandths of a core; 0 if it is not
+// known.
+type Capacity int
+
+// Max is the largest capacity, a thousand cores.
+const Max Capacity = 1_000_000
+
+// Check returns an error of kind Invalid if the capacity is out of bounds.
+func (c Capacity) Check() error {
+	if c < 0 || c > Max {
+		return carobkind.New(carobkind.Invalid, "capacity: %d is not between 0 and %d", int(c), int(Max))
+	}
+	return nil
+}
--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -31,6 +31,9 @@
 	"github.com/carobknot/carobknot/pkg/carobpause"
 	"github.com/carobknot/carobknot/pkg/carobprobing"
 	"github.com/carobknot/carobknot/pkg/carobprofile"
+	"github.com/carobknot/carobknot/pkg/carobquotaallocation"
+	"github.com/carobknot/carobknot/pkg/carobquotacounting"
+	"github.com/carobknot/carobknot/pkg/carobquotalending"
 	"github.com/carobknot/carobknot/pkg/carobreconciliation"
 	"github.com/carobknot/carobknot/pkg/carobregistry"
 	"github.com/carobknot/carobknot/pkg/carobrevision"
@@ -136,6 +139,9 @@
 				AppendInterval: claimAppendInterval, SettlementInterval: settlementAppendInterval, ReadBackTimeout: claimReadBackTimeout,
 				RetryDelay: claimRetryDelay, MaxKeys: maxClaimKeys, MaxStoredBytes: maxClaimBytes,
 			}),
+			carobquotacounting.NewSystem(),
+			carobquotaallocation.NewSystem(),
+			carobquotalending.NewSystem(),
 			carobentry.NewSystem(),
 			carobprobing.NewSystem(),
 			carobrouting.NewSystem(),
--- a/pkg/carobentry/conclude.go
+++ b/pkg/carobentry/conclude.go
@@ -72,7 +72,11 @@
 		addSettlement(world, now, call, kind, nil)
 	}
 	cancelOthers(world, call, 0)
-	after := retryAfter(world, call, kind)
+	endAcquiring(world, call)
+	if call.NotRun() {
+		returnToken(world, now, call)
+	}
+	after := retryAfter(world, now, call, kind)
 	world.Outbox.Conclusions = append(world.Outbox.Conclusions, carobconclusion.Conclusion{
 		Call: call.Arrival.Call, Kind: kind, RetryAfter: after,
 	})
@@ -83,8 +87,11 @@
 // retryAfter returns after what time a caller with an SLO should retry: within the
 // SLO and jittered, so that refused callers do not retry at the same time. It is 0
 // if there is no SLO or the kind has no retry time; the kind's own retry time
-// applies then.
-func retryAfter(world *carobworld.World, call *carobcall.Call, kind carobkind.Kind) time.Duration {
+// applies then. Callers beyond their quota are told when there are tokens again.
+func retryAfter(world *carobworld.World, now carobinstant.Instant, call *carobcall.Call, kind carobkind.Kind) time.Duration {
+	if kind == carobkind.Quota {
+		return quotaRetryAfter(world, now, call)
+	}
 	after := kind.RetryAfter()
 	if after == 0 || call.SLODeadline == carobinstant.Never {
 		return 0
--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -10,7 +10,6 @@
 	"github.com/carobknot/carobknot/pkg/carobarrival"
 	"github.com/carobknot/carobknot/pkg/carobcall"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
-	"github.com/carobknot/carobknot/pkg/carobkey"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobmessage"
 	"github.com/carobknot/carobknot/pkg/carobprofile"
@@ -116,9 +115,15 @@
 	call.Organisation, call.RequiresKey = organisation, requiresKey(world)
 	if world.ShutdownDeadline.Before(call.Deadline) {
 		// The node may exit before the call is answered. Another node can answer it.
-		refuse(world, now, arrival, carobkind.Leaving, retryAfter(world, &call, carobkind.Leaving))
+		refuse(world, now, arrival, carobkind.Leaving, retryAfter(world, now, &call, carobkind.Leaving))
 		return
 	}
+	if limited(&call) {
+		if kind := acquireOnArrival(world, now, &call); kind != carobkind.None {
+			refuse(world, now, arrival, kind, retryAfter(world, now, &call, kind))
+			return
+		}
+	}
 	world.CreditRetryBudget(arrival.Service)
 	world.Calls.Put(arrival.Call, call)
 }
@@ -137,9 +142,7 @@
 	if route != nil && route.SLO > 0 {
 		call.SLODeadline = now.Add(route.SLO.Duration())
 	}
-	if call.Key() != (carobkey.Key{}) {
-		call.Stage = carobstage.Claiming
-	}
+	call.Stage = firstStage(&call)
 	return call
 }
 
@@ -190,6 +193,12 @@
 	if call.Stage == carobstage.Delivering {
 		return
 	}
+	if call.Stage == carobstage.Acquiring {
+		continueAcquiring(world, now, call)
+	}
+	if call.Stage == carobstage.Acquiring {
+		return
+	}
 	if call.Stage == carobstage.Claiming {
 		sendClaim(world, now, call)
 		return
--- a/pkg/carobkind/kind.go
+++ b/pkg/carobkind/kind.go
@@ -38,6 +38,8 @@
 	// Unauthenticated means that the call needs an API key of an organisation and has none
 	// that is known.
 	Unauthenticated Kind = "unauthenticated"
+	// Quota means that the organisation of the call has used up its quota.
+	Quota Kind = "quota"
 	// NoRoute means that the route table in force has no route for the call.
 	NoRoute Kind = "no-route"
 	// Shed means that the target reported that it did not run the call.
@@ -113,6 +115,7 @@
 	NotResendable:    {http.StatusServiceUnavailable, caroboutcome.NotRun, shortRetry, logrus.InfoLevel},
 	NotReady:         {http.StatusServiceUnavailable, caroboutcome.NotRun, shortRetry, logrus.WarnLevel},
 	Unauthenticated:  {http.StatusUnauthorized, caroboutcome.NotRun, 0, logrus.InfoLevel},
+	Quota:            {http.StatusTooManyRequests, caroboutcome.NotRun, shortRetry, logrus.InfoLevel},
 	NoRoute:          {http.StatusNotFound, caroboutcome.NotRun, 0, logrus.InfoLevel},
 	Shed:             {http.StatusServiceUnavailable, caroboutcome.NotRun, shortRetry, logrus.InfoLevel},
 	Misdirected:      {http.StatusServiceUnavailable, caroboutcome.NotRun, shortRetry, logrus.WarnLevel},
--- a/pkg/carobmember/member.go
+++ b/pkg/carobmember/member.go
@@ -3,6 +3,7 @@
 
 import (
 	"github.com/carobknot/carobknot/pkg/carobaddress"
+	"github.com/carobknot/carobknot/pkg/carobcapacity"
 	"github.com/carobknot/carobknot/pkg/carobcentre"
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
 	"github.com/carobknot/carobknot/pkg/carobkind"
@@ -32,6 +33,11 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// StoreUnreadable is true if the node cannot read the operator's records from the store.
 	StoreUnreadable bool `json:"blind,omitempty"`
+	// Capacity is the processor capacity of the node. It is set only while an organisation has a
+	// quota.
+	Capacity carobcapacity.Capacity `json:"capacity,omitempty"`
+	// Allocates is true if the node allocates the tokens of quotas.
+	Allocates bool `json:"allocates,omitempty"`
 	// Targets are the targets on the node's VM.
 	Targets []carobtarget.Target `json:"targets,omitempty"`
 }
@@ -69,6 +75,9 @@
 	if err := m.PeerAddress.Check(); err != nil {
 		return err
 	}
+	if err := m.Capacity.Check(); err != nil {
+		return err
+	}
 	if len(m.Targets) > MaxTargets {
 		return carobkind.New(carobkind.Invalid, "member: more than %d targets", MaxTargets)
 	}
--- a/pkg/carobmessage/check.go
+++ b/pkg/carobmessage/check.go
@@ -44,6 +44,12 @@
 	if m.RouteTable != nil {
 		set = append(set, m.RouteTable)
 	}
+	if m.QuotaRequest != nil {
+		set = append(set, m.QuotaRequest)
+	}
+	if m.QuotaReply != nil {
+		set = append(set, m.QuotaReply)
+	}
 
 	return set
 }
--- a/pkg/carobmessage/message.go
+++ b/pkg/carobmessage/message.go
@@ -16,6 +16,8 @@
 	"github.com/carobknot/carobknot/pkg/carobloadprobe"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/carobpeerheartbeat"
+	"github.com/carobknot/carobknot/pkg/carobquotareply"
+	"github.com/carobknot/carobknot/pkg/carobquotarequest"
 	"github.com/carobknot/carobknot/pkg/carobrecordfetch"
 	"github.com/carobknot/carobknot/pkg/carobrecordfetchreply"
 	"github.com/carobknot/carobknot/pkg/carobreport"
@@ -73,6 +75,12 @@
 	Settlement *carobsettlement.Settlement `json:"settlement,omitempty"`
 	Settled    *carobcallid.ID             `json:"settled,omitempty"`
 
+	// Quotas.
+
+	// QuotaRequest requests tokens from an allocator, and QuotaReply answers.
+	QuotaRequest *carobquotarequest.QuotaRequest `json:"quota,omitempty"`
+	QuotaReply   *carobquotareply.QuotaReply     `json:"quotareply,omitempty"`
+
 	// Load probes.
 
 	// LoadProbe requests the load of a target. Its name on the wire is poll.
--- a/pkg/caroboutbox/outbox.go
+++ b/pkg/caroboutbox/outbox.go
@@ -76,6 +76,17 @@
 	Cancels     []carobjobid.ID
 	Conclusions []carobconclusion.Conclusion
 
+	// Quotas. All are zero if no organisation has one.
+
+	// QuotaNodes is the number of nodes that the quotas are divided by.
+	QuotaNodes int
+	// QuotaLeases is the number of nodes that lend their share to this one, and Allocating is
+	// true while this node chooses itself as the allocator.
+	QuotaLeases int
+	Allocating  bool
+	// QuotaTokens is the number of tokens that this node granted, as an allocator.
+	QuotaTokens int
+
 	// Audit trail, decisions and traces.
 
 	Audits    []carobaudit.Audit
--- /dev/null
+++ b/pkg/carobquotaallocation/answer.go
@@ -0,0 +1,100 @@
+package carobquotaallocation
+
+import (
+	"github.com/carobknot/carobknot/pkg/carobduration"
+	"github.com/carobknot/carobknot/pkg/carobincarnation"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/carobnodeid"
+	"github.com/carobknot/carobknot/pkg/caroborganisationid"
+	"github.com/carobknot/carobknot/pkg/carobquotabucket"
+	"github.com/carobknot/carobknot/pkg/carobquotademand"
+	"github.com/carobknot/carobknot/pkg/carobquotagrant"
+	"github.com/carobknot/carobknot/pkg/carobquotalease"
+	"github.com/carobknot/carobknot/pkg/carobquotareply"
+	"github.com/carobknot/carobknot/pkg/carobquotarequest"
+	"github.com/carobknot/carobknot/pkg/carobquotastock"
+	"github.com/carobknot/carobknot/pkg/carobworld"
+)
+
+// Answer handles a request of a node, which may be this one, and returns the reply. It returns
+// nil for a request that is older than another one of the node.
+func Answer(world *carobworld.World, now carobinstant.Instant, from carobnodeid.ID, incarnation carobincarnation.Incarnation, request *carobquotarequest.QuotaRequest) *carobquotareply.QuotaReply {
+	lease := world.QuotaLeases.Get(from)
+	if lease == nil {
+		lease = world.QuotaLeases.Put(from, carobquotalease.QuotaLease{})
+	}
+	if lease == nil || incarnation < lease.Incarnation || incarnation == lease.Incarnation && request.Number <= lease.Number {
+		return nil
+	}
+	lease.Incarnation, lease.Number = incarnation, request.Number
+	world.QuotaLedger.Advance(now)
+	renew(world, now, lease, request)
+	reply := &carobquotareply.QuotaReply{Number: request.Number, Stamp: now}
+	var holdings map[caroborganisationid.ID]int
+	if len(request.Demands) > 0 {
+		holdings = make(map[caroborganisationid.ID]int, len(request.Demands))
+	}
+	for i := range request.Demands {
+		demand := &request.Demands[i]
+		bucket := world.QuotaBuckets.Get(demand.Organisation)
+		if bucket == nil {
+			continue
+		}
+		grant := allocate(world, bucket, demand, lease.Holdings[demand.Organisation])
+		delete(lease.Holdings, demand.Organisation)
+		holdings[demand.Organisation] = demand.Held + grant.Tokens
+		world.Outbox.QuotaTokens += grant.Tokens
+		if grant.Tokens > 0 || grant.Wait > 0 {
+			reply.Grants = append(reply.Grants, grant)
+		}
+	}
+	release(world, lease)
+	lease.Holdings, lease.HoldingsEnd = holdings, now.Add(carobquotastock.TokenLifetime)
+	world.QuotaLedger.NextExpiry = carobinstant.Earlier(world.QuotaLedger.NextExpiry, lease.HoldingsEnd)
+	return reply
+}
+
+// renew renews a lease from the stamp that a request returns. A stamp of another incarnation of
+// this node is from another clock.
+func renew(world *carobworld.World, now carobinstant.Instant, lease *carobquotalease.QuotaLease, request *carobquotarequest.QuotaRequest) {
+	if request.Nodes < 1 || request.Stamp == carobinstant.Never || request.Stamp > now || request.Issuer != world.Self.Incarnation {
+		return
+	}
+	until := request.Stamp.Add(LeaseTime)
+	if until <= lease.CountedUntil || !now.Before(until) {
+		return
+	}
+	changed := !lease.Valid(now) || lease.Nodes != request.Nodes
+	lease.CountedUntil, lease.Nodes = until, request.Nodes
+	world.QuotaLedger.NextExpiry = carobinstant.Earlier(world.QuotaLedger.NextExpiry, until)
+	if changed {
+		updateShare(world, now)
+	}
+}
+
+// allocate brings the tokens that a node holds up to date, and grants it what it needs. What the
+// node returns is credited only as far as it is known to have held it.
+func allocate(world *carobworld.World, bucket *carobquotabucket.QuotaBucket, demand *carobquotademand.QuotaDemand, recorded int) carobquotagrant.QuotaGrant {
+	ledger := &world.QuotaLedger
+	bucket.Settle(ledger.Credit, ledger.Share)
+	bucket.Outstanding += demand.Held - recorded
+	bucket.Tokens += float64(max(0, min(demand.Returned, recorded-demand.Held)))
+	bucket.Settle(ledger.Credit, ledger.Share)
+	grant := carobquotagrant.QuotaGrant{Organisation: demand.Organisation}
+	grant.Tokens = bucket.Grant(demand.Waiting, demand.Stock, ledger.Share)
+	if grant.Tokens < demand.Waiting {
+		grant.Wait = carobduration.Duration(bucket.Wait(ledger.Share))
+	}
+	return grant
+}
+
+// release stops counting the tokens that a lease records.
+func release(world *carobworld.World, lease *carobquotalease.QuotaLease) {
+	for organisation, tokens := range lease.Holdings {
+		if bucket := world.QuotaBuckets.Get(organisation); bucket != nil {
+			bucket.Settle(world.QuotaLedger.Credit, world.QuotaLedger.Share)
+			bucket.Outstanding -= tokens
+		}
+	}
+	lease.Holdings = nil
+}
--- /dev/null
+++ b/pkg/carobquotalending/system.go
@@ -0,0 +1,303 @@
+// Package carobquotalending is the node's side of quotas: it lends this node's share of all quotas
+// to an allocator, requests tokens from it, and uses the share itself while there is none.
+//
+// All nodes choose the allocator by the same rule, without a vote. While they choose differently,
+// each share is still lent to one allocator at a time, so that the quotas hold.
+package carobquotalending
+
+import (
+	"time"
+
+	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/carobnodeid"
+	"github.com/carobknot/carobknot/pkg/caroborganisation"
+	"github.com/carobknot/carobknot/pkg/carobquotaallocation"
+	"github.com/carobknot/carobknot/pkg/carobquotademand"
+	"github.com/carobknot/carobknot/pkg/carobquotareply"
+	"github.com/carobknot/carobknot/pkg/carobroutetable"
+	"github.com/carobknot/carobknot/pkg/carobrouteversion"
+	"github.com/carobknot/carobknot/pkg/carobworld"
+)
+
+const (
+	// urgentInterval is the shortest time between two requests. It bounds the requests of a node
+	// whose calls each have to wait for a token.
+	urgentInterval = 20 * time.Millisecond
+	// waitingInterval is the time between two requests for calls that still wait after a reply,
+	// because nothing is known about when there are tokens.
+	waitingInterval = 50 * time.Millisecond
+	// spendingInterval is the time between two requests while tokens are being spent. It is
+	// shorter than the time in which a stock is used up.
+	spendingInterval = 400 * time.Millisecond
+	// idleInterval is the time between two requests otherwise, which keep the lease.
+	idleInterval = time.Second
+	// replyTimeout is how long a request waits for its reply. It is several times what messages
+	// between data centres take.
+	replyTimeout = 250 * time.Millisecond
+	// avoidTime is how long a node that did not reply in time is not chosen.
+	avoidTime = 2 * time.Second
+)
+
+// System chooses an allocator and exchanges requests and replies with it.
+type System struct {
+	chooser chooser
+	// version is the version of the route table that the stocks follow.
+	version carobrouteversion.Version
+	// table is the route table of that version.
+	table *carobroutetable.RouteTable
+	// number is that of the last request, sentAt when it was sent and sentTo the node that it
+	// was sent to; sentAt is Never before the first.
+	number uint64
+	sentAt carobinstant.Instant
+	sentTo carobnodeid.ID
+	// open is true while that request has no reply and has not timed out.
+	open bool
+	// stamp is the newest clock reading of an allocator, and when it was received.
+	stamp stamp
+	// bound is the lease of this node with another one.
+	bound binding
+}
+
+// NewSystem returns a System that has lent nothing.
+func NewSystem() *System {
+	return &System{}
+}
+
+// Run follows the limits in force, handles the reply to the open request, and sends the next one
+// when it is due.
+func (s *System) Run(world *carobworld.World, now carobinstant.Instant) {
+	if !world.QuotasInForce {
+		s.clear(world)
+		return
+	}
+	if s.version != world.RoutesVersion() {
+		followLimits(world, s.table)
+		s.version, s.table = world.RoutesVersion(), world.RouteTable
+	}
+	if world.Paused {
+		// The reply may have arrived long ago, so its absence shows nothing.
+		s.open, s.stamp = false, stamp{}
+		world.OwnQuotaSince = carobinstant.Never
+	}
+	for i := range world.Inbox.Messages {
+		if message := &world.Inbox.Messages[i]; message.QuotaReply != nil && s.open && message.From == s.sentTo {
+			s.handleReply(world, now, message.QuotaReply, message.Incarnation, message.RoutesVersion)
+		}
+	}
+	if s.open && s.sentAt.Add(replyTimeout).Reached(now) {
+		s.open = false
+		s.chooser.avoid(s.sentTo, now.Add(avoidTime))
+	}
+	choice := s.chooser.choose(world, now)
+	describe(world, choice.node == world.Self.Node && world.QuotaShareUsable)
+	partner := s.partner(world, now, choice)
+	s.updateOwnShare(world, now, partner)
+	s.exchange(world, now, choice, partner)
+}
+
+// clear drops all state once no organisation has a quota any more.
+func (s *System) clear(world *carobworld.World) {
+	if s.version == carobrouteversion.None {
+		return
+	}
+	bound := s.bound
+	*s = System{number: s.number, bound: bound}
+	for id := range world.QuotaStocks.All() {
+		world.QuotaStocks.Delete(id)
+	}
+	for id := range world.LoweredQuotas.All() {
+		world.LoweredQuotas.Delete(id)
+	}
+	world.OwnQuotaSince, world.QuotaSpent = carobinstant.Never, false
+	if world.Self.Capacity != 0 || world.Self.Allocates {
+		world.Self.Capacity, world.Self.Allocates = 0, false
+		world.Self.Sequence++
+	}
+}
+
+// describe keeps this node's description up to date, by which others choose an allocator.
+func describe(world *carobworld.World, allocates bool) {
+	world.Outbox.Allocating = allocates
+	if world.Self.Capacity == world.Capacity && world.Self.Allocates == allocates {
+		return
+	}
+	if world.Self.Allocates != allocates {
+		world.Audit("quota", string(world.Self.Node), "allocator", word(world.Self.Allocates), word(allocates))
+	}
+	world.Self.Capacity, world.Self.Allocates = world.Capacity, allocates
+	world.Self.Sequence++
+}
+
+func word(allocates bool) string {
+	if allocates {
+		return "this node"
+	}
+	return "another node"
+}
+
+// followLimits applies changed limits to the stocks, and removes those of organisations that have
+// no quota any more. It records which limits were lowered since the table before, because tokens
+// that an allocator granted under the older table may not be used. A node without an older table
+// takes all limits as lowered.
+func followLimits(world *carobworld.World, old *carobroutetable.RouteTable) {
+	for i := range world.RouteTable.Organisations {
+		organisation := &world.RouteTable.Organisations[i]
+		if organisation.Limited() && isLower(organisation, old) {
+			world.LoweredQuotas.Put(organisation.ID, world.RoutesVersion())
+		}
+	}
+	for id, stock := range world.QuotaStocks.All() {
+		organisation := world.RouteTable.OrganisationByID(id)
+		if organisation == nil || !organisation.Limited() {
+			world.QuotaStocks.Delete(id)
+			continue
+		}
+		stock.Limit(organisation.Rate, organisation.Burst)
+	}
+}
+
+// isLower reports whether the limit of an organisation is lower than in an older table, which may
+// be nil.
+func isLower(organisation *caroborganisation.Organisation, old *carobroutetable.RouteTable) bool {
+	if old == nil {
+		return true
+	}
+	before := old.OrganisationByID(organisation.ID)
+	return before != nil && (!before.Limited() || organisation.Rate < before.Rate || organisation.Burst < before.Burst)
+}
+
+// partner returns the node to send requests to: the chosen allocator, but the one that holds this
+// node's lease until that has ended, unless it does not reply.
+func (s *System) partner(world *carobworld.World, now carobinstant.Instant, choice candidate) candidate {
+	holder := s.bound.to.node
+	if s.bound.holds(now) && holder != choice.node && !s.chooser.avoided(holder, now) && mayAllocate(world.Peers.Get(holder)) {
+		return s.bound.to
+	}
+	return choice
+}
+
+// updateOwnShare starts or ends the use of this node's own share, which is used while it is lent
+// to no node.
+func (s *System) updateOwnShare(world *carobworld.World, now carobinstant.Instant, partner candidate) {
+	self := partner.node == world.Self.Node
+	if !self || !world.QuotaShareUsable {
+		carobquotaallocation.EndOwnLease(world, now)
+	}
+	if self || s.bound.holds(now) || !world.QuotaShareUsable {
+		world.OwnQuotaSince = carobinstant.Never
+	} else if world.OwnQuotaSince == carobinstant.Never {
+		world.OwnQuotaSince = now
+	}
+	if s.bound.holds(now) {
+		world.WakeAt(s.bound.until)
+	}
+}
+
+// exchange sends the next request if it is due.
+func (s *System) exchange(world *carobworld.World, now carobinstant.Instant, choice, partner candidate) {
+	if s.open {
+		world.WakeAt(s.sentAt.Add(replyTimeout))
+		return
+	}
+	self := partner.node == world.Self.Node
+	if due := s.due(world, now, choice, partner); !due.Reached(now) {
+		world.WakeAt(due)
+		return
+	}
+	request := s.newRequest(world, now, choice, partner)
+	s.number, s.sentAt, s.sentTo, s.open = request.Number, now, partner.node, true
+	world.QuotaSpent, world.QuotaUrgent = false, false
+	if !self {
+		world.SendMessage(messageTo(partner, request))
+		world.WakeAt(s.sentAt.Add(replyTimeout))
+		return
+	}
+	if reply := carobquotaallocation.Answer(world, now, world.Self.Node, world.Self.Incarnation, request); reply != nil {
+		s.handleReply(world, now, reply, world.Self.Incarnation, world.RoutesVersion())
+	}
+	s.open = false
+	world.WakeAt(s.due(world, now, choice, partner))
+}
+
+// due returns when the next request is to be sent.
+func (s *System) due(world *carobworld.World, now carobinstant.Instant, choice, partner candidate) carobinstant.Instant {
+	self := partner.node == world.Self.Node
+	switch {
+	case s.sentAt == carobinstant.Never, self && (world.QuotaUrgent || s.mayStartOwnLease(world, now)):
+		return now
+	case s.sentTo != partner.node, world.QuotaUrgent, s.mayStartLease(world, now, choice, partner):
+		return s.sentAt.Add(urgentInterval)
+	case world.QuotaWaiting > 0:
+		return s.sentAt.Add(waitingInterval)
+	case world.QuotaSpent:
+		return s.sentAt.Add(spendingInterval)
+	default:
+		return s.sentAt.Add(idleInterval)
+	}
+}
+
+// mayStartOwnLease reports whether this node, as its own allocator, has yet to lend its share to
+// itself.
+func (s *System) mayStartOwnLease(world *carobworld.World, now carobinstant.Instant) bool {
+	if !world.QuotaShareUsable || s.bound.holds(now) {
+		return false
+	}
+	lease := world.QuotaLeases.Get(world.Self.Node)
+	return lease == nil || !lease.Valid(now)
+}
+
+// mayStartLease reports whether this node has a stamp of the chosen allocator and has lent nothing
+// yet.
+func (s *System) mayStartLease(world *carobworld.World, now carobinstant.Instant, choice, partner candidate) bool {
+	return partner.node != world.Self.Node && !s.bound.holds(now) && s.lends(world, now, choice, partner)
+}
+
+// handleReply adds the granted tokens to the stocks. A reply to an earlier request is ignored.
+func (s *System) handleReply(world *carobworld.World, now carobinstant.Instant, reply *carobquotareply.QuotaReply, issuer incarnation, version carobrouteversion.Version) {
+	if reply.Number != s.number {
+		return
+	}
+	s.open = false
+	s.stamp = stamp{node: s.sentTo, issuer: issuer, reading: reply.Stamp, receivedAt: now}
+	s.renewStocks(world, now)
+	for _, grant := range reply.Grants {
+		stock := world.QuotaStocks.Get(grant.Organisation)
+		if lowered := world.LoweredQuotas.Get(grant.Organisation); stock == nil || lowered != nil && version < *lowered {
+			continue
+		}
+		stock.Tokens += grant.Tokens
+		if grant.Wait > 0 {
+			stock.DeniedUntil = now.Add(grant.Wait.Duration())
+		}
+	}
+}
+
+// renewStocks renews the tokens in stock, all of which the request listed.
+func (s *System) renewStocks(world *carobworld.World, now carobinstant.Instant) {
+	for _, stock := range world.QuotaStocks.All() {
+		stock.Expire(now)
+		stock.ExpiresAt, stock.DeniedUntil = s.sentAt.Add(tokenLifetime), carobinstant.Never
+	}
+}
+
+// demands returns what this node holds and needs, and removes the tokens that it returns and the
+// stocks that are no longer in use.
+func demands(world *carobworld.World, now carobinstant.Instant) []carobquotademand.QuotaDemand {
+	var list []carobquotademand.QuotaDemand
+	for id, stock := range world.QuotaStocks.All() {
+		stock.Expire(now)
+		target := stock.Target(now)
+		demand := carobquotademand.QuotaDemand{Organisation: id, Waiting: stock.Waiting}
+		if stock.Tokens > target {
+			demand.Returned, stock.Tokens = stock.Tokens-target, target
+		}
+		demand.Held, demand.Stock = stock.Tokens, target-stock.Tokens
+		switch {
+		case demand.Held+demand.Returned+demand.Waiting+demand.Stock > 0:
+			list = append(list, demand)
+		case stock.Idle(now) && world.OwnQuotaSince == carobinstant.Never:
+			world.QuotaStocks.Delete(id)
+		}
+	}
+	return list
+}
--- a/pkg/carobstage/stage.go
+++ b/pkg/carobstage/stage.go
@@ -5,10 +5,12 @@
 type Stage int
 
 // The stages, in order. Waiting is the zero value, because most calls need no
-// idempotency key and start there.
+// idempotency key and no token, and start there.
 const (
+	// Acquiring means that the call waits for a token of its organisation's quota.
+	Acquiring Stage = iota - 2
 	// Claiming means that the call waits until its idempotency key is granted.
-	Claiming Stage = iota - 1
+	Claiming
 	// Waiting means that the call waits until a target is chosen for the next attempt.
 	Waiting
 	// Attempting means that at least one attempt is open.
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -8,6 +8,8 @@
 	"github.com/carobknot/carobknot/pkg/carobadmissionstate"
 	"github.com/carobknot/carobknot/pkg/carobcall"
 	"github.com/carobknot/carobknot/pkg/carobcallid"
+	"github.com/carobknot/carobknot/pkg/carobcapacity"
+	"github.com/carobknot/carobknot/pkg/carobcountednode"
 	"github.com/carobknot/carobknot/pkg/carobevictingmap"
 	"github.com/carobknot/carobknot/pkg/carobfinish"
 	"github.com/carobknot/carobknot/pkg/carobgroup"
@@ -27,11 +29,17 @@
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/caroboffset"
 	"github.com/carobknot/carobknot/pkg/carobopenhop"
+	"github.com/carobknot/carobknot/pkg/caroborganisationid"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobpeer"
 	"github.com/carobknot/carobknot/pkg/carobpendingheartbeat"
 	"github.com/carobknot/carobknot/pkg/carobpendingsettlement"
 	"github.com/carobknot/carobknot/pkg/carobprobelimits"
+	"github.com/carobknot/carobknot/pkg/carobquotabucket"
+	"github.com/carobknot/carobknot/pkg/carobquotalease"
+	"github.com/carobknot/carobknot/pkg/carobquotaledger"
+	"github.com/carobknot/carobknot/pkg/carobquotasettings"
+	"github.com/carobknot/carobknot/pkg/carobquotastock"
 	"github.com/carobknot/carobknot/pkg/carobrecord"
 	"github.com/carobknot/carobknot/pkg/carobretrybudget"
 	"github.com/carobknot/carobknot/pkg/carobretrylimits"
@@ -56,6 +64,11 @@
 	Limits      caroblimits.Limits
 	ProbeLimits carobprobelimits.ProbeLimits
 	RetryLimits carobretrylimits.RetryLimits
+	// QuotaSettings bounds the calls of organisations with a quota; zero selects the defaults.
+	QuotaSettings carobquotasettings.QuotaSettings
+	// Capacity is the processor capacity of this node, by which an allocator of quotas is
+	// chosen; 0 if it is not known.
+	Capacity carobcapacity.Capacity
 	// Seed is the seed of the random number generator.
 	Seed uint64
 }
@@ -69,6 +82,10 @@
 	Limits      caroblimits.Limits
 	ProbeLimits carobprobelimits.ProbeLimits
 	RetryLimits carobretrylimits.RetryLimits
+	// QuotaSettings bounds the calls of organisations with a quota.
+	QuotaSettings carobquotasettings.QuotaSettings
+	// Capacity is the processor capacity of this node; 0 if it is not known.
+	Capacity carobcapacity.Capacity
 	// Random is the only random number generator that systems use, so that a run is
 	// reproducible from its seed.
 	Random *rand.Rand
@@ -179,6 +196,37 @@
 	SnapshotOffset     caroboffset.Offset
 	SnapshotLastOffset caroboffset.Offset
 
+	// Quotas.
+
+	// QuotasInForce is true if an organisation of the route table in force has a quota. All
+	// tables of this section are empty otherwise.
+	QuotasInForce bool
+	// CountedNodes has the other nodes that may be using their share of the quotas.
+	CountedNodes *carobtable.Table[carobnodeid.ID, carobcountednode.CountedNode]
+	// QuotaNodes is the number of nodes that the quotas are divided by, this one included.
+	QuotaNodes int
+	// QuotaShareUsable is true while this node may use or lend its share.
+	QuotaShareUsable bool
+	// QuotaStocks has the organisations with a quota that this node has had calls of recently.
+	QuotaStocks *carobtable.Table[caroborganisationid.ID, carobquotastock.QuotaStock]
+	// LoweredQuotas has the version of the route table that last lowered the limit of each
+	// organisation.
+	LoweredQuotas *carobtable.Table[caroborganisationid.ID, carobrouteversion.Version]
+	// QuotaWaiting is the number of calls that wait for a token.
+	QuotaWaiting int
+	// QuotaUrgent is true if a call began to wait for a token after the last request.
+	QuotaUrgent bool
+	// QuotaSpent is true if a token was taken since the last request.
+	QuotaSpent bool
+	// OwnQuotaSince is since when this node uses its own share; Never while it does not.
+	OwnQuotaSince carobinstant.Instant
+	// QuotaLedger is the account of the shares that are lent to this node as an allocator,
+	// QuotaBuckets has the organisations that it allocates tokens of, and QuotaLeases the nodes
+	// that have requested tokens, this one included.
+	QuotaLedger  carobquotaledger.QuotaLedger
+	QuotaBuckets *carobtable.Table[caroborganisationid.ID, carobquotabucket.QuotaBucket]
+	QuotaLeases  *carobtable.Table[carobnodeid.ID, carobquotalease.QuotaLease]
+
 	// Tracing.
 
 	// OpenCallHops has the hops of the calls that this node is the entry of.
@@ -250,6 +298,7 @@
 		Profiles:          carobtable.NewTable[carobname.Name, carobrevision.Revision](carobtable.Config{Limit: carobrevision.MaxProfiles}),
 	}
 	w.makeCallTables(c.Limits)
+	w.makeQuotaTables(c)
 	return w
 }
 
--- a/test/fuzz/entry_test.go
+++ b/test/fuzz/entry_test.go
@@ -8,6 +8,7 @@
 	"github.com/carobknot/carobknot/pkg/carobattemptreply"
 	"github.com/carobknot/carobknot/pkg/carobcallid"
 	"github.com/carobknot/carobknot/pkg/carobconclusion"
+	"github.com/carobknot/carobknot/pkg/carobcredential"
 	"github.com/carobknot/carobknot/pkg/carobdelivery"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
@@ -73,8 +74,14 @@
 // startCall sends a call to the node as a caller does. A timeout of 0 leaves the deadline
 // to the profile.
 func (n *node) startCall(service int, key string, timeout time.Duration) {
+	n.startCallWith(service, key, timeout, carobcredential.Credential{})
+}
+
+// startCallWith sends a call that carries a credential. It returns the ID of the call, which is
+// zero if the node does not take calls any more.
+func (n *node) startCallWith(service int, key string, timeout time.Duration, credential carobcredential.Credential) carobcallid.ID {
 	if n.exiting {
-		return // the listener is closed
+		return carobcallid.ID{} // the listener is closed
 	}
 	n.sequence++
 	id := carobcallid.ID{Node: n.self.Node, Incarnation: n.self.Incarnation, Sequence: n.sequence}
@@ -84,11 +91,12 @@
 	}
 	profile := services[service]
 	call := &entryCall{body: body, attempts: map[int]*attempt{}, arrival: carobarrival.Arrival{
-		Call: id, Service: profile.name, Timeout: timeout, Key: key,
+		Call: id, Service: profile.name, Timeout: timeout, Key: key, Credential: credential,
 	}}
 	n.sim.oracle.callArrived(id.String(), callHistory{service: string(profile.name), guarantee: profile.guarantee, key: key, body: body})
 	n.calls[id] = call
 	n.enqueue(func(in *carobinbox.Inbox) { in.Arrivals = append(in.Arrivals, call.arrival) })
+	return id
 }
 
 // disconnect closes the connection of a caller that waits for its response.
@@ -110,6 +118,7 @@
 	delete(n.calls, id)
 	if conclusion.Kind != carobkind.None {
 		n.sim.kinds[conclusion.Kind]++
+		n.sim.quotas.concluded(id, conclusion.Kind)
 		n.sim.oracle.callEnded(id.String(), string(conclusion.Kind.Outcome()), "")
 		return
 	}
--- a/test/fuzz/node_test.go
+++ b/test/fuzz/node_test.go
@@ -253,6 +253,7 @@
 // observe reports the decisions of a tick to the oracle.
 func (n *node) observe(out *caroboutbox.Outbox) {
 	oracle, now := n.sim.oracle, n.sim.elapsed()
+	n.sim.quotas.observe(n, out)
 	for _, start := range out.Starts {
 		oracle.jobStarted(n.sim.targetAt(start.Address).id.String(), start.Job.String())
 	}
--- /dev/null
+++ b/test/fuzz/quotas_test.go
@@ -0,0 +1,380 @@
+package fuzz
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/carobknot/carobknot/pkg/carobcallid"
+	"github.com/carobknot/carobknot/pkg/carobcallrate"
+	"github.com/carobknot/carobknot/pkg/carobcredential"
+	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobkeydigest"
+	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/caroborganisation"
+	"github.com/carobknot/carobknot/pkg/caroborganisationid"
+	"github.com/carobknot/carobknot/pkg/caroboutbox"
+	"github.com/carobknot/carobknot/pkg/carobroutetable"
+	"github.com/carobknot/carobknot/pkg/carobrouteversion"
+)
+
+// quotaLimit is the limit of an organisation, as the oracle knows it.
+type quotaLimit struct{ rate, burst float64 }
+
+// The bound that the oracle checks, as the page of the task has it.
+const (
+	quotaWindow  = 5 * time.Second
+	quotaOverage = 0.1
+	quotaSlack   = 20
+)
+
+// bound returns how many calls may start in a window.
+func (l quotaLimit) bound() float64 {
+	return (l.rate*quotaWindow.Seconds()+l.burst)*(1+quotaOverage) + quotaSlack
+}
+
+// quotaCaller is the load of one organisation.
+type quotaCaller struct {
+	name string
+	// demand is the number of calls a second, which go to the nodes at these places in turn.
+	demand float64
+	places []int
+	next   int
+	// counts has the calls by how they ended, and started the calls that started at targets.
+	calls, started, refused, notReady int
+	// starts has when calls started, the oldest first.
+	starts []time.Duration
+	// worst is the largest number of starts in a window, relative to the bound.
+	worst float64
+}
+
+// quotaLoad sends the calls of organisations and checks their quotas.
+type quotaLoad struct {
+	sim     *simulation
+	callers []*quotaCaller
+	// versions has the limits of each version of the route table, by organisation, and lastSeen
+	// when a node last had the version in force.
+	versions map[carobrouteversion.Version]map[string]quotaLimit
+	lastSeen map[carobrouteversion.Version]time.Duration
+	version  carobrouteversion.Version
+	// open has the organisation of each call, until it has started.
+	open map[carobcallid.ID]*quotaCaller
+	// quotaMessages and quotaBytes are what was sent for quotas, by place.
+	quotaMessages, quotaBytes map[int]int
+	granted                   int
+}
+
+func newQuotaLoad(sim *simulation) *quotaLoad {
+	load := &quotaLoad{
+		sim: sim, versions: map[carobrouteversion.Version]map[string]quotaLimit{}, lastSeen: map[carobrouteversion.Version]time.Duration{},
+		open: map[carobcallid.ID]*quotaCaller{}, quotaMessages: map[int]int{}, quotaBytes: map[int]int{},
+	}
+	sim.quotas = load
+	return load
+}
+
+// publish puts a new route table in force at a place, from where it spreads.
+func (l *quotaLoad) publish(place int, limits map[string]quotaLimit) {
+	l.version++
+	table := &carobroutetable.RouteTable{Version: l.version, RequiresKey: true}
+	for _, caller := range l.callers {
+		limit := limits[caller.name]
+		table.Organisations = append(table.Organisations, caroborganisation.Organisation{
+			ID: caroborganisationid.ID(caller.name), Keys: []carobkeydigest.Digest{carobkeydigest.Of([]byte(caller.name))},
+			Rate: carobcallrate.CallRate(limit.rate), Burst: limit.burst,
+		})
+	}
+	if err := table.Check(); err != nil {
+		panic(err)
+	}
+	l.versions[l.version] = limits
+	l.lastSeen[l.version] = l.sim.elapsed()
+	n := l.sim.nodes[place]
+	n.after(0, func() {
+		n.enqueue(func(in *carobinbox.Inbox) { in.RouteTables = append(in.RouteTables, table) })
+	})
+}
+
+// addCaller starts the load of an organisation.
+func (l *quotaLoad) addCaller(name string, demand float64, places []int) *quotaCaller {
+	caller := &quotaCaller{name: name, demand: demand, places: places}
+	l.callers = append(l.callers, caller)
+	l.sim.after(0, func() { l.sendNext(caller) })
+	return caller
+}
+
+// sendNext sends a call and schedules the next one, at random intervals.
+func (l *quotaLoad) sendNext(caller *quotaCaller) {
+	if caller.demand > 0 && len(caller.places) > 0 {
+		caller.next = l.sim.random.IntN(len(caller.places))
+		n := l.sim.nodes[caller.places[caller.next]]
+		if n.alive && !n.frozen && n.core.World().RouteTable != nil {
+			caller.calls++
+			credential := carobcredential.Credential{Key: carobkeydigest.Of([]byte(caller.name)), Valid: true}
+			l.open[n.startCallWith(0, "", 0, credential)] = caller
+		}
+	}
+	mean := time.Second
+	if caller.demand > 0 {
+		mean = time.Duration(float64(time.Second) / caller.demand)
+	}
+	l.sim.after(time.Duration(l.sim.random.ExpFloat64()*float64(mean)), func() { l.sendNext(caller) })
+}
+
+// observe reports the effects of a tick to the oracle.
+func (l *quotaLoad) observe(n *node, out *caroboutbox.Outbox) {
+	if l == nil {
+		return
+	}
+	l.granted += out.QuotaTokens
+	for _, start := range out.Starts {
+		if caller := l.open[start.Job.Call]; caller != nil {
+			delete(l.open, start.Job.Call)
+			l.started(caller)
+		}
+	}
+	for _, message := range out.Messages {
+		if message.QuotaRequest == nil && message.QuotaReply == nil {
+			continue
+		}
+		data, err := l.sim.codec.Marshal(message)
+		if err != nil {
+			l.sim.oracle.recordViolation("quota message cannot be encoded: %v", err)
+		}
+		l.quotaMessages[n.place]++
+		l.quotaBytes[n.place] += len(data)
+	}
+}
+
+// started checks the number of starts in the window that ends now.
+func (l *quotaLoad) started(caller *quotaCaller) {
+	now := l.sim.elapsed()
+	caller.started++
+	caller.starts = append(caller.starts, now)
+	for caller.starts[0] <= now-quotaWindow {
+		caller.starts = caller.starts[1:]
+	}
+	for _, n := range l.sim.nodes {
+		if n.alive {
+			l.lastSeen[n.core.World().RoutesVersion()] = now
+		}
+	}
+	allowed := 0.0
+	for version, seen := range l.lastSeen {
+		if limits, known := l.versions[version]; known && seen > now-quotaWindow {
+			limit := limits[caller.name]
+			if limit.rate == 0 {
+				return
+			}
+			allowed = max(allowed, limit.bound())
+		}
+	}
+	caller.worst = max(caller.worst, float64(len(caller.starts))/allowed)
+	if float64(len(caller.starts)) > allowed {
+		l.sim.oracle.recordViolation("%d calls of %s start within %s, %.1f are allowed", len(caller.starts), caller.name, quotaWindow, allowed)
+	}
+}
+
+// concluded counts the calls that were refused for lack of tokens.
+func (l *quotaLoad) concluded(id carobcallid.ID, kind carobkind.Kind) {
+	if l == nil {
+		return
+	}
+	caller := l.open[id]
+	if caller == nil {
+		return
+	}
+	delete(l.open, id)
+	switch kind {
+	case carobkind.Quota:
+		caller.refused++
+	case carobkind.NotReady:
+		caller.notReady++
+	default:
+	}
+}
+
+// reset forgets the counts, but not what the oracle needs.
+func (l *quotaLoad) reset() {
+	for _, caller := range l.callers {
+		caller.calls, caller.started, caller.refused, caller.notReady = 0, 0, 0, 0
+	}
+	l.quotaMessages, l.quotaBytes, l.granted = map[int]int{}, map[int]int{}, 0
+}
+
+// places returns the first n places.
+func places(n int) []int {
+	all := make([]int, n)
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
+
+// Guards against quotas of which only a part can be used, because the tokens are at nodes that do
+// not need them or because a call comes to another node than those before it. At 60% of the
+// quota few calls may be refused, and at seven times the quota nearly all of it must be used.
+func TestQuotasAreUsable(t *testing.T) {
+	const nodes = 64
+	for _, c := range []struct {
+		name   string
+		limit  quotaLimit
+		places []int
+	}{
+		{"small quota, all nodes", quotaLimit{5, 5}, places(nodes)},
+		{"small quota, one node", quotaLimit{5, 5}, places(1)},
+		{"large quota, all nodes", quotaLimit{186, 40}, places(nodes)},
+		{"large quota, one node", quotaLimit{186, 40}, []int{nodes - 1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			sim := newSimulation(1, nodes, plan{})
+			load := newQuotaLoad(sim)
+			caller := load.addCaller("clinic", 0, c.places)
+			sim.advance(time.Second)
+			load.publish(0, map[string]quotaLimit{"clinic": c.limit})
+			sim.advance(9 * time.Second)
+			caller.demand = 0.6 * c.limit.rate
+			sim.advance(2 * time.Second)
+			load.reset()
+			const duration = 20 * time.Second
+			sim.advance(duration)
+			t.Logf("at 60%%: %d calls, %d started, %d refused, %d not ready %v", caller.calls, caller.started, caller.refused, caller.notReady, sim.kinds)
+			require.LessOrEqual(t, caller.refused+caller.notReady, max(1, caller.calls*3/1000))
+			caller.demand = 7 * c.limit.rate
+			sim.advance(2 * time.Second)
+			load.reset()
+			sim.advance(duration)
+			used := float64(caller.started) / (c.limit.rate * duration.Seconds())
+			t.Logf("at 7 times: %d calls, %d started, %d refused, %d not ready, %.3f used, %.3f of the bound", caller.calls, caller.started, caller.refused, caller.notReady, used, caller.worst)
+			require.GreaterOrEqual(t, used, 0.9)
+			require.LessOrEqual(t, caller.notReady, caller.calls/1000)
+			require.Empty(t, sim.oracle.violation)
+		})
+	}
+}
+
+// quotaActions returns the faults that quotas are tested with.
+func quotaActions(sim *simulation, load *quotaLoad) map[string]func(*rapid.T) {
+	all := actions(sim)
+	selected := map[string]func(*rapid.T){}
+	for _, name := range []string{
+		"", "wait a little", "wait", "fault a link", "mend links", "disturb messages", "freeze", "thaw", "kill", "replace", "stop", "restart stopped", "log out", "log back",
+	} {
+		selected[name] = all[name]
+	}
+	place := rapid.IntRange(0, len(sim.nodes)-1)
+	selected["cut a node off"] = func(t *rapid.T) {
+		cut, state := place.Draw(t, "place"), rapid.SampledFrom([]linkState{linkReset, linkBlackhole}).Draw(t, "state")
+		for other := range sim.nodes {
+			if other != cut {
+				sim.setLink(link{cut, other}, state)
+				sim.setLink(link{other, cut}, state)
+			}
+		}
+	}
+	selected["split"] = func(t *rapid.T) {
+		border := place.Draw(t, "border")
+		for a := range border {
+			for b := border; b < len(sim.nodes); b++ {
+				sim.setLink(link{a, b}, linkBlackhole)
+				sim.setLink(link{b, a}, linkBlackhole)
+			}
+		}
+	}
+	selected["skew callers"] = func(t *rapid.T) {
+		for _, caller := range load.callers {
+			caller.places = rapid.SliceOfN(place, 1, len(sim.nodes)).Draw(t, "places")
+			limit := load.versions[load.version][caller.name]
+			caller.demand = limit.rate * rapid.SampledFrom([]float64{0, 0.6, 7}).Draw(t, "load")
+		}
+	}
+	selected["change limits"] = func(t *rapid.T) {
+		for range rapid.IntRange(1, 4).Draw(t, "changes") {
+			load.publish(place.Draw(t, "place"), drawLimits(t, load))
+			sim.advance(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
+		}
+	}
+	selected["mend all"] = func(*rapid.T) { mendAll(sim) }
+	for name, action := range selected {
+		if name == "" {
+			continue
+		}
+		selected[name] = func(t *rapid.T) {
+			action(t)
+			sim.advance(time.Duration(rapid.SampledFrom([]int{10, 100, 1000, 3000}).Draw(t, "ms")) * time.Millisecond)
+		}
+	}
+	return selected
+}
+
+// mendAll ends the faults of nodes, links and the log.
+func mendAll(sim *simulation) {
+	for faulty := range sim.links { // the order does not matter, as in networkActions
+		sim.setLink(faulty, linkUp)
+	}
+	sim.lossRate, sim.duplicateRate, sim.maxExtraDelay, sim.log.unavailable = 0, 0, 0, false
+	for place, n := range sim.nodes {
+		switch {
+		case !n.alive:
+			sim.startNode(place)
+		case n.frozen:
+			n.thaw()
+		}
+	}
+}
+
+func drawLimits(t *rapid.T, load *quotaLoad) map[string]quotaLimit {
+	limits := map[string]quotaLimit{}
+	for _, caller := range load.callers {
+		limits[caller.name] = quotaLimit{
+			rate:  rapid.SampledFrom([]float64{5, 20, 40}).Draw(t, "rate"),
+			burst: rapid.SampledFrom([]float64{0, 5, 40}).Draw(t, "burst"),
+		}
+	}
+	return limits
+}
+
+// Guards against more calls of an organisation than its quota allows, summed over all nodes,
+// whatever happens to nodes and links: two nodes that both count the same share, shares that are
+// counted after their nodes use them again, and tokens that outlive their lease or their limit.
+func TestQuotasHold(t *testing.T) {
+	defer setFlag(t, "rapid.checks", fmt.Sprint(quotaChecks))()
+	worst, started := 0.0, 0
+	var total summary
+	rapid.Check(t, func(rt *rapid.T) {
+		sim := newSimulation(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(2, 8).Draw(rt, "nodes"), plan{})
+		defer total.add(sim)
+		load := newQuotaLoad(sim)
+		for _, name := range []string{"clinic", "practice"} {
+			load.addCaller(name, 0, places(len(sim.nodes)))
+		}
+		limits := drawLimits(rt, load)
+		for place := range sim.nodes {
+			load.publish(place, limits)
+		}
+		for _, caller := range load.callers {
+			caller.demand = 7 * limits[caller.name].rate
+		}
+		rt.Repeat(quotaActions(sim, load))
+		for _, caller := range load.callers {
+			worst, started = max(worst, caller.worst), started+caller.started
+		}
+	})
+	t.Logf("%d calls started, at most %.3f of what is allowed, %s", started, worst, total.String())
+}
+
+// quotaChecks is the number of simulations of TestQuotasHold. They take longer than those of other
+// tests, because their callers send all the time.
+const quotaChecks = 25
+
+// setFlag sets a flag and returns a function that restores it.
+func setFlag(t *testing.T, name, value string) func() {
+	t.Helper()
+	old := flag.Lookup(name).Value.String()
+	require.NoError(t, flag.Set(name, value))
+	return func() { require.NoError(t, flag.Set(name, old)) }
+}
--- a/test/fuzz/simulation_test.go
+++ b/test/fuzz/simulation_test.go
@@ -44,6 +44,8 @@
 	incarnations, ticks int
 	// kinds counts the errors that callers received.
 	kinds map[carobkind.Kind]int
+	// quotas is the load of organisations with quotas; nil if there are none.
+	quotas *quotaLoad
 	// keyCount counts the idempotency keys that were used once only.
 	keyCount int
 }
@@ -172,6 +174,10 @@
 				s.oracle.recordViolation("message cannot be decoded: %v", err)
 				return
 			}
+			if err := copied.Check(); err != nil {
+				s.oracle.recordViolation("message is refused: %v", err)
+				return
+			}
 			n.after(0, func() {
 				n.enqueue(func(in *carobinbox.Inbox) { in.Messages = append(in.Messages, copied) })
 			})
