Read quota bounds and capacity, and export the state of quotas

Cause: nodes kept quotas with the default bounds, took all nodes for equally able to allocate, and showed nothing of it.

--- a/internal/carobmeter/meter.go
+++ b/internal/carobmeter/meter.go
@@ -36,6 +36,9 @@
 	routes, routesAge tally.Gauge
 	// routesRejected is 1 while the newest route table in the store cannot be read.
 	routesRejected tally.Gauge
+	// quotaNodes, quotaLeases and allocating show the lending of quotas; all are 0 while no
+	// organisation has a quota.
+	quotaNodes, quotaLeases, allocating tally.Gauge
 }
 
 const (
@@ -64,6 +67,7 @@
 	}, flushInterval)
 	m.routes, m.routesAge = m.scope.Gauge("routes"), m.scope.Gauge("routes_age")
 	m.routesRejected = m.scope.Gauge("routes_rejected")
+	m.quotaNodes, m.quotaLeases, m.allocating = m.scope.Gauge("quota_nodes"), m.scope.Gauge("quota_leases"), m.scope.Gauge("quota_allocating")
 	return m
 }
 
@@ -103,6 +107,7 @@
 	if out.RoutesRejected {
 		m.routesRejected.Update(1)
 	}
+	m.countQuotas(out)
 	m.add("attempts", len(out.Sends))
 	m.add("starts", len(out.Starts))
 	m.add("checks", len(out.HealthChecks))
@@ -111,6 +116,17 @@
 	m.add("audits", len(out.Audits))
 }
 
+// countQuotas updates the metrics of quotas.
+func (m *Meter) countQuotas(out *caroboutbox.Outbox) {
+	m.quotaNodes.Update(float64(out.QuotaNodes))
+	m.quotaLeases.Update(float64(out.QuotaLeases))
+	m.allocating.Update(0)
+	if out.Allocating {
+		m.allocating.Update(1)
+	}
+	m.add("quota_tokens", out.QuotaTokens)
+}
+
 // add adds n to a counter without labels. The counter first appears with a count above
 // zero.
 func (m *Meter) add(name string, n int) {
--- a/internal/carobmeter/meter_test.go
+++ b/internal/carobmeter/meter_test.go
@@ -24,7 +24,7 @@
 		meter.Execute(&caroboutbox.Outbox{
 			Conclusions:   []carobconclusion.Conclusion{{Kind: carobkind.Busy}, {}},
 			Reports:       []carobreport.Report{{Target: carobtargetid.ID{Service: "lookups", Name: "a"}, Running: 7}},
-			RoutesVersion: 42,
+			RoutesVersion: 42, QuotaNodes: 64, QuotaLeases: 60, Allocating: true, QuotaTokens: 3,
 		})
 	}
 	require.NoError(t, meter.Close())
@@ -32,6 +32,7 @@
 	meter.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", http.NoBody))
 	for _, line := range []string{
 		`carobknot_calls{kind="busy"} 2`, `carobknot_calls{kind="none"} 2`, `carobknot_running{service="lookups",target="a"} 7`, `carobknot_routes 42`,
+		`carobknot_quota_nodes 64`, `carobknot_quota_leases 60`, `carobknot_quota_allocating 1`, `carobknot_quota_tokens 6`,
 	} {
 		require.Contains(t, recorder.Body.String(), line+"\n")
 	}
--- a/internal/carobnode/providers.go
+++ b/internal/carobnode/providers.go
@@ -18,6 +18,7 @@
 	"github.com/carobknot/carobknot/internal/carobsplitter"
 	"github.com/carobknot/carobknot/internal/carobtimer"
 	"github.com/carobknot/carobknot/internal/carobtransport"
+	"github.com/carobknot/carobknot/pkg/carobcapacity"
 	"github.com/carobknot/carobknot/pkg/carobcore"
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
 	"github.com/carobknot/carobknot/pkg/carobmember"
@@ -50,7 +51,10 @@
 			confirmationPeriod = confirmationTimeouts * settings.AnnouncementTimeout.Duration()
 		}
 		return carobcore.NewCore(carobcore.Config{
-			World: carobworld.Config{Self: self, Limits: settings.Limits, ProbeLimits: settings.ProbeLimits, RetryLimits: settings.RetryLimits, Seed: uint64(self.Incarnation)},
+			World: carobworld.Config{
+				Self: self, Limits: settings.Limits, ProbeLimits: settings.ProbeLimits, RetryLimits: settings.RetryLimits, Seed: uint64(self.Incarnation),
+				QuotaSettings: settings.QuotaSettings, Capacity: cmp.Or(settings.Capacity, carobcapacity.OfCores(settings.Limits.Cores)),
+			},
 			Seeds: settings.Seeds, Profiles: settings.Profiles, AnnouncementTimeout: settings.AnnouncementTimeout.Duration(),
 			ConfirmationPeriod: confirmationPeriod, ApplyTimeout: settings.ApplyTimeout.Duration(), NoTracePropagation: n.config.Dialect != nil,
 		}), nil
--- a/internal/carobsettings/settings.go
+++ b/internal/carobsettings/settings.go
@@ -9,6 +9,7 @@
 
 	"github.com/carobknot/carobknot/internal/carobdocument"
 	"github.com/carobknot/carobknot/pkg/carobaddress"
+	"github.com/carobknot/carobknot/pkg/carobcapacity"
 	"github.com/carobknot/carobknot/pkg/carobcentre"
 	"github.com/carobknot/carobknot/pkg/carobduration"
 	"github.com/carobknot/carobknot/pkg/carobkind"
@@ -16,6 +17,7 @@
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/carobprobelimits"
 	"github.com/carobknot/carobknot/pkg/carobprofile"
+	"github.com/carobknot/carobknot/pkg/carobquotasettings"
 	"github.com/carobknot/carobknot/pkg/carobregion"
 	"github.com/carobknot/carobknot/pkg/carobretrylimits"
 )
@@ -44,6 +46,11 @@
 	ProbeLimits carobprobelimits.ProbeLimits `json:"measure"`
 	// RetryLimits limits how many attempts are sent beyond one for each call.
 	RetryLimits carobretrylimits.RetryLimits `json:"retries"`
+	// QuotaSettings bounds by how much the calls of an organisation may exceed its quota.
+	QuotaSettings carobquotasettings.QuotaSettings `json:"quota"`
+	// Capacity is the processor capacity of the node in thousandths of a core, by which the
+	// allocator of quotas is chosen; 0 stands for Limits.Cores.
+	Capacity carobcapacity.Capacity `json:"capacity,omitempty"`
 	// AnnouncementTimeout is the time without an announcement after which a target
 	// expires.
 	AnnouncementTimeout carobduration.Duration `json:"silence"`
@@ -67,6 +74,7 @@
 func NewSettings() Settings {
 	return Settings{
 		ProbeLimits: carobprobelimits.NewProbeLimits(), RetryLimits: carobretrylimits.NewRetryLimits(), Limits: caroblimits.NewLimits(),
+		QuotaSettings:       carobquotasettings.NewQuotaSettings(),
 		AnnouncementTimeout: carobduration.Duration(3 * time.Second), ApplyTimeout: carobduration.Duration(2 * time.Second), ShutdownTimeout: carobduration.Duration(time.Minute),
 	}
 }
@@ -120,5 +128,11 @@
 	if s.ProbeLimits.ChecksPerSecond < 0 {
 		return carobkind.New(carobkind.Invalid, "measure: checks: %d is below 0", s.ProbeLimits.ChecksPerSecond)
 	}
+	if err := s.QuotaSettings.Check(); err != nil {
+		return err
+	}
+	if err := s.Capacity.Check(); err != nil {
+		return err
+	}
 	return s.Limits.Check()
 }
--- a/internal/carobsettings/settings_test.go
+++ b/internal/carobsettings/settings_test.go
@@ -71,6 +71,9 @@
 		{"missing", "\"name\": \"first\",\n  \"region\": \"bavaria\",", ``, `node.json: missing keys: name, region`},
 		{"twice", `"centre": "west",`, `"centre": "west", "centre": "east",`, `node.json:5:21: centre: the key stands twice`},
 		{"negative checks", `{"rate": "1KiB/s"}`, `{"checks": -1}`, `node.json:11:14: measure: checks: -1 is below 0`},
+		{"quota", `{"calls": 10},`, `{"calls": 10}, "quota": {"overage": -1},`, `node.json:12:37: quota: overage and slack must be numbers of at least 0`},
+		{"window of quotas", `{"calls": 10},`, `{"calls": 10}, "quota": {"window": "0s"},`, `node.json:12:48: quota.window: must be above 0`},
+		{"capacity", `{"calls": 10},`, `{"calls": 10}, "capacity": -1,`, `node.json:12:40: capacity: -1 is not between 0 and 1000000`},
 		{"second profile", `"centre": "west",`, `"centre": "west", "profiles": [{"name": "one"}, {"nam": "two"}],`, `node.json:5:52: profiles[1].nam: there is no such key`},
 		{"cut", `"limits": {"calls": 10},`, ``, ``},
 	} {
