--- a/internal/carobmeter/meter.go
+++ b/internal/carobmeter/meter.go
@@ -41,6 +41,9 @@
 	organisations tally.Gauge
 	// routesRejected is 1 while the newest route table in the store cannot be read.
 	routesRejected tally.Gauge
+	// quotaNodes, quotaLeases and allocating show the lending of quotas; all are 0 while no
+	// organisation has a quota.
+	quotaNodes, quotaLeases, allocating tally.Gauge
 }
 
 const (
@@ -69,6 +72,7 @@
 	}, flushInterval)
 	m.routes, m.routesAge = m.scope.Gauge("routes"), m.scope.Gauge("routes_age")
 	m.routesRejected, m.organisations = m.scope.Gauge("routes_rejected"), m.scope.Gauge("organisations")
+	m.quotaNodes, m.quotaLeases, m.allocating = m.scope.Gauge("quota_nodes"), m.scope.Gauge("quota_leases"), m.scope.Gauge("quota_allocating")
 	return m
 }
 
@@ -110,6 +114,7 @@
 	if out.RoutesRejected {
 		m.routesRejected.Update(1)
 	}
+	m.countQuotas(out)
 	m.add("attempts", len(out.Sends))
 	m.add("starts", len(out.Starts))
 	m.add("checks", len(out.HealthChecks))
@@ -132,6 +137,17 @@
 	gauge.Update(float64(report.ColdLimit))
 }
 
+// countQuotas updates the metrics of quotas.
+func (m *Meter) countQuotas(out *caroboutbox.Outbox) {
+	m.quotaNodes.Update(float64(out.QuotaNodes))
+	m.quotaLeases.Update(float64(out.QuotaLeases))
+	m.allocating.Update(0)
+	if out.Allocating {
+		m.allocating.Update(1)
+	}
+	m.add("quota_tokens", out.QuotaTokens)
+}
+
 // add adds n to a counter without labels. The counter first appears with a count above
 // zero.
 func (m *Meter) add(name string, n int) {
