--- a/internal/carobserver/conn.go
+++ b/internal/carobserver/conn.go
@@ -327,13 +327,14 @@
 }
 
 // readError adds the error kind to an error that occurred while a request was read.
-// The kind is Internal if the connection is broken, so that no answer can be sent.
+// The kind is Internal if the connection is broken, so that no answer can be sent. The library's
+// errors about malformed requests are left out, because they quote the header with its keys.
 func readError(err error) error {
 	var smallBuffer *fasthttp.ErrSmallBuffer
 	var netErr net.Error
 	switch {
 	case errors.As(err, &smallBuffer):
-		return carobkind.Wrap(carobkind.HeaderTooLarge, err, "read header")
+		return carobkind.New(carobkind.HeaderTooLarge, "the header exceeds its limit")
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return carobkind.Wrap(carobkind.TooLarge, err, "read body")
 	case errors.As(err, &netErr) && netErr.Timeout():
@@ -341,6 +342,6 @@
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
 		return carobkind.Wrap(carobkind.Internal, err, "read request")
 	default:
-		return carobkind.Wrap(carobkind.Invalid, err, "read request")
+		return carobkind.New(carobkind.Invalid, "the request is malformed")
 	}
 }
--- a/internal/carobserver/server_test.go
+++ b/internal/carobserver/server_test.go
@@ -65,6 +65,7 @@
 
 func (h *handler) Reject(resp *fasthttp.Response, err error) {
 	resp.SetStatusCode(carobkind.Of(err).Status())
+	resp.SetBodyString(err.Error())
 }
 
 // fixture is a running server with one connection of a caller.
@@ -244,6 +245,33 @@
 	}
 }
 
+// Guards against responses that quote a header: responses are logged by callers, and the header
+// holds their keys.
+func TestRejectionQuotesNoHeader(t *testing.T) {
+	const key = "Authorization: Bearer s3cr3t"
+	for _, c := range []struct {
+		name, text string
+		status     int
+	}{
+		{"control character in the key", "GET / HTTP/1.1\nHost: a\n" + key + "\x01\n\n", 400},
+		{"zero byte in the key", "GET / HTTP/1.1\nHost: a\n" + key + "\x00\n\n", 400},
+		{"unknown protocol", "GET / HTTP/7.7\nHost: a\n" + key + "\n\n", 400},
+		{"no path", "GET HTTP/1.1\nHost: a\n" + key + "\n\n", 400},
+		{"space in a name", "GET / HTTP/1.1\nHost: a\n" + key + "\nX Y: " + key + "\n\n", 400},
+		{"unknown coding", "POST / HTTP/1.1\nHost: a\nTransfer-Encoding: " + key + "\n\n", 400},
+		{"long header", "GET / HTTP/1.1\nHost: a\n" + key + "\nX: " + strings.Repeat("x", 8<<10) + "\n" + key + "\n\n", 431},
+		{"long key", "GET / HTTP/1.1\nHost: a\n" + key + strings.Repeat("s3cr3t", 2<<10) + "\n\n", 431},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.send(c.text)
+			resp := f.read()
+			require.Equal(t, c.status, resp.StatusCode())
+			require.NotContains(t, string(resp.Body()), "s3cr3t")
+		})
+	}
+}
+
 func TestChunkedBodyAndExpectContinue(t *testing.T) {
 	f := newFixture(t)
 	close(f.handler.release("/1"))
