Check organisations under faults in the simulation

Cause: no simulated call had a key or a route, so that nothing checked keys under cuts, pauses and restarts.

Change: a simulated store of route tables whose keys move between organisations, and an oracle: a call runs only for an organisation that had its key in a table in force within 2 s, unless its node could neither read the store nor reach a node that could; anonymous calls run for none; no attempt has the key; a call with a valid key is not refused; versions do not decrease. Messages are checked on arrival, as the transport does; without that, a received table had no index.

Each of seven new mutations is found.

--- a/test/fuzz/actions_test.go
+++ b/test/fuzz/actions_test.go
@@ -29,7 +29,11 @@
 			sim.advance(time.Duration(rapid.IntRange(1, 40).Draw(t, "tenths")) * 100 * time.Millisecond)
 		},
 	}
-	for _, group := range []map[string]func(*rapid.T){callerActions(sim), networkActions(sim), nodeActions(sim), logActions(sim), targetActions(sim)} {
+	groups := []map[string]func(*rapid.T){callerActions(sim), networkActions(sim), nodeActions(sim), logActions(sim), targetActions(sim)}
+	if sim.operator != nil {
+		groups = append(groups, operatorActions(sim))
+	}
+	for _, group := range groups {
 		maps.Copy(all, group)
 	}
 	return all
--- a/test/fuzz/admission_test.go
+++ b/test/fuzz/admission_test.go
@@ -81,6 +81,9 @@
 		n.replyToEntry(job, carobkind.Unreachable, 0, "")
 		return
 	}
+	if n.sim.operator != nil {
+		n.sim.operator.oracle.ran(start.Job.Call.String(), string(start.Organisation))
+	}
 	target.run(start.Job.Call.String(), job.body, func(status int, body string) {
 		n.after(localDelay, func() {
 			n.finishJob(job, carobkind.None, status)
--- a/test/fuzz/entry_test.go
+++ b/test/fuzz/entry_test.go
@@ -86,6 +86,9 @@
 	call := &entryCall{body: body, attempts: map[int]*attempt{}, arrival: carobarrival.Arrival{
 		Call: id, Service: profile.name, Timeout: timeout, Key: key,
 	}}
+	if n.sim.operator != nil {
+		n.sim.operator.address(&call.arrival)
+	}
 	n.sim.oracle.callArrived(id.String(), callHistory{service: string(profile.name), guarantee: profile.guarantee, key: key, body: body})
 	n.calls[id] = call
 	n.enqueue(func(in *carobinbox.Inbox) { in.Arrivals = append(in.Arrivals, call.arrival) })
@@ -110,6 +113,9 @@
 	delete(n.calls, id)
 	if conclusion.Kind != carobkind.None {
 		n.sim.kinds[conclusion.Kind]++
+		if conclusion.Kind == carobkind.Unauthenticated {
+			n.sim.operator.oracle.refused(id.String())
+		}
 		n.sim.oracle.callEnded(id.String(), string(conclusion.Kind.Outcome()), "")
 		return
 	}
@@ -150,6 +156,9 @@
 	offer := caroboffer.Offer{
 		Job: send.Job, Target: send.Target, Incarnation: send.Incarnation, TimeLeft: send.TimeLeft, Key: call.arrival.Key,
 	}
+	if n.sim.operator != nil {
+		offer.Requirements = n.sim.operator.requirements(send)
+	}
 	if send.PeerAddress == "" {
 		n.offerLocally(offer, call.body, reply)
 		return
--- a/test/fuzz/fuzz_test.go
+++ b/test/fuzz/fuzz_test.go
@@ -38,8 +38,11 @@
 // summary is the sum of all simulations of a test.
 type summary struct {
 	cases, ticks int
-	tally        tally
-	kinds        map[carobkind.Kind]int
+	// identified counts the runs for an organisation, and late those of them with a key that
+	// the newest table did not hold.
+	identified, late int
+	tally            tally
+	kinds            map[carobkind.Kind]int
 	// violated is true once a simulation violated a guarantee. Later simulations, in
 	// which rapid reproduces and shrinks the failure, are not counted.
 	violated bool
@@ -58,13 +61,17 @@
 		}
 		c.kinds[kind] += n
 	}
+	if sim.operator != nil {
+		c.late += sim.operator.oracle.Late
+		c.identified += sim.operator.oracle.Runs
+	}
 	a, b := &c.tally, sim.oracle.tally
 	a.Calls, a.Answered, a.NotRun, a.Unknown, a.Gone = a.Calls+b.Calls, a.Answered+b.Answered, a.NotRun+b.NotRun, a.Unknown+b.Unknown, a.Gone+b.Gone
 	a.Runs, a.Doubled, a.Lost, a.Mixed = a.Runs+b.Runs, a.Doubled+b.Doubled, a.Lost+b.Lost, a.Mixed+b.Mixed
 }
 
 func (c *summary) String() string {
-	return fmt.Sprintf("%d cases, %d ticks: %+v %v", c.cases, c.ticks, c.tally, c.kinds)
+	return fmt.Sprintf("%d cases, %d ticks: %+v %v, %d for organisations, %d late", c.cases, c.ticks, c.tally, c.kinds, c.identified, c.late)
 }
 
 // settleTime is how long a simulation without faults runs before all calls must have ended.
@@ -83,6 +90,8 @@
 	// healthChecks enables health checks, which report the slowness of VMs, and gives
 	// nodes that shut down a deadline.
 	healthChecks bool
+	// organisations makes calls carry API keys, which the operator adds and withdraws.
+	organisations bool
 }
 
 // runSimulation runs actions that rapid draws on one simulation, ends all faults and
@@ -118,6 +127,9 @@
 // answered.
 func checkCallsAnswered(t *rapid.T, sim *simulation) {
 	before := sim.oracle.tally
+	if sim.operator != nil {
+		sim.operator.settled = true
+	}
 	calls := 0
 	for _, n := range sim.nodes {
 		for i := range services {
@@ -170,6 +182,16 @@
 	t.Log(total.String())
 }
 
+// TestOrganisations runs all actions while the operator adds and withdraws keys and nodes are
+// cut off from its store. No call may run with a key that no table in force within the bound
+// held, or for another organisation.
+func TestOrganisations(t *testing.T) {
+	var total summary
+	rapid.Check(t, func(rt *rapid.T) { runSimulation(rt, plan{organisations: true}, &total) })
+	t.Log(total.String())
+	require.Positive(t, total.late, "runs with a key that is not in the newest table, which the bound allows")
+}
+
 // TestSeedsThatFailed plays the seeds with which TestLong has failed.
 func TestSeedsThatFailed(t *testing.T) {
 	fixed := flag.Lookup("rapid.seed").Value.String()
@@ -201,11 +223,13 @@
 		seed := strconv.FormatInt(time.Now().UnixNano(), 10) //nolint:forbidigo // a new seed
 		require.NoError(t, flag.Set("rapid.seed", seed))
 		name, config := "TestFaults", plan{}
-		switch round % 3 {
+		switch round % 4 {
 		case 1:
 			name, config = "TestKeys", plan{reuseKeys: true}
 		case 2:
 			name, config = "TestHealthChecks", plan{healthChecks: true}
+		case 3:
+			name, config = "TestOrganisations", plan{organisations: true}
 		}
 		ok := t.Run("seed="+seed, func(t *testing.T) {
 			rapid.Check(t, func(rt *rapid.T) { runSimulation(rt, config, &total) })
@@ -228,7 +252,7 @@
 			recorder := &failureRecorder{name: t.Name()}
 			recorder.run(func() {
 				rapid.Check(recorder, func(rt *rapid.T) {
-					runSimulation(rt, plan{mutation: mutation, onlyActions: mutation.onlyActions, reuseKeys: mutation.reuseKeys}, &total)
+					runSimulation(rt, plan{mutation: mutation, onlyActions: mutation.onlyActions, reuseKeys: mutation.reuseKeys, organisations: mutation.organisations}, &total)
 				})
 			})
 			require.True(t, recorder.failed, "no violation was found in %s", total.String())
--- a/test/fuzz/mutations_test.go
+++ b/test/fuzz/mutations_test.go
@@ -8,10 +8,12 @@
 	"github.com/carobknot/carobknot/pkg/carobclaimbatch"
 	"github.com/carobknot/carobknot/pkg/carobclaimresult"
 	"github.com/carobknot/carobknot/pkg/carobconclusion"
+	"github.com/carobknot/carobknot/pkg/carobcredential"
 	"github.com/carobknot/carobknot/pkg/carobfencereply"
 	"github.com/carobknot/carobknot/pkg/carobfinish"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobjobstate"
+	"github.com/carobknot/carobknot/pkg/carobkeydigest"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroblimits"
 	"github.com/carobknot/carobknot/pkg/caroboffset"
@@ -28,6 +30,8 @@
 	name string
 	// reuseKeys is true if the fault shows only when keys are used again.
 	reuseKeys bool
+	// organisations is true if the fault shows only when calls carry API keys.
+	organisations bool
 	// onlyActions lists the actions under which the fault shows soonest; nil runs all.
 	onlyActions []string
 	// changeInput changes the input or the tables before a tick; nil changes nothing.
@@ -66,6 +70,9 @@
 // rehomeActions replace the homes of keys between calls with the same keys.
 var rehomeActions = []string{"call", "call often", "wait", "wait a little", "replace"}
 
+// keyActions add and withdraw keys while calls are made and nodes are cut off from the store.
+var keyActions = []string{"call", "call often", "wait", "wait a little", "publish keys", "cut a third off the store", "mend the store"}
+
 // mutations lists the faults that the oracle must find.
 var mutations = []mutation{
 	{name: "treat a lost connection as unreachable", changeInput: func(_ *node, in *carobinbox.Inbox) {
@@ -193,6 +200,52 @@
 			}
 		}
 	}},
+	{name: "keep the first keys", organisations: true, onlyActions: keyActions, changeInput: func(n *node, in *carobinbox.Inbox) {
+		if n.core.World().RouteTable != nil {
+			in.RouteTables = nil
+			for i := range in.Messages {
+				in.Messages[i].RouteTable = nil
+			}
+		}
+	}},
+	{name: "take every key for a known one", organisations: true, onlyActions: keyActions, changeInput: func(_ *node, in *carobinbox.Inbox) {
+		for i := range in.Arrivals {
+			in.Arrivals[i].Credential = carobcredential.Credential{Key: carobkeydigest.Of([]byte(constantKey)), Valid: true}
+		}
+	}},
+	{name: "lose keys", organisations: true, onlyActions: keyActions, changeInput: func(n *node, in *carobinbox.Inbox) {
+		for i := range in.Arrivals {
+			if n.sim.chance(0.05) {
+				in.Arrivals[i].Credential.Valid = false
+			}
+		}
+	}},
+	{name: "tell the target another organisation", organisations: true, onlyActions: keyActions, changeEffects: func(_ *node, _ *carobinbox.Inbox, out *caroboutbox.Outbox) {
+		for i := range out.Starts {
+			if out.Starts[i].Organisation != "" {
+				out.Starts[i].Organisation = "org-0"
+			}
+		}
+	}},
+	{name: "tell the target no organisation", organisations: true, onlyActions: keyActions, changeEffects: func(_ *node, _ *carobinbox.Inbox, out *caroboutbox.Outbox) {
+		for i := range out.Starts {
+			out.Starts[i].Organisation = ""
+		}
+	}},
+	{name: "let keys leave the entry", organisations: true, onlyActions: keyActions, changeEffects: func(_ *node, _ *carobinbox.Inbox, out *caroboutbox.Outbox) {
+		for i := range out.Sends {
+			out.Sends[i].RemoveIdentity = false
+		}
+	}},
+	{name: "return to the first keys", organisations: true, onlyActions: keyActions, changeEffects: func(n *node, _ *carobinbox.Inbox, _ *caroboutbox.Outbox) {
+		world := n.core.World()
+		if n.firstTable == nil {
+			n.firstTable = world.RouteTable
+		}
+		if n.sim.chance(0.01) {
+			world.RouteTable = n.firstTable
+		}
+	}},
 	{name: "read profiles only once", changeInput: func(n *node, in *carobinbox.Inbox) {
 		if n.core.World().ProfilesRead != caroboffset.BeforeFirst {
 			in.Records = nil
--- a/test/fuzz/node_test.go
+++ b/test/fuzz/node_test.go
@@ -26,6 +26,8 @@
 	"github.com/carobknot/carobknot/pkg/carobrecord"
 	"github.com/carobknot/carobknot/pkg/carobreport"
 	"github.com/carobknot/carobknot/pkg/carobrevision"
+	"github.com/carobknot/carobknot/pkg/carobroutetable"
+	"github.com/carobknot/carobknot/pkg/carobrouteversion"
 	"github.com/carobknot/carobknot/pkg/carobstream"
 	"github.com/carobknot/carobknot/pkg/carobstreambounds"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
@@ -70,8 +72,18 @@
 	startedAt, endedAt time.Duration
 	// firstRevisions holds the first revision of each profile, for a mutation.
 	firstRevisions map[string]carobrevision.Revision
+	// firstTable is the first route table, for a mutation.
+	firstTable *carobroutetable.RouteTable
 	// logUnreadableAt is when the node last could not read the log.
 	logUnreadableAt time.Duration
+	// storeReadableSince is the first read of the operator's store that succeeded since the
+	// node was last cut off from it; neverReadable before.
+	storeReadableSince time.Duration
+	// readingTable is true while a read of the store is under way, failedReads is the number
+	// of consecutive ones that failed, and tableVersion the newest version that was read.
+	readingTable bool
+	failedReads  int
+	tableVersion carobrouteversion.Version
 }
 
 // sortedValues returns the values of a map sorted by key, so that runs with one seed are
@@ -101,7 +113,7 @@
 	}
 	s.incarnations++
 	n := &node{
-		sim: s, place: place, alive: true, startedAt: s.elapsed(), logUnreadableAt: s.elapsed(),
+		sim: s, place: place, alive: true, startedAt: s.elapsed(), logUnreadableAt: s.elapsed(), storeReadableSince: neverReadable,
 		bounds: map[carobstream.Stream]carobstreambounds.StreamBounds{}, subscriptionOrders: map[carobstream.Stream]int{}, pendingAppends: map[carobstream.Stream][]byte{},
 		skew:  time.Duration(s.random.Int64N(int64(time.Hour))),
 		calls: map[carobcallid.ID]*entryCall{}, jobs: map[carobjobid.ID]*targetJob{}, reports: map[carobtargetid.ID]carobreport.Report{},
@@ -228,6 +240,7 @@
 		n.sim.oracle.learnedLeaving(announcement.Target.String(), announcement.Withdrawn || announcement.Readiness == carobreadiness.Leaving, n.sim.elapsed())
 	}
 	in.Announcements = slices.Clone(in.Announcements)
+	n.receiveArrivals(&in)
 	n.sim.plan.mutation.beforeTick(n, &in)
 	out := n.core.Tick(n.clock(), in)
 	n.sim.plan.mutation.afterTick(n, &in, out)
@@ -281,6 +294,7 @@
 	n.applyJobEffects(out)
 	n.applyCallEffects(out)
 	n.applyClaimEffects(out)
+	n.applyStoreEffects(out)
 	for _, check := range out.HealthChecks {
 		n.runHealthCheck(check)
 	}
--- a/test/fuzz/simulation_test.go
+++ b/test/fuzz/simulation_test.go
@@ -30,6 +30,8 @@
 	nodes   []*node
 	targets []*fakeTarget
 	plan    plan
+	// operator is nil in simulations without organisations.
+	operator *operator
 	// links holds the state of each direction between two places.
 	links map[link]linkState
 	// lastFault is when each direction last changed its state. The node of a place counts
@@ -100,6 +102,9 @@
 		kinds: map[carobkind.Kind]int{}, links: map[link]linkState{}, lastFault: map[link]time.Duration{}, log: &fakeLog{streams: map[carobstream.Stream]*fakeStream{}},
 	}
 	s.now = 1
+	if plan.organisations {
+		s.operator = newOperator(s)
+	}
 	for place := range places {
 		for _, service := range services {
 			id := carobtargetid.ID{Service: service.name, Name: carobname.Name(fmt.Sprintf("t%d", place))}
@@ -172,6 +177,10 @@
 				s.oracle.recordViolation("message cannot be decoded: %v", err)
 				return
 			}
+			if err := copied.Check(); err != nil {
+				s.oracle.recordViolation("message is invalid: %v", err)
+				return
+			}
 			n.after(0, func() {
 				n.enqueue(func(in *carobinbox.Inbox) { in.Messages = append(in.Messages, copied) })
 			})
@@ -226,6 +235,9 @@
 	s.links = map[link]linkState{}
 	s.lossRate, s.duplicateRate, s.maxExtraDelay = 0, 0, 0
 	s.log.unavailable, s.log.extraDelay, s.log.lostResponses = false, 0, 0
+	if s.operator != nil {
+		s.operator.mend()
+	}
 	for place, n := range s.nodes {
 		n.thaw()
 		s.lastFault[link{place, place}] = s.elapsed()
