--- a/test/fuzz/fuzz_test.go
+++ b/test/fuzz/fuzz_test.go
@@ -201,14 +201,17 @@
 		seed := strconv.FormatInt(time.Now().UnixNano(), 10) //nolint:forbidigo // a new seed
 		require.NoError(t, flag.Set("rapid.seed", seed))
 		name, config := "TestFaults", plan{}
-		switch round % 3 {
+		run := func(rt *rapid.T) { runSimulation(rt, config, &total) }
+		switch round % 4 {
 		case 1:
 			name, config = "TestKeys", plan{reuseKeys: true}
 		case 2:
 			name, config = "TestHealthChecks", plan{healthChecks: true}
+		case 3:
+			name, run = "TestQuotasHold", func(rt *rapid.T) { runQuotaSimulation(rt, plan{}, &total) }
 		}
 		ok := t.Run("seed="+seed, func(t *testing.T) {
-			rapid.Check(t, func(rt *rapid.T) { runSimulation(rt, config, &total) })
+			rapid.Check(t, run)
 		})
 		if !ok {
 			t.Fatalf("reproduce: go test ./test/fuzz -run '^%s$' -rapid.seed=%s\n%s", name, seed, total.String())
--- a/test/fuzz/quotas_test.go
+++ b/test/fuzz/quotas_test.go
@@ -3,6 +3,9 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +16,7 @@
 	"github.com/carobknot/carobknot/pkg/carobcallrate"
 	"github.com/carobknot/carobknot/pkg/carobcredential"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobkeydigest"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroborganisation"
@@ -257,6 +261,59 @@
 	}
 }
 
+// Guards against organisations that get no more calls through after the allocator has gone, or for
+// longer than the leases last. The calls of the time until then are refused as not ready.
+func TestQuotasAreUsableAfterTheAllocatorHasGone(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(sim *simulation, allocator *node)
+	}{
+		{"killed", func(_ *simulation, allocator *node) { allocator.kill() }},
+		{"stopped", func(_ *simulation, allocator *node) { allocator.stop() }},
+		{"frozen", func(_ *simulation, allocator *node) { allocator.freeze() }},
+		{"cut off", func(sim *simulation, allocator *node) { cutOff(sim, allocator.place, linkBlackhole) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			const nodes = 16
+			sim := newSimulation(1, nodes, plan{})
+			load := newQuotaLoad(sim)
+			caller := load.addCaller("clinic", 0, places(nodes)[1:])
+			sim.advance(time.Second)
+			load.publish(0, map[string]quotaLimit{"clinic": {100, 20}})
+			sim.advance(9 * time.Second)
+			caller.demand = 60
+			sim.advance(2 * time.Second)
+			var allocators []*node
+			for _, n := range sim.nodes {
+				if n.core.World().Self.Allocates {
+					allocators = append(allocators, n)
+				}
+			}
+			require.Len(t, allocators, 1, "all nodes choose the same allocator")
+			caller.places = slices.DeleteFunc(places(nodes), func(place int) bool { return place == allocators[0].place })
+			c.end(sim, allocators[0])
+			load.reset()
+			sim.advance(4 * time.Second)
+			t.Logf("within 4 s: %d calls, %d started, %d refused, %d not ready", caller.calls, caller.started, caller.refused, caller.notReady)
+			load.reset()
+			sim.advance(5 * time.Second)
+			t.Logf("after that: %d calls, %d started, %d refused, %d not ready", caller.calls, caller.started, caller.refused, caller.notReady)
+			require.LessOrEqual(t, caller.refused+caller.notReady, caller.calls/100)
+			require.Empty(t, sim.oracle.violation)
+		})
+	}
+}
+
+// cutOff cuts a place off from all others.
+func cutOff(sim *simulation, place int, state linkState) {
+	for other := range sim.nodes {
+		if other != place {
+			sim.setLink(link{place, other}, state)
+			sim.setLink(link{other, place}, state)
+		}
+	}
+}
+
 // quotaActions returns the faults that quotas are tested with.
 func quotaActions(sim *simulation, load *quotaLoad) map[string]func(*rapid.T) {
 	all := actions(sim)
@@ -268,13 +325,7 @@
 	}
 	place := rapid.IntRange(0, len(sim.nodes)-1)
 	selected["cut a node off"] = func(t *rapid.T) {
-		cut, state := place.Draw(t, "place"), rapid.SampledFrom([]linkState{linkReset, linkBlackhole}).Draw(t, "state")
-		for other := range sim.nodes {
-			if other != cut {
-				sim.setLink(link{cut, other}, state)
-				sim.setLink(link{other, cut}, state)
-			}
-		}
+		cutOff(sim, place.Draw(t, "place"), rapid.SampledFrom([]linkState{linkReset, linkBlackhole}).Draw(t, "state"))
 	}
 	selected["split"] = func(t *rapid.T) {
 		border := place.Draw(t, "border")
@@ -338,33 +389,100 @@
 	return limits
 }
 
+// runQuotaSimulation runs actions that rapid draws on a fleet with two organisations, all of whose
+// nodes start at once. It returns how many calls started, and the largest number in a window
+// relative to the bound.
+func runQuotaSimulation(t *rapid.T, plan plan, total *summary) (started int, worst float64) {
+	sim := newSimulation(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 8).Draw(t, "nodes"), plan)
+	defer total.add(sim)
+	load := newQuotaLoad(sim)
+	for _, name := range []string{"clinic", "practice"} {
+		load.addCaller(name, 0, places(len(sim.nodes)))
+	}
+	limits := drawLimits(t, load)
+	for place := range sim.nodes {
+		load.publish(place, limits)
+	}
+	for _, caller := range load.callers {
+		caller.demand = 7 * limits[caller.name].rate
+	}
+	selected := quotaActions(sim, load)
+	if plan.onlyActions != nil {
+		maps.DeleteFunc(selected, func(name string, _ func(*rapid.T)) bool {
+			return name != "" && !slices.Contains(plan.onlyActions, name)
+		})
+	}
+	t.Repeat(selected)
+	for _, caller := range load.callers {
+		started, worst = started+caller.started, max(worst, caller.worst)
+	}
+	return started, worst
+}
+
 // Guards against more calls of an organisation than its quota allows, summed over all nodes,
 // whatever happens to nodes and links: two nodes that both count the same share, shares that are
 // counted after their nodes use them again, and tokens that outlive their lease or their limit.
 func TestQuotasHold(t *testing.T) {
 	defer setFlag(t, "rapid.checks", fmt.Sprint(quotaChecks))()
-	worst, started := 0.0, 0
+	started, worst := 0, 0.0
 	var total summary
 	rapid.Check(t, func(rt *rapid.T) {
-		sim := newSimulation(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(2, 8).Draw(rt, "nodes"), plan{})
-		defer total.add(sim)
-		load := newQuotaLoad(sim)
-		for _, name := range []string{"clinic", "practice"} {
-			load.addCaller(name, 0, places(len(sim.nodes)))
-		}
-		limits := drawLimits(rt, load)
-		for place := range sim.nodes {
-			load.publish(place, limits)
+		calls, largest := runQuotaSimulation(rt, plan{}, &total)
+		started, worst = started+calls, max(worst, largest)
+	})
+	t.Logf("%d calls started, at most %.3f of what is allowed, %s", started, worst, total.String())
+}
+
+// quotaMutations are faults that the oracle of quotas has to find.
+var quotaMutations = []mutation{
+	{name: "tokens of a reply count twice", changeInput: func(_ *node, in *carobinbox.Inbox) {
+		for _, message := range in.Messages {
+			if message.QuotaReply == nil {
+				continue
+			}
+			for i := range message.QuotaReply.Grants {
+				message.QuotaReply.Grants[i].Tokens *= 2
+			}
 		}
-		for _, caller := range load.callers {
-			caller.demand = 7 * limits[caller.name].rate
+	}},
+	{name: "each node takes the whole quota for its share", changeInput: func(n *node, _ *carobinbox.Inbox) {
+		n.core.World().QuotaNodes = 1
+	}},
+	{name: "leases do not end", changeEffects: func(n *node, _ *carobinbox.Inbox, _ *caroboutbox.Outbox) {
+		for _, lease := range n.core.World().QuotaLeases.All() {
+			if lease.CountedUntil != carobinstant.Never {
+				lease.CountedUntil = n.clock().Add(time.Hour)
+			}
 		}
-		rt.Repeat(quotaActions(sim, load))
-		for _, caller := range load.callers {
-			worst, started = max(worst, caller.worst), started+caller.started
+	}},
+	{name: "nodes that are not heard of do not count", changeInput: func(n *node, _ *carobinbox.Inbox) {
+		world := n.core.World()
+		world.QuotaNodes = 1
+		for _, peer := range world.Peers.All() {
+			if !peer.Member.Liveness.Down() {
+				world.QuotaNodes++
+			}
 		}
-	})
-	t.Logf("%d calls started, at most %.3f of what is allowed, %s", started, worst, total.String())
+	}, onlyActions: []string{"wait", "split", "mend all"}},
+}
+
+// TestQuotaMutations checks that the oracle finds each fault of quotaMutations.
+func TestQuotaMutations(t *testing.T) {
+	defer setFlag(t, "rapid.shrinktime", "0s")()
+	for _, mutation := range quotaMutations {
+		t.Run(mutation.name, func(t *testing.T) {
+			var total summary
+			recorder := &failureRecorder{name: t.Name()}
+			recorder.run(func() {
+				rapid.Check(recorder, func(rt *rapid.T) {
+					runQuotaSimulation(rt, plan{mutation: mutation, onlyActions: mutation.onlyActions}, &total)
+				})
+			})
+			require.True(t, recorder.failed, "no violation was found in %s", total.String())
+			reason, _, _ := strings.Cut(recorder.firstFailure[strings.Index(recorder.firstFailure, ":")+2:], "\n")
+			t.Logf("| %s | %d | %d | %s |", mutation.name, total.cases, total.ticks, reason)
+		})
+	}
 }
 
 // quotaChecks is the number of simulations of TestQuotasHold. They take longer than those of other
