Read the store from the start, and write the own record again, when it goes back

Cause: the platform's store may be restored from an earlier copy. A read from an offset of before the restore misses records that have the lost offsets now, and confirms a table as the newest that is not. A node's own record may be lost, and it was written again after an hour only.

Change: carobstoreclient takes the era of each response (Store-Era), errors included. When it rises, offsets and rejections are forgotten and all records are read; a read whose response is of another era than its offset is discarded, a full read whose pages are of two eras begins again, and a response of an older era counts as failed. carobstorerecovery keeps the era and decides that the store went back; carobjoining then appends the own record within 2 s, after which the members are read. Heartbeats carry the era, and all messages do for a minute after a rise, since most nodes do not read the store. The era is logged, audited and exported as carobknot_store_era.

Places read for an offset or record of the store that is kept: carobstoreclient, carobroutepoller, carobmembersync, carobjoining, carobroutesync, carobrouteconfirmation, carobstorereading, carobworld (LoggedMembers, Peers.RoutesVersion, RoutesConfirmedAt), and of the product's own log, which has no eras, carobfold, carobcatchup and carobclaiming. docs/design/store-era.md says what becomes of each.

Result: with the header ignored, which is the behaviour before, the three tests of store_back_test.go fail: a config written after the restore is not applied within 3 s, a node that starts after it does not learn the newer table, and members are not written again. With the change they pass, as does the whole of platform/carobsidecar (210 s).

--- a/internal/carobmembersync/membersync.go
+++ b/internal/carobmembersync/membersync.go
@@ -16,6 +16,7 @@
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobrecord"
+	"github.com/carobknot/carobknot/pkg/carobstoreera"
 	"github.com/carobknot/carobknot/pkg/carobstream"
 )
 
@@ -27,6 +28,12 @@
 	Members(ctx context.Context) ([][]byte, error)
 }
 
+// eraDirectory is a directory in a store that names its era.
+type eraDirectory interface {
+	// Era returns the highest era that a response of the store has named.
+	Era() carobstoreera.Era
+}
+
 // Config holds the parameters of a member sync.
 type Config struct {
 	// Node is the node whose member is written.
@@ -53,6 +60,8 @@
 	// member is the newest member of this node, encoded; nil before the first Execute
 	// that has one.
 	member []byte
+	// era is the highest one that was posted; None if none was. Only Run uses it.
+	era carobstoreera.Era
 	// wake holds one element after member has changed.
 	wake chan struct{}
 }
@@ -103,6 +112,7 @@
 		inner, cancel := context.WithTimeout(ctx, requestTimeout)
 		err := operation(inner)
 		cancel()
+		s.postEra()
 		if err == nil {
 			return
 		}
@@ -134,3 +144,17 @@
 	})
 	return nil
 }
+
+// postEra posts the era of the store if it has risen.
+func (s *MemberSync) postEra() {
+	directory, ok := s.config.Directory.(eraDirectory)
+	if !ok {
+		return
+	}
+	era := directory.Era()
+	if era <= s.era {
+		return
+	}
+	s.era = era
+	s.config.Mailbox.Post(func(in *carobinbox.Inbox) { in.StoreEras = append(in.StoreEras, era) })
+}
--- a/internal/carobmeter/meter.go
+++ b/internal/carobmeter/meter.go
@@ -14,6 +14,7 @@
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobrouteversion"
+	"github.com/carobknot/carobknot/pkg/carobstoreera"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 )
 
@@ -36,6 +37,8 @@
 	routes, routesAge tally.Gauge
 	// routesRejected is 1 while the newest route table in the store cannot be read.
 	routesRejected tally.Gauge
+	// storeEra is the store's number of the newest era that is known. It appears once one is.
+	storeEra tally.Gauge
 }
 
 const (
@@ -103,6 +106,12 @@
 	if out.RoutesRejected {
 		m.routesRejected.Update(1)
 	}
+	if out.StoreEra != carobstoreera.None {
+		if m.storeEra == nil {
+			m.storeEra = m.scope.Gauge("store_era")
+		}
+		m.storeEra.Update(float64(out.StoreEra.Number()))
+	}
 	m.add("attempts", len(out.Sends))
 	m.add("starts", len(out.Starts))
 	m.add("checks", len(out.HealthChecks))
--- a/internal/carobroutepoller/routepoller.go
+++ b/internal/carobroutepoller/routepoller.go
@@ -17,6 +17,7 @@
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobrouterejection"
 	"github.com/carobknot/carobknot/pkg/carobroutetable"
+	"github.com/carobknot/carobknot/pkg/carobstoreera"
 )
 
 // source provides the operator's route tables.
@@ -32,6 +33,12 @@
 	Rejection() *carobrouterejection.RouteRejection
 }
 
+// eraSource is a source whose store names its era.
+type eraSource interface {
+	// Era returns the highest era that a response of the store has named.
+	Era() carobstoreera.Era
+}
+
 // Config holds the parameters of a poller.
 type Config struct {
 	Source  source
@@ -66,6 +73,8 @@
 	changed, confirmDue chan struct{}
 	// rejection is the newest one that was posted; nil if there is none.
 	rejection *carobrouterejection.RouteRejection
+	// era is the highest one that was posted; None if none was.
+	era carobstoreera.Era
 	// failures is the number of consecutive failed reads.
 	failures int
 	// unreadable is true from the failure that reaches failureThreshold to the next
@@ -192,6 +201,7 @@
 func (p *RoutePoller) readOnce(ctx context.Context, wait time.Duration) error {
 	startedAt := p.config.Timer.Now()
 	routes, err := p.config.Source.AwaitRoutes(ctx, wait)
+	p.postEra()
 	if err != nil && ctx.Err() != nil {
 		return err
 	}
@@ -215,6 +225,22 @@
 	return nil
 }
 
+// postEra posts the era of the store if it has risen. Failed reads may name one too.
+func (p *RoutePoller) postEra() {
+	source, ok := p.config.Source.(eraSource)
+	if !ok {
+		return
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	era := source.Era()
+	if era <= p.era {
+		return
+	}
+	p.era = era
+	p.config.Mailbox.Post(func(in *carobinbox.Inbox) { in.StoreEras = append(in.StoreEras, era) })
+}
+
 // newRejection returns the table that the source rejects at present, and whether it has
 // changed since the last call.
 func (p *RoutePoller) newRejection() (*carobrouterejection.RouteRejection, bool) {
--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -39,6 +39,7 @@
 	"github.com/carobknot/carobknot/pkg/carobrouting"
 	"github.com/carobknot/carobknot/pkg/carobshutdown"
 	"github.com/carobknot/carobknot/pkg/carobstorereading"
+	"github.com/carobknot/carobknot/pkg/carobstorerecovery"
 	"github.com/carobknot/carobknot/pkg/carobtracing"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
@@ -119,6 +120,7 @@
 			carobregistry.NewSystem(carobregistry.Config{
 				AnnouncementTimeout: cmp.Or(c.AnnouncementTimeout, announcementTimeout), ConfirmationPeriod: c.ConfirmationPeriod,
 			}),
+			carobstorerecovery.NewSystem(),
 			carobjoining.NewSystem(carobjoining.Config{Seeds: c.Seeds}),
 			carobmembership.NewSystem(),
 			carobdetection.NewSystem(),
--- a/pkg/carobinbox/inbox.go
+++ b/pkg/carobinbox/inbox.go
@@ -16,6 +16,7 @@
 	"github.com/carobknot/carobknot/pkg/carobrecord"
 	"github.com/carobknot/carobknot/pkg/carobrouterejection"
 	"github.com/carobknot/carobknot/pkg/carobroutetable"
+	"github.com/carobknot/carobknot/pkg/carobstoreera"
 	"github.com/carobknot/carobknot/pkg/carobstreambounds"
 )
 
@@ -43,6 +44,9 @@
 	// StoreUnreadable has a value for each change of whether the store can be read, true if it
 	// cannot, the newest last.
 	StoreUnreadable []bool
+	// StoreEras are the eras that responses of the store to this node have named. Each is higher
+	// than the one before from the same goroutine.
+	StoreEras []carobstoreera.Era
 	// Stop requests a graceful shutdown of the node.
 	Stop bool
 	// ShutdownDeadline is the deadline of the shutdown, in the tick in which it becomes
--- a/pkg/carobjoining/system.go
+++ b/pkg/carobjoining/system.go
@@ -28,6 +28,9 @@
 	// again; a random jitter of up to a quarter shortens it. The log's retention has to
 	// be longer.
 	renewInterval = time.Hour
+	// maxRewriteDelay is the longest delay before the own record is appended again after the
+	// store was restored, which may have lost it. All nodes do so, each after a random delay.
+	maxRewriteDelay = 2 * time.Second
 	// isolatedInterval is the time between two contact rounds while no other node is
 	// known, and isolatedContacts the number of nodes contacted in each.
 	isolatedInterval = 500 * time.Millisecond
@@ -65,13 +68,7 @@
 // due, and contacts some unknown nodes.
 func (s *System) Run(world *carobworld.World, now carobinstant.Instant) {
 	found := storeMembers(world)
-	if s.nextRenewal == carobinstant.Never {
-		world.Audit("member", string(world.Self.Node), "node "+string(world.Self.Node), "none", carobliveness.Alive.String())
-	}
-	if s.nextRenewal == carobinstant.Never || s.nextRenewal.Reached(now) {
-		s.nextRenewal = now.Add(renewInterval - time.Duration(world.Random.Int64N(int64(renewInterval/4))))
-		appendOwnRecord(world)
-	}
+	s.renew(world, now)
 	if found && s.nextContact != carobinstant.Never {
 		s.nextContact = carobinstant.Earlier(s.nextContact, now.Add(contactDelay+time.Duration(world.Random.Int64N(int64(contactDelay)))))
 	}
@@ -86,6 +83,20 @@
 	world.WakeAt(carobinstant.Earlier(s.nextContact, s.nextRenewal))
 }
 
+// renew appends the node's own record when it is due: at the start, before it expires, and
+// after the store was restored.
+func (s *System) renew(world *carobworld.World, now carobinstant.Instant) {
+	if s.nextRenewal == carobinstant.Never {
+		world.Audit("member", string(world.Self.Node), "node "+string(world.Self.Node), "none", carobliveness.Alive.String())
+	} else if world.StoreRestored {
+		s.nextRenewal = carobinstant.Earlier(s.nextRenewal, now.Add(time.Duration(world.Random.Int64N(int64(maxRewriteDelay)))))
+	}
+	if s.nextRenewal == carobinstant.Never || s.nextRenewal.Reached(now) {
+		s.nextRenewal = now.Add(renewInterval - time.Duration(world.Random.Int64N(int64(renewInterval/4))))
+		appendOwnRecord(world)
+	}
+}
+
 func isReachable(peer *carobpeer.Peer) bool {
 	return !peer.Member.Liveness.Down()
 }
--- a/pkg/carobmessage/message.go
+++ b/pkg/carobmessage/message.go
@@ -23,6 +23,7 @@
 	"github.com/carobknot/carobknot/pkg/carobroutetable"
 	"github.com/carobknot/carobknot/pkg/carobrouteversion"
 	"github.com/carobknot/carobknot/pkg/carobsettlement"
+	"github.com/carobknot/carobknot/pkg/carobstoreera"
 )
 
 // Message is one control message. At most one of the pointers is set, which makes it the
@@ -44,6 +45,10 @@
 	// newer route table than RoutesVersion; 0 if that is not known.
 	RoutesAge carobduration.Duration `json:"routesage,omitempty"`
 
+	// StoreEra is the newest era of the store that the sender knows; None if none is known. Not
+	// all messages name it.
+	StoreEra carobstoreera.Era `json:"era,omitempty"`
+
 	// Membership and profiles.
 
 	// Gossip carries descriptions of nodes.
--- a/pkg/caroboutbox/outbox.go
+++ b/pkg/caroboutbox/outbox.go
@@ -19,6 +19,7 @@
 	"github.com/carobknot/carobknot/pkg/carobrouteversion"
 	"github.com/carobknot/carobknot/pkg/carobsend"
 	"github.com/carobknot/carobknot/pkg/carobstart"
+	"github.com/carobknot/carobknot/pkg/carobstoreera"
 	"github.com/carobknot/carobknot/pkg/carobsubscription"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 )
@@ -50,6 +51,8 @@
 	// RoutesAge is how long ago the route table in force was last confirmed to be the newest;
 	// 0 if it never was.
 	RoutesAge time.Duration
+	// StoreEra is the newest era of the store that is known; None if none is.
+	StoreEra carobstoreera.Era
 	// Stopped is true when a graceful shutdown is complete.
 	Stopped bool
 
--- a/pkg/carobworld/ticks.go
+++ b/pkg/carobworld/ticks.go
@@ -1,6 +1,8 @@
 package carobworld
 
 import (
+	"time"
+
 	"github.com/carobknot/carobknot/pkg/carobduration"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
@@ -33,11 +35,13 @@
 	}
 }
 
-// EndTick completes the effects of a tick: it adds the age of the confirmation of the route
-// table to the messages that name the table's version, and the state of the route table for
-// the metrics.
+// EndTick completes the effects of a tick: it adds the era of the store to messages, the age of
+// the confirmation of the route table to the messages that name the table's version, and the
+// state of both for the metrics.
 func (w *World) EndTick(now carobinstant.Instant) {
 	w.Outbox.RoutesVersion, w.Outbox.RoutesRejected = w.RoutesVersion(), w.RouteRejection != nil
+	w.Outbox.StoreEra = w.StoreEra
+	w.nameStoreEra(now)
 	if w.RoutesConfirmedAt == carobinstant.Never {
 		return
 	}
@@ -49,3 +53,18 @@
 		}
 	}
 }
+
+// restoreNoticePeriod is how long all messages name the era of the store after a restore. A node
+// that gets none for so long reads the store itself.
+const restoreNoticePeriod = time.Minute
+
+// nameStoreEra adds the era of the store to the heartbeats of a tick, and to all messages for a
+// while after a restore, so that nodes learn of it that do not read the store.
+func (w *World) nameStoreEra(now carobinstant.Instant) {
+	recent := w.StoreRestoredAt != carobinstant.Never && !w.StoreRestoredAt.Add(restoreNoticePeriod).Reached(now)
+	for i := range w.Outbox.Messages {
+		if message := &w.Outbox.Messages[i]; recent || message.Heartbeat != nil {
+			message.StoreEra = w.StoreEra
+		}
+	}
+}
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -42,6 +42,7 @@
 	"github.com/carobknot/carobknot/pkg/carobservice"
 	"github.com/carobknot/carobknot/pkg/carobshard"
 	"github.com/carobknot/carobknot/pkg/carobspendingwindow"
+	"github.com/carobknot/carobknot/pkg/carobstoreera"
 	"github.com/carobknot/carobknot/pkg/carobtable"
 	"github.com/carobknot/carobknot/pkg/carobtarget"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
@@ -161,6 +162,12 @@
 	// RoutesConfirmedAt is an instant at which the store had no newer route table than
 	// RouteTable; Never if none is known. It never decreases.
 	RoutesConfirmedAt carobinstant.Instant
+	// StoreEra is the newest era of the store that is known; None if none is. It never decreases.
+	StoreEra carobstoreera.Era
+	// StoreRestored is true in the tick in which a restore of the store from an earlier copy
+	// becomes known, and StoreRestoredAt is when the last one did; Never if none has.
+	StoreRestored   bool
+	StoreRestoredAt carobinstant.Instant
 	// AwaitingLog is true after a start until the node has read the log, which may hold newer
 	// profiles. Until then no profile from the log is in force.
 	AwaitingLog bool
