--- a/internal/carobmeter/meter.go
+++ b/internal/carobmeter/meter.go
@@ -15,6 +15,7 @@
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobreport"
 	"github.com/carobknot/carobknot/pkg/carobrouteversion"
+	"github.com/carobknot/carobknot/pkg/carobstoreera"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 )
 
@@ -44,6 +45,8 @@
 	// quotaNodes, quotaLeases and allocating show the lending of quotas; all are 0 while no
 	// organisation has a quota.
 	quotaNodes, quotaLeases, allocating tally.Gauge
+	// storeEra is the store's number of the newest era that is known. It appears once one is.
+	storeEra tally.Gauge
 }
 
 const (
@@ -115,6 +118,12 @@
 		m.routesRejected.Update(1)
 	}
 	m.countQuotas(out)
+	if out.StoreEra != carobstoreera.None {
+		if m.storeEra == nil {
+			m.storeEra = m.scope.Gauge("store_era")
+		}
+		m.storeEra.Update(float64(out.StoreEra.Number()))
+	}
 	m.add("attempts", len(out.Sends))
 	m.add("starts", len(out.Starts))
 	m.add("checks", len(out.HealthChecks))
