--- a/test/fuzz/entry_test.go
+++ b/test/fuzz/entry_test.go
@@ -93,6 +93,9 @@
 	call := &entryCall{body: body, attempts: map[int]*attempt{}, arrival: carobarrival.Arrival{
 		Call: id, Service: profile.name, Timeout: timeout, Key: key, Credential: credential,
 	}}
+	if n.sim.operator != nil {
+		n.sim.operator.address(&call.arrival)
+	}
 	n.sim.oracle.callArrived(id.String(), callHistory{service: string(profile.name), guarantee: profile.guarantee, key: key, body: body})
 	n.calls[id] = call
 	n.enqueue(func(in *carobinbox.Inbox) { in.Arrivals = append(in.Arrivals, call.arrival) })
@@ -119,6 +122,9 @@
 	if conclusion.Kind != carobkind.None {
 		n.sim.kinds[conclusion.Kind]++
 		n.sim.quotas.concluded(id, conclusion.Kind)
+		if conclusion.Kind == carobkind.Unauthenticated {
+			n.sim.operator.oracle.refused(id.String())
+		}
 		n.sim.oracle.callEnded(id.String(), string(conclusion.Kind.Outcome()), "")
 		return
 	}
@@ -159,6 +165,9 @@
 	offer := caroboffer.Offer{
 		Job: send.Job, Target: send.Target, Incarnation: send.Incarnation, TimeLeft: send.TimeLeft, Key: call.arrival.Key,
 	}
+	if n.sim.operator != nil {
+		offer.Requirements = n.sim.operator.requirements(send)
+	}
 	if send.PeerAddress == "" {
 		n.offerLocally(offer, call.body, reply)
 		return
