Check cold targets in the simulation, and describe them

Its announcements now have incarnations in this plan, so that late ones are recognised.

A log line names the cold limit as the reason of a refusal.

--- a/pkg/carobadmission/cold.go
+++ b/pkg/carobadmission/cold.go
@@ -157,3 +157,11 @@
 		state.ColdBudget.Take(1)
 	}
 }
+
+// limitReason returns the reason for which a job is shed that the limits on calls do not let start.
+func limitReason(state *carobadmissionstate.AdmissionState) string {
+	if state.ColdLimit > 0 && state.ColdLimit == state.CallLimit() {
+		return "cold limit reached"
+	}
+	return "rate limit reached"
+}
--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -115,7 +115,7 @@
 	case state.Queued > queueLimit(world, target)+max(0, state.Limit-state.Running):
 		shed(world, now, leastUrgent(world, now, target.ID), state, "queue full")
 	case state.CallLimit() > 0 && state.Queued > tokensSoon(state, now):
-		shed(world, now, leastUrgent(world, now, target.ID), state, "rate limit reached")
+		shed(world, now, leastUrgent(world, now, target.ID), state, limitReason(state))
 	}
 }
 
--- a/test/fuzz/actions_test.go
+++ b/test/fuzz/actions_test.go
@@ -32,6 +32,9 @@
 	for _, group := range []map[string]func(*rapid.T){callerActions(sim), networkActions(sim), nodeActions(sim), logActions(sim), targetActions(sim)} {
 		maps.Copy(all, group)
 	}
+	if sim.plan.coldTargets {
+		maps.Copy(all, coldActions(sim))
+	}
 	return all
 }
 
--- a/test/fuzz/entry_test.go
+++ b/test/fuzz/entry_test.go
@@ -148,7 +148,7 @@
 	}
 	sent.fail = func(kind carobkind.Kind) { reply(kind, 0, nil, "") }
 	offer := caroboffer.Offer{
-		Job: send.Job, Target: send.Target, Incarnation: send.Incarnation, TimeLeft: send.TimeLeft, Key: call.arrival.Key,
+		Job: send.Job, Target: send.Target, Incarnation: send.Incarnation, TimeLeft: send.TimeLeft, Key: call.arrival.Key, RateLimit: send.RateLimit,
 	}
 	if send.PeerAddress == "" {
 		n.offerLocally(offer, call.body, reply)
--- a/test/fuzz/fuzz_test.go
+++ b/test/fuzz/fuzz_test.go
@@ -83,6 +83,9 @@
 	// healthChecks enables health checks, which report the slowness of VMs, and gives
 	// nodes that shut down a deadline.
 	healthChecks bool
+	// coldTargets gives nodes a route table with a limit for cold targets, and makes targets
+	// cold.
+	coldTargets bool
 }
 
 // runSimulation runs actions that rapid draws on one simulation, ends all faults and
@@ -170,6 +173,14 @@
 	t.Log(total.String())
 }
 
+// TestColdTargets runs all actions while targets get cold under load and restart. In no second
+// may more jobs start at a cold target than its limit allows, over all lifetimes of its node.
+func TestColdTargets(t *testing.T) {
+	var total summary
+	rapid.Check(t, func(rt *rapid.T) { runSimulation(rt, plan{healthChecks: true, coldTargets: true}, &total) })
+	t.Log(total.String())
+}
+
 // TestSeedsThatFailed plays the seeds with which TestLong has failed.
 func TestSeedsThatFailed(t *testing.T) {
 	fixed := flag.Lookup("rapid.seed").Value.String()
@@ -201,11 +212,13 @@
 		seed := strconv.FormatInt(time.Now().UnixNano(), 10) //nolint:forbidigo // a new seed
 		require.NoError(t, flag.Set("rapid.seed", seed))
 		name, config := "TestFaults", plan{}
-		switch round % 3 {
+		switch round % 4 {
 		case 1:
 			name, config = "TestKeys", plan{reuseKeys: true}
 		case 2:
 			name, config = "TestHealthChecks", plan{healthChecks: true}
+		case 3:
+			name, config = "TestColdTargets", plan{healthChecks: true, coldTargets: true}
 		}
 		ok := t.Run("seed="+seed, func(t *testing.T) {
 			rapid.Check(t, func(rt *rapid.T) { runSimulation(rt, config, &total) })
@@ -228,7 +241,10 @@
 			recorder := &failureRecorder{name: t.Name()}
 			recorder.run(func() {
 				rapid.Check(recorder, func(rt *rapid.T) {
-					runSimulation(rt, plan{mutation: mutation, onlyActions: mutation.onlyActions, reuseKeys: mutation.reuseKeys}, &total)
+					runSimulation(rt, plan{
+						mutation: mutation, onlyActions: mutation.onlyActions, reuseKeys: mutation.reuseKeys,
+						healthChecks: mutation.coldTargets, coldTargets: mutation.coldTargets,
+					}, &total)
 				})
 			})
 			require.True(t, recorder.failed, "no violation was found in %s", total.String())
--- a/test/fuzz/healthchecks_test.go
+++ b/test/fuzz/healthchecks_test.go
@@ -6,6 +6,7 @@
 	"github.com/carobknot/carobknot/pkg/carobcheckresult"
 	"github.com/carobknot/carobknot/pkg/carobhealthcheck"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobtargetdirective"
 	"github.com/carobknot/carobknot/pkg/carobtargetload"
 )
 
@@ -24,7 +25,7 @@
 func (n *node) runHealthCheck(check carobhealthcheck.HealthCheck) {
 	sim := n.sim
 	target := sim.targetAt(check.Address)
-	result := carobcheckresult.CheckResult{Target: check.Target}
+	result := carobcheckresult.CheckResult{Target: check.Target, OrderedAt: check.OrderedAt}
 	delay := sim.jitter(localDelay)
 	switch {
 	case sim.chance(lostCheckRate / 2):
@@ -36,6 +37,9 @@
 		if sim.chance(slowVMRate) {
 			result.TargetLoad.Slowness = 5
 		}
+		if sim.plan.coldTargets {
+			result.Available, result.Directive = true, &carobtargetdirective.TargetDirective{WarmupLeft: target.coldLeft()}
+		}
 	}
 	n.after(delay, func() {
 		n.enqueue(func(in *carobinbox.Inbox) { in.CheckResults = append(in.CheckResults, result) })
--- a/test/fuzz/mutations_test.go
+++ b/test/fuzz/mutations_test.go
@@ -18,6 +18,7 @@
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobreadiness"
 	"github.com/carobknot/carobknot/pkg/carobrevision"
+	"github.com/carobknot/carobknot/pkg/carobspendingwindow"
 	"github.com/carobknot/carobknot/pkg/carobstream"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
@@ -28,6 +29,8 @@
 	name string
 	// reuseKeys is true if the fault shows only when keys are used again.
 	reuseKeys bool
+	// coldTargets is true if the fault shows only when targets get cold.
+	coldTargets bool
 	// onlyActions lists the actions under which the fault shows soonest; nil runs all.
 	onlyActions []string
 	// changeInput changes the input or the tables before a tick; nil changes nothing.
@@ -198,6 +201,16 @@
 			in.Records = nil
 		}
 	}},
+	{name: "take a cold target for warm", coldTargets: true, changeInput: func(_ *node, in *carobinbox.Inbox) {
+		for i := range in.Announcements {
+			in.Announcements[i].WarmupLeft = 0
+		}
+	}},
+	{name: "forget the starts before a target became cold", coldTargets: true, changeInput: func(n *node, _ *carobinbox.Inbox) {
+		for _, state := range n.core.World().AdmissionStates.All() {
+			state.RecentStarts = carobspendingwindow.SpendingWindow{}
+		}
+	}},
 }
 
 // rebase returns a record whose change is based on the revision in force. It returns
--- a/test/fuzz/node_test.go
+++ b/test/fuzz/node_test.go
@@ -121,6 +121,9 @@
 	s.nodes[place] = n
 	s.lastFault[link{place, place}] = s.elapsed()
 	n.requestTick()
+	if s.plan.coldTargets {
+		n.deliverTable()
+	}
 	for _, stream := range []carobstream.Stream{carobstream.Profiles, carobstream.Nodes} {
 		n.readStream(stream, 0)
 	}
@@ -225,6 +228,9 @@
 	n.inbox = carobinbox.Inbox{}
 	n.sim.ticks++
 	for _, announcement := range in.Announcements {
+		if n.sim.plan.coldTargets && !n.sim.targetAt(announcement.Address).learn(announcement) {
+			continue
+		}
 		n.sim.oracle.learnedLeaving(announcement.Target.String(), announcement.Withdrawn || announcement.Readiness == carobreadiness.Leaving, n.sim.elapsed())
 	}
 	in.Announcements = slices.Clone(in.Announcements)
@@ -254,7 +260,9 @@
 func (n *node) observe(out *caroboutbox.Outbox) {
 	oracle, now := n.sim.oracle, n.sim.elapsed()
 	for _, start := range out.Starts {
-		oracle.jobStarted(n.sim.targetAt(start.Address).id.String(), start.Job.String())
+		target := n.sim.targetAt(start.Address)
+		oracle.jobStarted(target.id.String(), start.Job.String())
+		oracle.startedCold(target.id.String(), target.cold.known && target.coldLeft() > 0, now, min(target.cold.from, n.startedAt))
 	}
 	for _, send := range out.Sends {
 		for _, target := range n.sim.targets {
--- a/test/fuzz/oracle_test.go
+++ b/test/fuzz/oracle_test.go
@@ -22,7 +22,9 @@
 	inForce map[string]int64
 	// probeTraffic holds the load probes and reports that each node sent within budgetWindow.
 	probeTraffic map[string][]probeBytes
-	tally        tally
+	// starts holds when jobs started at each target within coldWindow.
+	starts map[string][]time.Duration
+	tally  tally
 }
 
 // callHistory records what happened to one call.
@@ -67,6 +69,7 @@
 	return &oracle{
 		calls: map[string]*callHistory{}, keys: map[string]int{}, leaving: map[string]time.Duration{},
 		accepted: map[string][]profileChange{}, inForce: map[string]int64{}, probeTraffic: map[string][]probeBytes{},
+		starts: map[string][]time.Duration{},
 	}
 }
 
--- a/test/fuzz/simulation_test.go
+++ b/test/fuzz/simulation_test.go
@@ -8,7 +8,9 @@
 	"github.com/carobknot/carobknot/internal/carobcodec"
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobannouncement"
+	"github.com/carobknot/carobknot/pkg/carobduration"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobincarnation"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobmessage"
 	"github.com/carobknot/carobknot/pkg/carobname"
@@ -105,6 +107,11 @@
 			id := carobtargetid.ID{Service: service.name, Name: carobname.Name(fmt.Sprintf("t%d", place))}
 			target := &fakeTarget{sim: s, id: id, place: place, durationFactor: 1, address: carobaddress.Address(fmt.Sprintf("10.0.1.%d:%d", place, len(s.targets)+1))}
 			s.targets = append(s.targets, target)
+			if plan.coldTargets {
+				// Targets with incarnations are known by their names alone.
+				target.id.Name = carobname.Name(fmt.Sprintf("t%d", len(s.targets)))
+				target.setCold(coldWindow, true)
+			}
 			target.announcePeriodically()
 		}
 		s.nodes = append(s.nodes, nil)
@@ -172,6 +179,10 @@
 				s.oracle.recordViolation("message cannot be decoded: %v", err)
 				return
 			}
+			if s.plan.coldTargets && copied.Check() != nil { // which also indexes a route table
+				s.oracle.recordViolation("message is not valid: %v", copied.Check())
+				return
+			}
 			n.after(0, func() {
 				n.enqueue(func(in *carobinbox.Inbox) { in.Messages = append(in.Messages, copied) })
 			})
@@ -323,6 +334,11 @@
 	fixedStatus int
 	// durationFactor multiplies callDuration; 1 is normal.
 	durationFactor int
+	// cold is zero in a plan without cold targets.
+	cold coldState
+	// learned has the incarnation and the sequence of the newest announcement that has reached
+	// the target's node.
+	learned coldState
 }
 
 // announcePeriodically announces the target to its node each announceInterval.
@@ -337,6 +353,9 @@
 // setReadiness changes the readiness of the target and announces it. A target that was
 // down or withdrawn returns.
 func (t *fakeTarget) setReadiness(readiness carobreadiness.Readiness) {
+	if t.sim.plan.coldTargets && (t.withdrawn || t.down) {
+		t.setCold(coldWindow, true)
+	}
 	t.readiness, t.withdrawn, t.down = readiness, false, false
 	t.announce()
 }
@@ -356,6 +375,11 @@
 		Target: t.id, Withdrawn: t.withdrawn, Address: t.address, Profile: carobname.Name(t.id.Service),
 		Slots: 2, Connections: 8, Readiness: t.readiness,
 	}
+	if t.sim.plan.coldTargets {
+		t.cold.sequence++
+		announcement.Incarnation, announcement.Sequence = carobincarnation.Incarnation(t.cold.incarnation), t.cold.sequence
+		announcement.WarmupLeft = carobduration.Duration(t.coldLeft())
+	}
 	n.after(localDelay, func() {
 		n.enqueue(func(in *carobinbox.Inbox) { in.Announcements = append(in.Announcements, announcement) })
 	})
