--- a/pkg/carobrouting/system.go
+++ b/pkg/carobrouting/system.go
@@ -261,6 +261,6 @@
 		Job:    carobjobid.ID{Call: call.Arrival.Call, Attempt: len(call.Attempts)},
 		Target: chosen.targetID, PeerAddress: chosen.peerAddress, Incarnation: chosen.incarnation, TimeLeft: call.Deadline.Sub(now),
 		Guarantee: call.Profile.Guarantee, Requirements: requirements,
-		RateLimit: knownLimit(world, &chosen),
+		RemoveIdentity: call.RequiresKey, RateLimit: knownLimit(world, &chosen),
 	})
 }
