--- a/test/fuzz/actions_test.go
+++ b/test/fuzz/actions_test.go
@@ -36,6 +36,9 @@
 	for _, group := range groups {
 		maps.Copy(all, group)
 	}
+	if sim.plan.coldTargets {
+		maps.Copy(all, coldActions(sim))
+	}
 	return all
 }
 
--- a/test/fuzz/fuzz_test.go
+++ b/test/fuzz/fuzz_test.go
@@ -90,6 +90,9 @@
 	// healthChecks enables health checks, which report the slowness of VMs, and gives
 	// nodes that shut down a deadline.
 	healthChecks bool
+	// coldTargets gives nodes a route table with a limit for cold targets, and makes targets
+	// cold.
+	coldTargets bool
 	// organisations makes calls carry API keys, which the operator adds and withdraws.
 	organisations bool
 }
@@ -182,6 +185,14 @@
 	t.Log(total.String())
 }
 
+// TestColdTargets runs all actions while targets get cold under load and restart. In no second
+// may more jobs start at a cold target than its limit allows, over all lifetimes of its node.
+func TestColdTargets(t *testing.T) {
+	var total summary
+	rapid.Check(t, func(rt *rapid.T) { runSimulation(rt, plan{healthChecks: true, coldTargets: true}, &total) })
+	t.Log(total.String())
+}
+
 // TestOrganisations runs all actions while the operator adds and withdraws keys and nodes are
 // cut off from its store. No call may run with a key that no table in force within the bound
 // held, or for another organisation.
@@ -224,14 +235,16 @@
 		require.NoError(t, flag.Set("rapid.seed", seed))
 		name, config := "TestFaults", plan{}
 		run := func(rt *rapid.T) { runSimulation(rt, config, &total) }
-		switch round % 5 {
+		switch round % 6 {
 		case 1:
 			name, config = "TestKeys", plan{reuseKeys: true}
 		case 2:
 			name, config = "TestHealthChecks", plan{healthChecks: true}
 		case 3:
-			name, config = "TestOrganisations", plan{organisations: true}
+			name, config = "TestColdTargets", plan{healthChecks: true, coldTargets: true}
 		case 4:
+			name, config = "TestOrganisations", plan{organisations: true}
+		case 5:
 			name, run = "TestQuotasHold", func(rt *rapid.T) { runQuotaSimulation(rt, plan{}, &total) }
 		}
 		ok := t.Run("seed="+seed, func(t *testing.T) {
@@ -255,7 +268,10 @@
 			recorder := &failureRecorder{name: t.Name()}
 			recorder.run(func() {
 				rapid.Check(recorder, func(rt *rapid.T) {
-					runSimulation(rt, plan{mutation: mutation, onlyActions: mutation.onlyActions, reuseKeys: mutation.reuseKeys, organisations: mutation.organisations}, &total)
+					runSimulation(rt, plan{
+						mutation: mutation, onlyActions: mutation.onlyActions, reuseKeys: mutation.reuseKeys,
+						healthChecks: mutation.coldTargets, coldTargets: mutation.coldTargets, organisations: mutation.organisations,
+					}, &total)
 				})
 			})
 			require.True(t, recorder.failed, "no violation was found in %s", total.String())
