Empty a data centre: place and start no call there while its record is in the store

Cause: an operator empties a data centre by the record evacuate/CENTRE, which nothing read.

Change: carobstoreclient reads the records together with the config and yields the whole list with its position (era and offset) after each read. carobevacuating keeps a row for each data centre; the state as of the later position counts. While a row is active or changed within the last minute, all control messages carry the rows; a reader announces a change at once. Entries place no attempt there, hedges included; a target's node there refuses offers and its queue as leaving; a call without a target left is refused at once as no-target; ejection counts only targets in use. A record that is missing takes the evacuation back after 5 s, and only if the full read has the config. Malformed records and unknown data centres are logged. evacuate-s limits the age of a confirmation if it is below config-apply-s.

With no target taken for evacuated, the tests of carobentry, carobadmission and carobejection fail. With real processes, six nodes in three zones send no call into an evacuated zone through restores of the store, a dropped topic and a store that is down (platform/carobsidecar, 76 s for both tests). A row costs 50 bytes a message, each further one 40.

--- a/internal/carobmeter/meter.go
+++ b/internal/carobmeter/meter.go
@@ -39,6 +39,8 @@
 	routesRejected tally.Gauge
 	// storeEra is the store's number of the newest era that is known. It appears once one is.
 	storeEra tally.Gauge
+	// evacuations is the number of data centres that are evacuated. It appears with the first.
+	evacuations tally.Gauge
 }
 
 const (
@@ -112,6 +114,12 @@
 		}
 		m.storeEra.Update(float64(out.StoreEra.Number()))
 	}
+	if out.Evacuations > 0 && m.evacuations == nil {
+		m.evacuations = m.scope.Gauge("evacuations")
+	}
+	if m.evacuations != nil {
+		m.evacuations.Update(float64(out.Evacuations))
+	}
 	m.add("attempts", len(out.Sends))
 	m.add("starts", len(out.Starts))
 	m.add("checks", len(out.HealthChecks))
--- a/internal/carobroutepoller/cluster_test.go
+++ b/internal/carobroutepoller/cluster_test.go
@@ -22,12 +22,14 @@
 	"github.com/carobknot/carobknot/pkg/carobcentre"
 	"github.com/carobknot/carobknot/pkg/carobcore"
 	"github.com/carobknot/carobknot/pkg/carobduration"
+	"github.com/carobknot/carobknot/pkg/carobevacuationlist"
 	"github.com/carobknot/carobknot/pkg/carobguarantee"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/caroblimits"
 	"github.com/carobknot/carobknot/pkg/carobmember"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
+	"github.com/carobknot/carobknot/pkg/caroboffset"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobroute"
 	"github.com/carobknot/carobknot/pkg/carobroutetable"
@@ -63,6 +65,9 @@
 	reads  int
 	// missingHeld is true if a change does not end the reads that the store holds.
 	missingHeld bool
+	// evacuated has the data centres that the operator has evacuated, as of the position end.
+	evacuated []carobcentre.Centre
+	end       caroboffset.Offset
 	// silent has the nodes that get no response.
 	silent map[carobnodeid.ID]bool
 }
@@ -129,6 +134,15 @@
 	mutex sync.Mutex
 	// returned is the version of the newest table that was returned.
 	returned carobrouteversion.Version
+	// evacuations are what the last response had of them.
+	evacuations carobevacuationlist.EvacuationList
+}
+
+// Evacuations returns what the last successful read found.
+func (r *storeReader) Evacuations() carobevacuationlist.EvacuationList {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.evacuations
 }
 
 // AwaitRoutes returns the store's table once it is newer than the last one returned, or
@@ -157,11 +171,13 @@
 
 // respond returns the table if it is newer than the last one returned, or else nil.
 func (r *storeReader) respond(ctx context.Context, table *carobroutetable.RouteTable) (*carobroutetable.RouteTable, error) {
+	evacuations := r.store.listEvacuations()
 	if err := r.store.timer.Wait(ctx, storeDelay); err != nil {
 		return nil, err
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.evacuations = evacuations
 	if table.Version <= r.returned {
 		return nil, nil
 	}
--- a/internal/carobroutepoller/routepoller.go
+++ b/internal/carobroutepoller/routepoller.go
@@ -12,6 +12,7 @@
 
 	"github.com/carobknot/carobknot/internal/carobmailbox"
 	"github.com/carobknot/carobknot/internal/carobtimer"
+	"github.com/carobknot/carobknot/pkg/carobevacuationlist"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
@@ -39,6 +40,12 @@
 	Era() carobstoreera.Era
 }
 
+// evacuationSource is a source whose store has records of evacuations.
+type evacuationSource interface {
+	// Evacuations returns what the last successful call of AwaitRoutes found of them.
+	Evacuations() carobevacuationlist.EvacuationList
+}
+
 // Config holds the parameters of a poller.
 type Config struct {
 	Source  source
@@ -213,8 +220,12 @@
 		return err
 	}
 	rejection, changed := p.newRejection()
+	evacuations, ok := p.config.Source.(evacuationSource)
 	p.config.Mailbox.Post(func(in *carobinbox.Inbox) {
 		in.StoreReads = append(in.StoreReads, startedAt)
+		if ok {
+			in.EvacuationLists = append(in.EvacuationLists, evacuations.Evacuations())
+		}
 		if changed {
 			in.RouteRejections = append(in.RouteRejections, rejection)
 		}
--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -18,7 +18,6 @@
 	"github.com/carobknot/carobknot/pkg/carobjobid"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroboffer"
-	"github.com/carobknot/carobknot/pkg/carobreadiness"
 	"github.com/carobknot/carobknot/pkg/carobrefusal"
 	"github.com/carobknot/carobknot/pkg/carobreport"
 	"github.com/carobknot/carobknot/pkg/carobstart"
@@ -140,7 +139,7 @@
 		return carobkind.Stale
 	case world.Paused, carobfencing.IsFenced(world, offer.Job):
 		return carobkind.Withdrawn
-	case world.Stopping, target.Readiness == carobreadiness.Leaving:
+	case world.Stopping, startsNothing(world, target):
 		return carobkind.Leaving
 	case offer.TimeLeft <= 0:
 		return carobkind.NotStartedInTime
@@ -238,13 +237,13 @@
 }
 
 // expireQueued refuses queued jobs whose deadline has passed, and those whose target is
-// unknown or leaving.
+// unknown, leaving or evacuated.
 func expireQueued(world *carobworld.World, now carobinstant.Instant) {
 	for _, job := range world.Jobs.All() {
 		if job.StartedAt != carobinstant.Never {
 			continue
 		}
-		if target := world.Targets.Get(job.Offer.Target); target == nil || target.Readiness == carobreadiness.Leaving {
+		if target := world.Targets.Get(job.Offer.Target); target == nil || startsNothing(world, target) {
 			carobfencing.RefuseQueued(world, job, carobkind.Leaving)
 			continue
 		}
--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -18,6 +18,7 @@
 	"github.com/carobknot/carobknot/pkg/carobdissemination"
 	"github.com/carobknot/carobknot/pkg/carobejection"
 	"github.com/carobknot/carobknot/pkg/carobentry"
+	"github.com/carobknot/carobknot/pkg/carobevacuating"
 	"github.com/carobknot/carobknot/pkg/carobfencing"
 	"github.com/carobknot/carobknot/pkg/carobfold"
 	"github.com/carobknot/carobknot/pkg/carobgrouping"
@@ -128,6 +129,7 @@
 			carobroutesync.NewSystem(),
 			carobstorereading.NewSystem(),
 			carobrouteconfirmation.NewSystem(carobrouteconfirmation.Config{ApplyTimeout: cmp.Or(c.ApplyTimeout, applyTimeout)}),
+			carobevacuating.NewSystem(),
 			carobfold.NewSystem(),
 			carobcatchup.NewSystem(),
 			carobcompaction.NewSystem(),
--- a/pkg/carobejection/system.go
+++ b/pkg/carobejection/system.go
@@ -29,7 +29,7 @@
 	// added, so that nodes do not all try the target again at once.
 	minEjection    = 1500 * time.Millisecond
 	ejectionJitter = time.Second
-	// maxEjectedShare is the share of a service's targets that may be ejected at once. If
+	// maxEjectedShare is the share of a service's targets in use that may be ejected at once. If
 	// more fail, the fault lies elsewhere, and ejecting them would only overload the rest.
 	maxEjectedShare = 0.5
 )
@@ -104,7 +104,7 @@
 		return false
 	}
 	return errorRate(load) > errorRateOfOthers(world, group, id)+float64(profile.EjectErrorRate) &&
-		float64(countUnavailable(world, group)+1) <= maxEjectedShare*float64(len(group.Targets))
+		float64(countUnavailable(world, group)+1) <= maxEjectedShare*float64(world.CountInUse(group))
 }
 
 // errorRate returns the target's recent error rate, or 0 if there are too few
@@ -142,10 +142,14 @@
 }
 
 // countUnavailable returns how many targets of the service are ejected or on
-// trial.
+// trial, without those that get no calls anyway since their data centre is evacuated.
 func countUnavailable(world *carobworld.World, group *carobgroup.Group) int {
 	count := 0
 	for _, id := range group.Targets {
+		target := world.Targets.Get(id)
+		if target != nil && world.IsTargetEvacuated(target) {
+			continue
+		}
 		if load := world.Loads.Get(id); load != nil && (load.OnTrial || load.EjectionEnd != carobinstant.Never) {
 			count++
 		}
--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -158,7 +158,7 @@
 		return carobkind.Leaving
 	case world.Calls.Full():
 		return carobkind.Busy
-	case world.Groups.Get(arrival.Service) == nil:
+	case world.Groups.Get(arrival.Service) == nil, world.IsServiceEvacuated(arrival.Service):
 		return carobkind.NoTarget
 	case world.ProfileOf(arrival.Service) == nil:
 		return carobkind.NotReady
@@ -174,7 +174,7 @@
 	group := world.Groups.Get(service)
 	return group != nil && lo.SomeBy(group.Targets, func(id carobtargetid.ID) bool {
 		target := world.Targets.Get(id)
-		return target != nil && !world.Owns(target) && target.Readiness == carobreadiness.Ready
+		return target != nil && !world.Owns(target) && target.Readiness == carobreadiness.Ready && !world.IsTargetEvacuated(target)
 	})
 }
 
@@ -188,7 +188,7 @@
 		sendClaim(world, now, call)
 		return
 	}
-	if call.Stage == carobstage.Waiting && call.NoTarget && call.SLODeadline != carobinstant.Never && !mayBackOff(now, call) {
+	if call.Stage == carobstage.Waiting && call.NoTarget && waitsInVain(world, now, call) {
 		concludeWithoutTarget(world, now, call)
 		return
 	}
@@ -203,3 +203,9 @@
 		continueFencing(world, now, call)
 	}
 }
+
+// waitsInVain reports whether a call without a target is to be concluded: all targets are
+// evacuated, or it has an SLO and has waited long enough.
+func waitsInVain(world *carobworld.World, now carobinstant.Instant, call *carobcall.Call) bool {
+	return world.IsServiceEvacuated(call.Arrival.Service) || call.SLODeadline != carobinstant.Never && !mayBackOff(now, call)
+}
--- a/pkg/carobinbox/inbox.go
+++ b/pkg/carobinbox/inbox.go
@@ -9,6 +9,7 @@
 	"github.com/carobknot/carobknot/pkg/carobcallid"
 	"github.com/carobknot/carobknot/pkg/carobcheckresult"
 	"github.com/carobknot/carobknot/pkg/carobdelivery"
+	"github.com/carobknot/carobknot/pkg/carobevacuationlist"
 	"github.com/carobknot/carobknot/pkg/carobfinish"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobmessage"
@@ -41,6 +42,9 @@
 	// StoreReads are the instants at which successful reads of the store began. What they
 	// found is in RouteTables.
 	StoreReads []carobinstant.Instant
+	// EvacuationLists are what successful reads of the store found about evacuations, the newest
+	// last.
+	EvacuationLists []carobevacuationlist.EvacuationList
 	// StoreUnreadable has a value for each change of whether the store can be read, true if it
 	// cannot, the newest last.
 	StoreUnreadable []bool
--- a/pkg/carobmessage/check.go
+++ b/pkg/carobmessage/check.go
@@ -1,5 +1,10 @@
 package carobmessage
 
+import (
+	"github.com/carobknot/carobknot/pkg/carobevacuation"
+	"github.com/carobknot/carobknot/pkg/carobkind"
+)
+
 // validator is message content that can validate itself.
 type validator interface {
 	Check() error
@@ -13,6 +18,14 @@
 	if err := m.ReplyTo.Check(); err != nil {
 		return err
 	}
+	if len(m.Evacuations) > carobevacuation.MaxRows {
+		return carobkind.New(carobkind.Invalid, "message: %d evacuations", len(m.Evacuations))
+	}
+	for i := range m.Evacuations {
+		if err := m.Evacuations[i].Check(); err != nil {
+			return err
+		}
+	}
 	for _, c := range m.contents() {
 		if err := c.Check(); err != nil {
 			return err
--- a/pkg/carobmessage/message.go
+++ b/pkg/carobmessage/message.go
@@ -9,6 +9,7 @@
 	"github.com/carobknot/carobknot/pkg/carobclaimreply"
 	"github.com/carobknot/carobknot/pkg/carobdigest"
 	"github.com/carobknot/carobknot/pkg/carobduration"
+	"github.com/carobknot/carobknot/pkg/carobevacuation"
 	"github.com/carobknot/carobknot/pkg/carobfence"
 	"github.com/carobknot/carobknot/pkg/carobfencereply"
 	"github.com/carobknot/carobknot/pkg/carobgossip"
@@ -49,6 +50,10 @@
 	// all messages name it.
 	StoreEra carobstoreera.Era `json:"era,omitempty"`
 
+	// Evacuations are the states of data centres that are evacuated or have changed recently. At
+	// most one is of the same data centre.
+	Evacuations []carobevacuation.Evacuation `json:"evacuate,omitempty"`
+
 	// Membership and profiles.
 
 	// Gossip carries descriptions of nodes.
--- a/pkg/caroboutbox/outbox.go
+++ b/pkg/caroboutbox/outbox.go
@@ -53,6 +53,8 @@
 	RoutesAge time.Duration
 	// StoreEra is the newest era of the store that is known; None if none is.
 	StoreEra carobstoreera.Era
+	// Evacuations is the number of data centres that are evacuated.
+	Evacuations int
 	// Stopped is true when a graceful shutdown is complete.
 	Stopped bool
 
--- a/pkg/carobrouting/system.go
+++ b/pkg/carobrouting/system.go
@@ -133,11 +133,11 @@
 	}
 }
 
-// addCandidate lists a target unless it is not ready, leaving, ejected or on
-// trial with an open attempt.
+// addCandidate lists a target unless it is not ready, leaving, evacuated, ejected
+// or on trial with an open attempt.
 func (s *System) addCandidate(world *carobworld.World, now carobinstant.Instant, call *carobcall.Call, id carobtargetid.ID) {
 	target := world.Targets.Get(id)
-	if target == nil || target.Readiness != carobreadiness.Ready || world.Stopping && world.Owns(target) {
+	if target == nil || target.Readiness != carobreadiness.Ready || world.Stopping && world.Owns(target) || world.IsTargetEvacuated(target) {
 		return
 	}
 	added := candidate{targetID: id, nodeID: target.Node, slots: max(target.Slots, 1), incarnation: world.Self.Incarnation, sameCentre: true}
--- a/pkg/carobworld/ticks.go
+++ b/pkg/carobworld/ticks.go
@@ -35,13 +35,16 @@
 	}
 }
 
-// EndTick completes the effects of a tick: it adds the era of the store to messages, the age of
-// the confirmation of the route table to the messages that name the table's version, and the
+// EndTick completes the effects of a tick: it adds the era of the store and the
+// evacuations that are to be known to messages, the age of the confirmation of the route table to the messages that name the table's version, and the
 // state of both for the metrics.
 func (w *World) EndTick(now carobinstant.Instant) {
 	w.Outbox.RoutesVersion, w.Outbox.RoutesRejected = w.RoutesVersion(), w.RouteRejection != nil
-	w.Outbox.StoreEra = w.StoreEra
+	w.Outbox.StoreEra, w.Outbox.Evacuations = w.StoreEra, w.ActiveEvacuations()
 	w.nameStoreEra(now)
+	for i := range w.Outbox.Messages {
+		w.Outbox.Messages[i].Evacuations = w.EvacuationNotices
+	}
 	if w.RoutesConfirmedAt == carobinstant.Never {
 		return
 	}
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -8,6 +8,8 @@
 	"github.com/carobknot/carobknot/pkg/carobadmissionstate"
 	"github.com/carobknot/carobknot/pkg/carobcall"
 	"github.com/carobknot/carobknot/pkg/carobcallid"
+	"github.com/carobknot/carobknot/pkg/carobcentre"
+	"github.com/carobknot/carobknot/pkg/carobevacuation"
 	"github.com/carobknot/carobknot/pkg/carobevictingmap"
 	"github.com/carobknot/carobknot/pkg/carobfinish"
 	"github.com/carobknot/carobknot/pkg/carobgroup"
@@ -168,6 +170,11 @@
 	// becomes known, and StoreRestoredAt is when the last one did; Never if none has.
 	StoreRestored   bool
 	StoreRestoredAt carobinstant.Instant
+	// Evacuations has the data centres that were ever known to be evacuated. Only rows that are
+	// active are so now.
+	Evacuations *carobtable.Table[carobcentre.Centre, carobevacuation.Evacuation]
+	// EvacuationNotices are the states that all messages carry.
+	EvacuationNotices []carobevacuation.Evacuation
 	// AwaitingLog is true after a start until the node has read the log, which may hold newer
 	// profiles. Until then no profile from the log is in force.
 	AwaitingLog bool
@@ -252,6 +259,7 @@
 		LoggedMembers:     carobtable.NewTable[carobnodeid.ID, carobmember.Member](carobtable.Config{Limit: c.Limits.Peers}),
 		PendingHeartbeats: carobtable.NewTable[uint64, carobpendingheartbeat.PendingHeartbeat](carobtable.Config{Limit: maxPendingHeartbeats}),
 		Peers:             carobtable.NewTable[carobnodeid.ID, carobpeer.Peer](carobtable.Config{Limit: c.Limits.Peers}),
+		Evacuations:       carobtable.NewTable[carobcentre.Centre, carobevacuation.Evacuation](carobtable.Config{Limit: carobevacuation.MaxRows}),
 		OpenCallHops:      carobtable.NewTable[carobcallid.ID, carobopenhop.OpenHop](carobtable.Config{Limit: 2 * c.Limits.Calls}),
 		OpenJobHops:       carobtable.NewTable[carobjobid.ID, carobopenhop.OpenHop](carobtable.Config{Limit: 2 * c.Limits.Jobs}),
 		Profiles:          carobtable.NewTable[carobname.Name, carobrevision.Revision](carobtable.Config{Limit: carobrevision.MaxProfiles}),
