--- a/pkg/carobworld/ticks.go
+++ b/pkg/carobworld/ticks.go
@@ -35,15 +35,14 @@
 	}
 }
 
-// EndTick completes the effects of a tick: it adds the era of the store and the
-// evacuations that are to be known to messages, the age of the confirmation of the route table to the messages that name the table's version, and the
-// state of both for the metrics.
+// EndTick completes the effects of a tick: it adds the era of the store and the evacuations to
+// messages, the age of the confirmation of the route table to the messages that name the
+// table's version, and the state of all three for the metrics.
 func (w *World) EndTick(now carobinstant.Instant) {
 	w.Outbox.RoutesVersion, w.Outbox.RoutesRejected = w.RoutesVersion(), w.RouteRejection != nil
 	if w.RouteTable != nil {
 		w.Outbox.Organisations = len(w.RouteTable.Organisations)
 	}
-	w.Outbox.StoreEra = w.StoreEra
 	w.Outbox.StoreEra, w.Outbox.Evacuations = w.StoreEra, w.ActiveEvacuations()
 	w.nameStoreEra(now)
 	for i := range w.Outbox.Messages {
