Play faults in a fleet of 64 when an organisation uses a full bucket

Guards against shares that are counted twice while leases move, with all tokens of a quota in existence.

--- a/test/fuzz/quotas_test.go
+++ b/test/fuzz/quotas_test.go
@@ -312,6 +312,74 @@
 	}
 }
 
+// Guards against quotas that are exceeded in a large fleet when an organisation begins to call at the
+// same time as something fails: all buckets are full then, and shares move between allocators.
+func TestQuotasHoldWhenAFullBucketIsUsedDuringAFault(t *testing.T) {
+	const nodes = 64
+	for _, c := range []struct {
+		name  string
+		fault func(sim *simulation)
+	}{
+		{"none", func(*simulation) {}},
+		{"split in half", func(sim *simulation) { split(sim, nodes/2) }},
+		{"a fifth is cut off", func(sim *simulation) {
+			for place := range nodes / 5 {
+				cutOff(sim, place*5, linkBlackhole)
+			}
+		}},
+		{"a third is replaced, the allocator too", func(sim *simulation) {
+			for place := range nodes / 3 {
+				sim.startNode(place * 3)
+			}
+		}},
+		{"all are replaced at once", func(sim *simulation) {
+			for place := range nodes {
+				sim.startNode(place)
+			}
+			sim.quotas.publish(0, sim.quotas.versions[sim.quotas.version])
+		}},
+		{"half are paused", func(sim *simulation) {
+			for place := range nodes / 2 {
+				n := sim.nodes[2*place]
+				n.freeze()
+				sim.after(1500*time.Millisecond, n.thaw)
+			}
+		}},
+		{"the limit is lowered", func(sim *simulation) {
+			sim.quotas.publish(nodes/2, map[string]quotaLimit{"clinic": {40, 10}})
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			sim := newSimulation(1, nodes, plan{})
+			load := newQuotaLoad(sim)
+			caller := load.addCaller("clinic", 0, places(nodes))
+			limits := map[string]quotaLimit{"clinic": {100, 60}}
+			for place := range nodes {
+				load.publish(place, limits)
+			}
+			sim.advance(15 * time.Second)
+			caller.demand = 700
+			sim.advance(300 * time.Millisecond)
+			c.fault(sim)
+			sim.advance(12 * time.Second)
+			mendAll(sim)
+			sim.advance(8 * time.Second)
+			t.Logf("%d calls, %d started, %d refused, %d not ready, %.3f of the bound", caller.calls, caller.started, caller.refused, caller.notReady, caller.worst)
+			require.Empty(t, sim.oracle.violation)
+		})
+	}
+}
+
+// split cuts the places below a border off from the others.
+func split(sim *simulation, border int) {
+	for a := range border {
+		for b := border; b < len(sim.nodes); b++ {
+			sim.setLink(link{a, b}, linkBlackhole)
+			sim.setLink(link{b, a}, linkBlackhole)
+		}
+	}
+}
+
 // cutOff cuts a place off from all others.
 func cutOff(sim *simulation, place int, state linkState) {
 	for other := range sim.nodes {
@@ -336,13 +404,7 @@
 		cutOff(sim, place.Draw(t, "place"), rapid.SampledFrom([]linkState{linkReset, linkBlackhole}).Draw(t, "state"))
 	}
 	selected["split"] = func(t *rapid.T) {
-		border := place.Draw(t, "border")
-		for a := range border {
-			for b := border; b < len(sim.nodes); b++ {
-				sim.setLink(link{a, b}, linkBlackhole)
-				sim.setLink(link{b, a}, linkBlackhole)
-			}
-		}
+		split(sim, place.Draw(t, "border"))
 	}
 	selected["skew callers"] = func(t *rapid.T) {
 		for _, caller := range load.callers {
