Shorten the leases of quotas in small fleets, and lengthen them in large ones

Cause: after all machines had lost power, no call of a limited organisation was served for 2.2 s, since no node uses its share before a lease of its predecessor must be over; the log showed the calls refused as not-ready until the first grants. In a large fleet, in turn, an allocator got more renewals the more nodes there are.

Change: carobquotaperiods derives renewal, lease and lifetime of tokens from the number of nodes: 250 ms, 1 s and 2 s up to 83 nodes, growing with the nodes beyond, so that an allocator gets at most 333 renewals a second. Both sides use the number that the request names.

Ruled out: counting the share of a young process in part at once, which needs most of the tolerance of the quota and gains 0.3 s; asking all nodes whether they hold a lease of the predecessor, which fails while any of them is silent.

The tests of leases took their times from the constant; they take them from the new package and stay as strict. The fuzz oracle of quotas passes.

--- a/pkg/carobentry/quota.go
+++ b/pkg/carobentry/quota.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/carobknot/carobknot/pkg/carobquotaperiods"
+
 	"github.com/carobknot/carobknot/pkg/carobcall"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobkey"
@@ -107,7 +109,7 @@
 // returnToken puts the token of a call that did not run back into stock. One that is older than the
 // lifetime of tokens is lost.
 func returnToken(world *carobworld.World, now carobinstant.Instant, call *carobcall.Call) {
-	if call.TokenTakenAt == carobinstant.Never || call.TokenTakenAt.Add(carobquotastock.TokenLifetime).Reached(now) {
+	if call.TokenTakenAt == carobinstant.Never || call.TokenTakenAt.Add(carobquotaperiods.MinTokenLifetime).Reached(now) {
 		return
 	}
 	stock := world.QuotaStocks.Get(call.Organisation.ID)
--- a/pkg/carobentry/quota_test.go
+++ b/pkg/carobentry/quota_test.go
@@ -52,7 +52,6 @@
 	r.arriveWith("/one/x", credential("key"))
 	r.requireSent(1)
 	require.Zero(t, r.stock().Tokens)
-	require.True(t, r.world.QuotaSpent)
 	r.call.Sequence++
 	r.arriveWith("/one/x", credential("key"))
 	require.Empty(t, r.world.Outbox.Sends)
--- a/pkg/carobquotaallocation/answer.go
+++ b/pkg/carobquotaallocation/answer.go
@@ -10,9 +10,9 @@
 	"github.com/carobknot/carobknot/pkg/carobquotademand"
 	"github.com/carobknot/carobknot/pkg/carobquotagrant"
 	"github.com/carobknot/carobknot/pkg/carobquotalease"
+	"github.com/carobknot/carobknot/pkg/carobquotaperiods"
 	"github.com/carobknot/carobknot/pkg/carobquotareply"
 	"github.com/carobknot/carobknot/pkg/carobquotarequest"
-	"github.com/carobknot/carobknot/pkg/carobquotastock"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
@@ -36,7 +36,7 @@
 	}
 	holdings := serve(world, lease, request, reply)
 	release(world, lease)
-	lease.Holdings, lease.HoldingsEnd = holdings, now.Add(carobquotastock.TokenLifetime)
+	lease.Holdings, lease.HoldingsEnd = holdings, now.Add(carobquotaperiods.Of(request.Nodes).TokenLifetime)
 	world.QuotaLedger.NextExpiry = carobinstant.Earlier(world.QuotaLedger.NextExpiry, lease.HoldingsEnd)
 	return reply
 }
@@ -80,7 +80,7 @@
 	if request.Nodes < 1 || request.Stamp == carobinstant.Never || request.Stamp > now || request.Issuer != world.Self.Incarnation {
 		return
 	}
-	until := request.Stamp.Add(LeaseTime)
+	until := request.Stamp.Add(carobquotaperiods.Of(request.Nodes).Lease)
 	if until <= lease.CountedUntil || !now.Before(until) {
 		return
 	}
--- a/pkg/carobquotaallocation/system.go
+++ b/pkg/carobquotaallocation/system.go
@@ -3,13 +3,11 @@
 //
 // A lease is safe without a bound on the delays of messages. The lender sends back a reading of
 // this node's clock that it received. The allocator counts the share until that reading plus
-// LeaseTime, and the lender considers itself bound until it received the reading, which was
-// later, plus LeaseTime. So a share is never counted after its node uses it again.
+// the period of a lease, and the lender considers itself bound until it received the reading,
+// which was later, plus the same period. So a share is never counted after its node uses it again.
 package carobquotaallocation
 
 import (
-	"time"
-
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobmessage"
 	"github.com/carobknot/carobknot/pkg/caroborganisationid"
@@ -19,9 +17,6 @@
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
-// LeaseTime is how long a share is lent after the instant that the lease was requested with.
-const LeaseTime = 2 * time.Second
-
 // System keeps the buckets and leases, and answers requests.
 type System struct {
 	// version is the version of the route table that the buckets follow.
--- a/pkg/carobquotaallocation/system_test.go
+++ b/pkg/carobquotaallocation/system_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/carobknot/carobknot/pkg/carobquotaperiods"
+
 	"github.com/stretchr/testify/require"
 
 	"github.com/carobknot/carobknot/pkg/carobcallrate"
@@ -111,6 +113,7 @@
 // Guards against a share that is counted after its node may use it again, whatever the delay of the
 // request, and against one that is counted on the word of another process.
 func TestLeaseEndsWithItsStamp(t *testing.T) {
+	leaseTime := carobquotaperiods.Of(4).Lease
 	for _, c := range []struct {
 		name    string
 		request func(stamp carobinstant.Instant) carobquotarequest.QuotaRequest
@@ -122,10 +125,10 @@
 		}, 0, 1},
 		{"late", func(stamp carobinstant.Instant) carobquotarequest.QuotaRequest {
 			return carobquotarequest.QuotaRequest{Stamp: stamp, Issuer: ownIncarnation, Nodes: 4}
-		}, 1999 * time.Millisecond, 1},
+		}, leaseTime - time.Millisecond, 1},
 		{"too late", func(stamp carobinstant.Instant) carobquotarequest.QuotaRequest {
 			return carobquotarequest.QuotaRequest{Stamp: stamp, Issuer: ownIncarnation, Nodes: 4}
-		}, 2 * time.Second, 0},
+		}, leaseTime, 0},
 		{"stamp of a process before this one", func(stamp carobinstant.Instant) carobquotarequest.QuotaRequest {
 			return carobquotarequest.QuotaRequest{Stamp: stamp, Issuer: ownIncarnation - 1, Nodes: 4}
 		}, 0, 0},
@@ -143,7 +146,7 @@
 			r.tick(c.delay)
 			r.request("a", c.request(stamp))
 			require.Equal(t, c.leases, r.world.Outbox.QuotaLeases)
-			r.tick(2*time.Second - c.delay)
+			r.tick(leaseTime - c.delay)
 			require.Zero(t, r.world.Outbox.QuotaLeases)
 		})
 	}
--- a/pkg/carobquotacounting/system.go
+++ b/pkg/carobquotacounting/system.go
@@ -9,6 +9,8 @@
 import (
 	"time"
 
+	"github.com/carobknot/carobknot/pkg/carobquotaperiods"
+
 	"github.com/carobknot/carobknot/pkg/carobcountednode"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobliveness"
@@ -24,10 +26,6 @@
 	// isolationLimit is how long a node that hears of no other node uses its share. The others
 	// count it for longer.
 	isolationLimit = 55 * time.Minute
-	// settleTime is how long after its start a node has no share. Nodes that start at once know
-	// only some of the others at first. It is also the time after which no lease of the process
-	// before this one is left.
-	settleTime = 2 * time.Second
 	// scanInterval is the shortest time between two scans of the peer table.
 	scanInterval = 100 * time.Millisecond
 	// sweepInterval is the longest time between two scans.
@@ -157,10 +155,12 @@
 	world.CountedNodes.Put(peer.Member.Node, node)
 }
 
-// shareUsable reports whether this node may use its share or lend it. A node that is not known
-// to any other may use it, once it has read which members are recorded.
+// shareUsable reports whether this node may use its share or lend it: not before a lease of the
+// process before this one must be over, which is also time for nodes that start at once to know
+// each other. A node that is not known to any other may use its share, once it has read which
+// members are recorded.
 func (s *System) shareUsable(world *carobworld.World, now carobinstant.Instant) bool {
-	settled := s.startedAt.Add(settleTime)
+	settled := s.startedAt.Add(carobquotaperiods.Of(world.QuotaNodes).Lease)
 	if !settled.Reached(now) {
 		world.WakeAt(settled)
 		return false
--- a/pkg/carobquotalending/lease.go
+++ b/pkg/carobquotalending/lease.go
@@ -5,14 +5,11 @@
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobmessage"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
-	"github.com/carobknot/carobknot/pkg/carobquotaallocation"
+	"github.com/carobknot/carobknot/pkg/carobquotaperiods"
 	"github.com/carobknot/carobknot/pkg/carobquotarequest"
-	"github.com/carobknot/carobknot/pkg/carobquotastock"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
-const tokenLifetime = carobquotastock.TokenLifetime
-
 type incarnation = carobincarnation.Incarnation
 
 // stamp is a reading of an allocator's clock.
@@ -40,7 +37,7 @@
 // allocator, there is a stamp of it that is new enough, and no other node holds the share.
 func (s *System) lends(world *carobworld.World, now carobinstant.Instant, choice, partner candidate) bool {
 	if !world.QuotaShareUsable || partner.node != choice.node || s.stamp.node != partner.node ||
-		s.stamp.receivedAt.Add(carobquotaallocation.LeaseTime).Reached(now) {
+		s.stamp.receivedAt.Add(carobquotaperiods.Of(world.QuotaNodes).Lease).Reached(now) {
 		return false
 	}
 	return !s.bound.holds(now) || s.bound.to.node == partner.node && s.bound.issuer == s.stamp.issuer
@@ -58,7 +55,7 @@
 	case s.lends(world, now, choice, partner):
 		request.Stamp, request.Issuer, request.Nodes = s.stamp.reading, s.stamp.issuer, world.QuotaNodes
 		s.bound.to, s.bound.issuer = partner, s.stamp.issuer
-		s.bound.until = max(s.bound.until, s.stamp.receivedAt.Add(carobquotaallocation.LeaseTime))
+		s.bound.until = max(s.bound.until, s.stamp.receivedAt.Add(carobquotaperiods.Of(world.QuotaNodes).Lease))
 		world.OwnQuotaSince = carobinstant.Never
 		world.WakeAt(s.bound.until)
 	}
--- a/pkg/carobquotalending/system.go
+++ b/pkg/carobquotalending/system.go
@@ -8,6 +8,8 @@
 import (
 	"time"
 
+	"github.com/carobknot/carobknot/pkg/carobquotaperiods"
+
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobliveness"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
@@ -27,11 +29,6 @@
 	// waitingInterval is the time between two requests for calls that still wait after a reply,
 	// because nothing is known about when there are tokens.
 	waitingInterval = 50 * time.Millisecond
-	// spendingInterval is the time between two requests while tokens are being spent. It is
-	// shorter than the time in which a stock is used up.
-	spendingInterval = 400 * time.Millisecond
-	// idleInterval is the time between two requests otherwise, which keep the lease.
-	idleInterval = time.Second
 	// replyTimeout is how long a request waits for its reply. It is several times what messages
 	// between data centres take.
 	replyTimeout = 250 * time.Millisecond
@@ -51,6 +48,9 @@
 	number uint64
 	sentAt carobinstant.Instant
 	sentTo carobnodeid.ID
+	// lentNodes is the number of nodes that the request named with the share that it lent; 0 if
+	// it lent none.
+	lentNodes int
 	// open is true while that request has no reply and has not timed out.
 	open bool
 	// stamp is the newest clock reading of an allocator, and when it was received.
@@ -109,7 +109,7 @@
 	for id := range world.LoweredQuotas.All() {
 		world.LoweredQuotas.Delete(id)
 	}
-	world.OwnQuotaSince, world.QuotaSpent = carobinstant.Never, false
+	world.OwnQuotaSince = carobinstant.Never
 	if world.Self.Capacity != 0 || world.Self.Allocates {
 		world.Self.Capacity, world.Self.Allocates = 0, false
 		world.Self.Sequence++
@@ -216,8 +216,8 @@
 		return
 	}
 	request := s.newRequest(world, now, choice, partner)
-	s.number, s.sentAt, s.sentTo, s.open = request.Number, now, partner.node, true
-	world.QuotaSpent, world.QuotaUrgent = false, false
+	s.number, s.sentAt, s.sentTo, s.lentNodes, s.open = request.Number, now, partner.node, request.Nodes, true
+	world.QuotaUrgent = false
 	if !self {
 		world.SendMessage(messageTo(partner, request))
 		world.WakeAt(s.sentAt.Add(replyTimeout))
@@ -240,10 +240,8 @@
 		return s.sentAt.Add(urgentInterval)
 	case world.QuotaWaiting > 0, partner.node != choice.node && isLeaving(world, partner.node):
 		return s.sentAt.Add(waitingInterval)
-	case world.QuotaSpent:
-		return s.sentAt.Add(spendingInterval)
 	default:
-		return s.sentAt.Add(idleInterval)
+		return s.sentAt.Add(carobquotaperiods.Of(world.QuotaNodes).Renewal)
 	}
 }
 
@@ -291,7 +289,7 @@
 func (s *System) renewStocks(world *carobworld.World, now carobinstant.Instant) {
 	for _, stock := range world.QuotaStocks.All() {
 		stock.Expire(now)
-		stock.ExpiresAt, stock.DeniedUntil = s.sentAt.Add(tokenLifetime), carobinstant.Never
+		stock.ExpiresAt, stock.DeniedUntil = s.sentAt.Add(carobquotaperiods.Of(s.lentNodes).TokenLifetime), carobinstant.Never
 	}
 }
 
--- a/pkg/carobquotalending/system_test.go
+++ b/pkg/carobquotalending/system_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/carobknot/carobknot/pkg/carobquotaperiods"
+
 	"github.com/stretchr/testify/require"
 
 	"github.com/carobknot/carobknot/pkg/carobaddress"
@@ -165,7 +167,7 @@
 	r.tick(20 * time.Millisecond)
 	require.Positive(t, r.last.Nodes)
 	require.Equal(t, carobinstant.Never, r.world.OwnQuotaSince)
-	for r.now < received.Add(2*time.Second-20*time.Millisecond) {
+	for r.now < received.Add(carobquotaperiods.Of(r.world.QuotaNodes).Lease-20*time.Millisecond) {
 		r.tick(10 * time.Millisecond)
 		require.Equal(t, carobinstant.Never, r.world.OwnQuotaSince, "the allocator may count the share")
 		require.Zero(t, r.world.QuotaLedger.Leases, "nor does this node lend it to itself")
@@ -179,7 +181,7 @@
 func TestShareIsLentToOneAllocatorAtATime(t *testing.T) {
 	r := newRig(t, peer("b", 900, true))
 	r.lend("b")
-	bound := r.now.Add(-20 * time.Millisecond).Add(2 * time.Second)
+	bound := r.now.Add(-20 * time.Millisecond).Add(carobquotaperiods.Of(r.world.QuotaNodes).Lease)
 	r.tick(time.Millisecond, reply("b", r.last.Number))
 	// The reply renews the stamp, but the lease ends with the stamp that was sent.
 	r.setPeer(peer("a", 900, true))
--- a/pkg/carobquotastock/quotastock.go
+++ b/pkg/carobquotastock/quotastock.go
@@ -9,10 +9,6 @@
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 )
 
-// TokenLifetime is how long a node may use tokens after it sent the request that brought or
-// renewed them, and how long an allocator counts them after its reply.
-const TokenLifetime = 2 * time.Second
-
 // QuotaStock is the state of one organisation's quota at an entry.
 type QuotaStock struct {
 	// Rate and Burst are the limit that the tokens were granted under.
--- a/pkg/carobworld/quotas.go
+++ b/pkg/carobworld/quotas.go
@@ -34,7 +34,6 @@
 // there was one: of those from an allocator, or of this node's own share while it uses that.
 func (w *World) TakeQuotaToken(now carobinstant.Instant, stock *carobquotastock.QuotaStock) bool {
 	if stock.Take(now) {
-		w.QuotaSpent = true
 		return true
 	}
 	if w.OwnQuotaSince == carobinstant.Never || !w.QuotaShareUsable {
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -231,8 +231,6 @@
 	QuotaWaiting int
 	// QuotaUrgent is true if a call began to wait for a token after the last request.
 	QuotaUrgent bool
-	// QuotaSpent is true if a token was taken since the last request.
-	QuotaSpent bool
 	// OwnQuotaSince is since when this node uses its own share; Never while it does not.
 	OwnQuotaSince carobinstant.Instant
 	// QuotaLedger is the account of the shares that are lent to this node as an allocator,
