List in quota requests only what the allocator does not know

Cause: each request listed all organisations in use at the node, which was most of the bytes of requests for a single call that waits.

Change: a request leaves out the organisations of which the node holds what the allocator recorded after its last reply. It is complete if that is not known. A node keeps one token more than its target instead of returning it.

--- a/pkg/carobquotaallocation/answer.go
+++ b/pkg/carobquotaallocation/answer.go
@@ -34,35 +34,41 @@
 	} else {
 		renew(world, now, lease, request)
 	}
-	holdings := serve(world, lease, request, reply)
-	release(world, lease)
-	lease.Holdings, lease.HoldingsEnd = holdings, now.Add(carobquotastock.TokenLifetime)
+	before := lease.Holdings
+	if request.Complete {
+		lease.Holdings = nil
+	}
+	serve(world, lease, before, request, reply)
+	if request.Complete {
+		release(world, before)
+	}
+	lease.HoldingsEnd = now.Add(carobquotastock.TokenLifetime)
 	world.QuotaLedger.NextExpiry = carobinstant.Earlier(world.QuotaLedger.NextExpiry, lease.HoldingsEnd)
 	return reply
 }
 
-// serve grants what a request needs, and returns the tokens that the node may hold then. It removes
-// them from the record of before.
-func serve(world *carobworld.World, lease *carobquotalease.QuotaLease, request *carobquotarequest.QuotaRequest, reply *carobquotareply.QuotaReply) map[caroborganisationid.ID]int {
-	if len(request.Demands) == 0 {
-		return nil
-	}
-	holdings := make(map[caroborganisationid.ID]int, len(request.Demands))
+// serve grants what a request needs, and records the tokens that the node may hold then. It removes
+// those that were recorded before.
+func serve(world *carobworld.World, lease *carobquotalease.QuotaLease, before map[caroborganisationid.ID]int, request *carobquotarequest.QuotaRequest, reply *carobquotareply.QuotaReply) {
 	for i := range request.Demands {
 		demand := &request.Demands[i]
 		bucket := world.QuotaBuckets.Get(demand.Organisation)
 		if bucket == nil {
 			continue
 		}
-		grant := allocate(world, bucket, demand, lease.Holdings[demand.Organisation])
-		delete(lease.Holdings, demand.Organisation)
-		holdings[demand.Organisation] = demand.Held + grant.Tokens
+		grant := allocate(world, bucket, demand, before[demand.Organisation])
+		delete(before, demand.Organisation)
+		if lease.Holdings == nil {
+			lease.Holdings = make(map[caroborganisationid.ID]int, len(request.Demands))
+		}
+		if tokens := demand.Held + grant.Tokens; tokens > 0 {
+			lease.Holdings[demand.Organisation] = tokens
+		}
 		world.Outbox.QuotaTokens += grant.Tokens
 		if grant.Tokens > 0 || grant.Wait > 0 {
 			reply.Grants = append(reply.Grants, grant)
 		}
 	}
-	return holdings
 }
 
 // end ends a lease before its time. Requests that the node sent before are ignored, or are too old
@@ -108,13 +114,12 @@
 	return grant
 }
 
-// release stops counting the tokens that a lease records.
-func release(world *carobworld.World, lease *carobquotalease.QuotaLease) {
-	for organisation, tokens := range lease.Holdings {
+// release stops counting the tokens that were recorded of a node.
+func release(world *carobworld.World, holdings map[caroborganisationid.ID]int) {
+	for organisation, tokens := range holdings {
 		if bucket := world.QuotaBuckets.Get(organisation); bucket != nil {
 			bucket.Settle(world.QuotaLedger.Credit, world.QuotaLedger.Share)
 			bucket.Outstanding -= tokens
 		}
 	}
-	lease.Holdings = nil
 }
--- a/pkg/carobquotaallocation/system.go
+++ b/pkg/carobquotaallocation/system.go
@@ -94,8 +94,8 @@
 		}
 		ledger.NextExpiry = carobinstant.Earlier(ledger.NextExpiry, lease.CountedUntil)
 		if lease.HoldingsEnd.Reached(now) {
-			release(world, lease)
-			lease.HoldingsEnd = carobinstant.Never
+			release(world, lease.Holdings)
+			lease.Holdings, lease.HoldingsEnd = nil, carobinstant.Never
 		}
 		ledger.NextExpiry = carobinstant.Earlier(ledger.NextExpiry, lease.HoldingsEnd)
 		if lease.CountedUntil == carobinstant.Never && lease.HoldingsEnd == carobinstant.Never {
--- a/pkg/carobquotaallocation/system_test.go
+++ b/pkg/carobquotaallocation/system_test.go
@@ -233,6 +233,24 @@
 	require.InDelta(t, 5, bucket.Tokens, 1e-6)
 }
 
+// Guards against tokens that are forgotten because a request leaves them out, so that more are granted
+// than may exist, and against ones that are counted although a complete request does not have them.
+func TestWhatARequestLeavesOut(t *testing.T) {
+	r := newRig(t)
+	r.lend("a", "b", "c", "d")
+	r.tick(100 * time.Millisecond)
+	require.Equal(t, 10, granted(r.request("a", demand(0, 0, 10, 0))))
+	r.request("a", carobquotarequest.QuotaRequest{})
+	require.Equal(t, 10, r.world.QuotaBuckets.Get("clinic").Outstanding)
+	r.tick(1500 * time.Millisecond)
+	r.request("a", carobquotarequest.QuotaRequest{})
+	r.tick(1500 * time.Millisecond)
+	require.Equal(t, 10, r.world.QuotaBuckets.Get("clinic").Outstanding, "renewed by the request")
+	r.request("a", carobquotarequest.QuotaRequest{Complete: true})
+	require.Zero(t, r.world.QuotaBuckets.Get("clinic").Outstanding)
+	require.Empty(t, r.world.QuotaLeases.Get("a").Holdings)
+}
+
 // Guards against an allocator that grants no more because of tokens at a node that has died, and
 // against tokens beyond the capacity.
 func TestHoldingsExpire(t *testing.T) {
--- a/pkg/carobquotalending/lease.go
+++ b/pkg/carobquotalending/lease.go
@@ -62,7 +62,8 @@
 		world.OwnQuotaSince = carobinstant.Never
 		world.WakeAt(s.bound.until)
 	}
-	request.Demands = demands(world, now)
+	request.Complete = s.recorded != partner.node
+	request.Demands, s.recorded = demands(world, now, request.Complete), ""
 	return request
 }
 
--- a/pkg/carobquotalending/system.go
+++ b/pkg/carobquotalending/system.go
@@ -12,9 +12,11 @@
 	"github.com/carobknot/carobknot/pkg/carobliveness"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/caroborganisation"
+	"github.com/carobknot/carobknot/pkg/caroborganisationid"
 	"github.com/carobknot/carobknot/pkg/carobquotaallocation"
 	"github.com/carobknot/carobknot/pkg/carobquotademand"
 	"github.com/carobknot/carobknot/pkg/carobquotareply"
+	"github.com/carobknot/carobknot/pkg/carobquotastock"
 	"github.com/carobknot/carobknot/pkg/carobroutetable"
 	"github.com/carobknot/carobknot/pkg/carobrouteversion"
 	"github.com/carobknot/carobknot/pkg/carobworld"
@@ -51,6 +53,9 @@
 	number uint64
 	sentAt carobinstant.Instant
 	sentTo carobnodeid.ID
+	// recorded is the node whose record of the tokens in stock is known, because it replied to the
+	// last request; empty if there is none.
+	recorded carobnodeid.ID
 	// open is true while that request has no reply and has not timed out.
 	open bool
 	// stamp is the newest clock reading of an allocator, and when it was received.
@@ -71,13 +76,14 @@
 		s.clear(world)
 		return
 	}
-	if s.version != world.RoutesVersion() {
+	changed := s.version != world.RoutesVersion()
+	if changed {
 		followLimits(world, s.table)
 		s.version, s.table = world.RoutesVersion(), world.RouteTable
 	}
 	if world.Paused {
 		// The reply may have arrived long ago, so its absence shows nothing.
-		s.open, s.stamp = false, stamp{}
+		s.open, s.stamp, s.recorded = false, stamp{}, ""
 		world.OwnQuotaSince = carobinstant.Never
 	}
 	for i := range world.Inbox.Messages {
@@ -85,6 +91,10 @@
 			s.handleReply(world, now, message.QuotaReply, message.Incarnation, message.RoutesVersion)
 		}
 	}
+	if changed {
+		// Stocks may have been removed of which the allocator has a record.
+		s.recorded = ""
+	}
 	if s.open && s.sentAt.Add(replyTimeout).Reached(now) {
 		s.open = false
 		s.chooser.avoid(s.sentTo, now.Add(avoidTime))
@@ -268,7 +278,11 @@
 	if reply.Number != s.number {
 		return
 	}
-	s.open = false
+	s.open, s.recorded = false, s.sentTo
+	if s.stamp.node == s.sentTo && s.stamp.issuer != issuer {
+		// The allocator has restarted and may lack what the request left out.
+		s.recorded = ""
+	}
 	s.stamp = stamp{node: s.sentTo, issuer: issuer, reading: reply.Stamp, receivedAt: now}
 	if reply.Released && s.bound.to.node == s.sentTo && s.bound.issuer == issuer {
 		s.bound, s.stamp = binding{}, stamp{}
@@ -277,7 +291,11 @@
 	s.renewStocks(world, now)
 	for _, grant := range reply.Grants {
 		stock := world.QuotaStocks.Get(grant.Organisation)
-		if lowered := world.LoweredQuotas.Get(grant.Organisation); stock == nil || lowered != nil && version < *lowered {
+		if stock == nil {
+			continue
+		}
+		stock.Recorded += grant.Tokens
+		if lowered := world.LoweredQuotas.Get(grant.Organisation); lowered != nil && version < *lowered {
 			continue
 		}
 		stock.Tokens += grant.Tokens
@@ -287,7 +305,7 @@
 	}
 }
 
-// renewStocks renews the tokens in stock, all of which the request listed.
+// renewStocks renews the tokens in stock, all of which the allocator has on record.
 func (s *System) renewStocks(world *carobworld.World, now carobinstant.Instant) {
 	for _, stock := range world.QuotaStocks.All() {
 		stock.Expire(now)
@@ -296,19 +314,18 @@
 }
 
 // demands returns what this node holds and needs, and removes the tokens that it returns and the
-// stocks that are no longer in use.
-func demands(world *carobworld.World, now carobinstant.Instant) []carobquotademand.QuotaDemand {
+// stocks that are no longer in use. A list that is not complete has what differs from the
+// allocator's record only.
+func demands(world *carobworld.World, now carobinstant.Instant, complete bool) []carobquotademand.QuotaDemand {
 	var list []carobquotademand.QuotaDemand
 	for id, stock := range world.QuotaStocks.All() {
-		stock.Expire(now)
-		target := stock.Target(now)
-		demand := carobquotademand.QuotaDemand{Organisation: id, Waiting: stock.Waiting}
-		if stock.Tokens > target {
-			demand.Returned, stock.Tokens = stock.Tokens-target, target
+		if complete {
+			stock.Recorded = 0
 		}
-		demand.Held, demand.Stock = stock.Tokens, target-stock.Tokens
+		demand := demandOf(now, id, stock)
 		switch {
-		case demand.Held+demand.Returned+demand.Waiting+demand.Stock > 0:
+		case demand.Returned+demand.Waiting+demand.Stock > 0 || demand.Held != stock.Recorded:
+			stock.Recorded = demand.Held
 			list = append(list, demand)
 		case stock.Idle(now) && world.OwnQuotaSince == carobinstant.Never:
 			world.QuotaStocks.Delete(id)
@@ -316,3 +333,16 @@
 	}
 	return list
 }
+
+// demandOf returns what this node holds and needs of one organisation.
+func demandOf(now carobinstant.Instant, id caroborganisationid.ID, stock *carobquotastock.QuotaStock) carobquotademand.QuotaDemand {
+	stock.Expire(now)
+	target := stock.Target(now)
+	demand := carobquotademand.QuotaDemand{Organisation: id, Waiting: stock.Waiting}
+	// One token more than the target is kept, because the target changes all the time.
+	if stock.Tokens > target+1 || target == 0 {
+		demand.Returned, stock.Tokens = stock.Tokens-target, target
+	}
+	demand.Held, demand.Stock = stock.Tokens, max(0, target-stock.Tokens)
+	return demand
+}
--- a/pkg/carobquotalending/system_test.go
+++ b/pkg/carobquotalending/system_test.go
@@ -259,6 +259,35 @@
 	require.Zero(t, r.world.QuotaStocks.Get("clinic").Tokens)
 }
 
+// Guards against requests that list all organisations each time, and against ones that leave something
+// out of which the allocator may have no record.
+func TestRequestsListWhatChanged(t *testing.T) {
+	r := newRig(t, peer("a", 900, true))
+	stock := r.world.QuotaStocks.Put("clinic", carobquotastock.QuotaStock{Rate: 100, Burst: 10, Tokens: 2, ExpiresAt: r.now.Add(time.Minute)})
+	stock.RecordCall(r.now)
+	r.tick(0)
+	require.True(t, r.last.Complete)
+	require.Len(t, r.last.Demands, 1)
+	r.tick(time.Millisecond, reply("a", 1))
+	r.tick(20 * time.Millisecond)
+	require.False(t, r.last.Complete)
+	require.Empty(t, r.last.Demands)
+	r.tick(time.Millisecond, reply("a", 2))
+	stock.Tokens, r.world.QuotaSpent = 1, true
+	r.tick(400 * time.Millisecond)
+	require.False(t, r.last.Complete)
+	require.Equal(t, 1, r.last.Demands[0].Held)
+	number := r.last.Number
+	r.pass(240 * time.Millisecond)
+	r.setPeer(peer("b", 999, true))
+	r.tick(time.Millisecond, reply("a", number))
+	r.setLimit(2, 100)
+	for r.last = nil; r.last == nil; {
+		r.tick(10 * time.Millisecond)
+	}
+	require.True(t, r.last.Complete, "the record of the other node, or of the table before, is not this one")
+}
+
 // Guards against an allocator that gives its own calls no tokens.
 func TestAllocatorServesItself(t *testing.T) {
 	r := newRig(t)
--- a/pkg/carobquotarequest/quotarequest.go
+++ b/pkg/carobquotarequest/quotarequest.go
@@ -6,6 +6,7 @@
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/caroborganisationid"
 	"github.com/carobknot/carobknot/pkg/carobquotademand"
 )
 
@@ -20,7 +21,11 @@
 	// Nodes is the number of nodes that the sender counts, of whose quotas it lends one share;
 	// 0 if it lends nothing.
 	Nodes int `json:"nodes,omitempty"`
-	// Demands has all organisations of which the node holds or needs tokens.
+	// Complete is true if Demands has all organisations of which the node holds or needs tokens.
+	// Otherwise the node still holds as many as the allocator recorded of those that are left out.
+	Complete bool `json:"all,omitempty"`
+	// Demands has the organisations of which the node needs tokens, or holds others than the
+	// allocator recorded.
 	Demands []carobquotademand.QuotaDemand `json:"demands,omitempty"`
 }
 
@@ -36,10 +41,15 @@
 	if q.Stamp < 0 || q.Nodes < 0 || q.Nodes > maxNodes || len(q.Demands) > MaxDemands {
 		return carobkind.New(carobkind.Invalid, "quota request: a field is out of bounds")
 	}
+	seen := make(map[caroborganisationid.ID]bool, len(q.Demands))
 	for i := range q.Demands {
 		if err := q.Demands[i].Check(); err != nil {
 			return err
 		}
+		if seen[q.Demands[i].Organisation] {
+			return carobkind.New(carobkind.Invalid, "quota request: organisation %s stands twice", q.Demands[i].Organisation)
+		}
+		seen[q.Demands[i].Organisation] = true
 	}
 	return nil
 }
--- a/pkg/carobquotastock/quotastock.go
+++ b/pkg/carobquotastock/quotastock.go
@@ -21,6 +21,8 @@
 	// Tokens is the number of tokens from allocators, which may be used until ExpiresAt.
 	Tokens    int
 	ExpiresAt carobinstant.Instant
+	// Recorded is the number of tokens that the allocator has on record after its last reply.
+	Recorded int
 	// OwnTokens is what has accumulated of the node's own share until OwnFilledAt.
 	OwnTokens   float64
 	OwnFilledAt carobinstant.Instant
