--- a/pkg/carobquotalending/system.go
+++ b/pkg/carobquotalending/system.go
@@ -8,13 +8,17 @@
 import (
 	"time"
 
+	"github.com/carobknot/carobknot/pkg/carobquotaperiods"
+
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobliveness"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/caroborganisation"
+	"github.com/carobknot/carobknot/pkg/caroborganisationid"
 	"github.com/carobknot/carobknot/pkg/carobquotaallocation"
 	"github.com/carobknot/carobknot/pkg/carobquotademand"
 	"github.com/carobknot/carobknot/pkg/carobquotareply"
+	"github.com/carobknot/carobknot/pkg/carobquotastock"
 	"github.com/carobknot/carobknot/pkg/carobroutetable"
 	"github.com/carobknot/carobknot/pkg/carobrouteversion"
 	"github.com/carobknot/carobknot/pkg/carobworld"
@@ -27,11 +31,6 @@
 	// waitingInterval is the time between two requests for calls that still wait after a reply,
 	// because nothing is known about when there are tokens.
 	waitingInterval = 50 * time.Millisecond
-	// spendingInterval is the time between two requests while tokens are being spent. It is
-	// shorter than the time in which a stock is used up.
-	spendingInterval = 400 * time.Millisecond
-	// idleInterval is the time between two requests otherwise, which keep the lease.
-	idleInterval = time.Second
 	// replyTimeout is how long a request waits for its reply. It is several times what messages
 	// between data centres take.
 	replyTimeout = 250 * time.Millisecond
@@ -51,6 +50,12 @@
 	number uint64
 	sentAt carobinstant.Instant
 	sentTo carobnodeid.ID
+	// lentNodes is the number of nodes that the request named with the share that it lent; 0 if
+	// it lent none.
+	lentNodes int
+	// recorded is the node whose record of the tokens in stock is known, because it replied to the
+	// last request; empty if there is none.
+	recorded carobnodeid.ID
 	// open is true while that request has no reply and has not timed out.
 	open bool
 	// stamp is the newest clock reading of an allocator, and when it was received.
@@ -71,13 +76,14 @@
 		s.clear(world)
 		return
 	}
-	if s.version != world.RoutesVersion() {
+	changed := s.version != world.RoutesVersion()
+	if changed {
 		followLimits(world, s.table)
 		s.version, s.table = world.RoutesVersion(), world.RouteTable
 	}
 	if world.Paused {
 		// The reply may have arrived long ago, so its absence shows nothing.
-		s.open, s.stamp = false, stamp{}
+		s.open, s.stamp, s.recorded = false, stamp{}, ""
 		world.OwnQuotaSince = carobinstant.Never
 	}
 	for i := range world.Inbox.Messages {
@@ -85,6 +91,10 @@
 			s.handleReply(world, now, message.QuotaReply, message.Incarnation, message.RoutesVersion)
 		}
 	}
+	if changed {
+		// Stocks may have been removed of which the allocator has a record.
+		s.recorded = ""
+	}
 	if s.open && s.sentAt.Add(replyTimeout).Reached(now) {
 		s.open = false
 		s.chooser.avoid(s.sentTo, now.Add(avoidTime))
@@ -109,7 +119,7 @@
 	for id := range world.LoweredQuotas.All() {
 		world.LoweredQuotas.Delete(id)
 	}
-	world.OwnQuotaSince, world.QuotaSpent = carobinstant.Never, false
+	world.OwnQuotaSince = carobinstant.Never
 	if world.Self.Capacity != 0 || world.Self.Allocates {
 		world.Self.Capacity, world.Self.Allocates = 0, false
 		world.Self.Sequence++
@@ -216,8 +226,8 @@
 		return
 	}
 	request := s.newRequest(world, now, choice, partner)
-	s.number, s.sentAt, s.sentTo, s.open = request.Number, now, partner.node, true
-	world.QuotaSpent, world.QuotaUrgent = false, false
+	s.number, s.sentAt, s.sentTo, s.lentNodes, s.open = request.Number, now, partner.node, request.Nodes, true
+	world.QuotaUrgent = false
 	if !self {
 		world.SendMessage(messageTo(partner, request))
 		world.WakeAt(s.sentAt.Add(replyTimeout))
@@ -240,10 +250,8 @@
 		return s.sentAt.Add(urgentInterval)
 	case world.QuotaWaiting > 0, partner.node != choice.node && isLeaving(world, partner.node):
 		return s.sentAt.Add(waitingInterval)
-	case world.QuotaSpent:
-		return s.sentAt.Add(spendingInterval)
 	default:
-		return s.sentAt.Add(idleInterval)
+		return s.sentAt.Add(carobquotaperiods.Of(world.QuotaNodes).Renewal)
 	}
 }
 
@@ -268,7 +276,11 @@
 	if reply.Number != s.number {
 		return
 	}
-	s.open = false
+	s.open, s.recorded = false, s.sentTo
+	if s.stamp.node == s.sentTo && s.stamp.issuer != issuer {
+		// The allocator has restarted and may lack what the request left out.
+		s.recorded = ""
+	}
 	s.stamp = stamp{node: s.sentTo, issuer: issuer, reading: reply.Stamp, receivedAt: now}
 	if reply.Released && s.bound.to.node == s.sentTo && s.bound.issuer == issuer {
 		s.bound, s.stamp = binding{}, stamp{}
@@ -277,7 +289,11 @@
 	s.renewStocks(world, now)
 	for _, grant := range reply.Grants {
 		stock := world.QuotaStocks.Get(grant.Organisation)
-		if lowered := world.LoweredQuotas.Get(grant.Organisation); stock == nil || lowered != nil && version < *lowered {
+		if stock == nil {
+			continue
+		}
+		stock.Recorded += grant.Tokens
+		if lowered := world.LoweredQuotas.Get(grant.Organisation); lowered != nil && version < *lowered {
 			continue
 		}
 		stock.Tokens += grant.Tokens
@@ -287,28 +303,27 @@
 	}
 }
 
-// renewStocks renews the tokens in stock, all of which the request listed.
+// renewStocks renews the tokens in stock, all of which the allocator has on record.
 func (s *System) renewStocks(world *carobworld.World, now carobinstant.Instant) {
 	for _, stock := range world.QuotaStocks.All() {
 		stock.Expire(now)
-		stock.ExpiresAt, stock.DeniedUntil = s.sentAt.Add(tokenLifetime), carobinstant.Never
+		stock.ExpiresAt, stock.DeniedUntil = s.sentAt.Add(carobquotaperiods.Of(s.lentNodes).TokenLifetime), carobinstant.Never
 	}
 }
 
 // demands returns what this node holds and needs, and removes the tokens that it returns and the
-// stocks that are no longer in use.
-func demands(world *carobworld.World, now carobinstant.Instant) []carobquotademand.QuotaDemand {
+// stocks that are no longer in use. A list that is not complete has what differs from the
+// allocator's record only.
+func demands(world *carobworld.World, now carobinstant.Instant, complete bool) []carobquotademand.QuotaDemand {
 	var list []carobquotademand.QuotaDemand
 	for id, stock := range world.QuotaStocks.All() {
-		stock.Expire(now)
-		target := stock.Target(now)
-		demand := carobquotademand.QuotaDemand{Organisation: id, Waiting: stock.Waiting}
-		if stock.Tokens > target {
-			demand.Returned, stock.Tokens = stock.Tokens-target, target
+		if complete {
+			stock.Recorded = 0
 		}
-		demand.Held, demand.Stock = stock.Tokens, target-stock.Tokens
+		demand := demandOf(now, id, stock)
 		switch {
-		case demand.Held+demand.Returned+demand.Waiting+demand.Stock > 0:
+		case demand.Returned+demand.Waiting+demand.Stock > 0 || demand.Held != stock.Recorded:
+			stock.Recorded = demand.Held
 			list = append(list, demand)
 		case stock.Idle(now) && world.OwnQuotaSince == carobinstant.Never:
 			world.QuotaStocks.Delete(id)
@@ -316,3 +331,16 @@
 	}
 	return list
 }
+
+// demandOf returns what this node holds and needs of one organisation.
+func demandOf(now carobinstant.Instant, id caroborganisationid.ID, stock *carobquotastock.QuotaStock) carobquotademand.QuotaDemand {
+	stock.Expire(now)
+	target := stock.Target(now)
+	demand := carobquotademand.QuotaDemand{Organisation: id, Waiting: stock.Waiting}
+	// One token more than the target is kept, because the target changes all the time.
+	if stock.Tokens > target+1 || target == 0 {
+		demand.Returned, stock.Tokens = stock.Tokens-target, target
+	}
+	demand.Held, demand.Stock = stock.Tokens, max(0, target-stock.Tokens)
+	return demand
+}
--- a/pkg/carobquotastock/quotastock.go
+++ b/pkg/carobquotastock/quotastock.go
@@ -9,10 +9,6 @@
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 )
 
-// TokenLifetime is how long a node may use tokens after it sent the request that brought or
-// renewed them, and how long an allocator counts them after its reply.
-const TokenLifetime = 2 * time.Second
-
 // QuotaStock is the state of one organisation's quota at an entry.
 type QuotaStock struct {
 	// Rate and Burst are the limit that the tokens were granted under.
@@ -21,6 +17,8 @@
 	// Tokens is the number of tokens from allocators, which may be used until ExpiresAt.
 	Tokens    int
 	ExpiresAt carobinstant.Instant
+	// Recorded is the number of tokens that the allocator has on record after its last reply.
+	Recorded int
 	// OwnTokens is what has accumulated of the node's own share until OwnFilledAt.
 	OwnTokens   float64
 	OwnFilledAt carobinstant.Instant
