Check evacuations in the stateful fuzzing, and keep them out of load probes

Cause: nothing checked the bound of an evacuation in runs with faults.

Change: TestEvacuations plays a store with eras, restores, dropped records and cuts, and an operator who writes again what is lost; TestLong includes it. Its oracle: no job starts in a data centre 5 s after the evacuation was acknowledged, at nodes that reached the store, or a node that did, for the last 5 s. Load probes and reports carry neither eras nor evacuations, and no age of the confirmation while there are evacuations.

--- a/pkg/carobevacuating/system_test.go
+++ b/pkg/carobevacuating/system_test.go
@@ -14,11 +14,13 @@
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/caroblimits"
+	"github.com/carobknot/carobknot/pkg/carobloadprobe"
 	"github.com/carobknot/carobknot/pkg/carobmember"
 	"github.com/carobknot/carobknot/pkg/carobmessage"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/caroboffset"
 	"github.com/carobknot/carobknot/pkg/carobpeer"
+	"github.com/carobknot/carobknot/pkg/carobreport"
 	"github.com/carobknot/carobknot/pkg/carobstoreera"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
@@ -209,6 +211,29 @@
 	require.Len(t, r.notices(), 1, "a node that was cut off is told that the evacuation has ended")
 }
 
+// Guards against load probes and reports that exceed their budget of bytes, and against a confirmation that is newer than the evacuations that its sender names.
+func TestLoadMessagesCarryNeitherStatesNorConfirmations(t *testing.T) {
+	r := newRig()
+	for _, evacuated := range []bool{false, true} {
+		if evacuated {
+			r.read(time.Second, listOf(1, 5, there))
+		}
+		r.world.RoutesConfirmedAt = r.now
+		r.world.StoreEra, r.world.StoreRestoredAt = 2, r.now
+		r.world.BeginTick(carobinbox.Inbox{})
+		r.world.SendMessage(carobmessage.Message{To: "near-1", LoadProbe: &carobloadprobe.LoadProbe{}})
+		r.world.SendMessage(carobmessage.Message{To: "near-1", Report: &carobreport.Report{}})
+		r.world.SendMessage(carobmessage.Message{To: "near-1"})
+		r.world.EndTick(r.now.Add(time.Second))
+		for _, message := range r.world.Outbox.Messages {
+			limited := message.LoadProbe != nil || message.Report != nil
+			require.Equal(t, evacuated && !limited, len(message.Evacuations) == 1)
+			require.Equal(t, evacuated && limited, message.RoutesAge == 0)
+			require.Equal(t, limited, message.StoreEra == carobstoreera.None)
+		}
+	}
+}
+
 // Guards against an evacuation by a wrong name that has no effect without a trace, or fills the log.
 func TestEvacuationOfAnUnknownDataCentreIsRecordedOnce(t *testing.T) {
 	r := newRig()
--- a/pkg/carobworld/ticks.go
+++ b/pkg/carobworld/ticks.go
@@ -6,6 +6,7 @@
 	"github.com/carobknot/carobknot/pkg/carobduration"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/carobmessage"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 )
 
@@ -35,25 +36,17 @@
 	}
 }
 
-// EndTick completes the effects of a tick: it adds the era of the store and the
-// evacuations that are to be known to messages, the age of the confirmation of the route table to the messages that name the table's version, and the
-// state of both for the metrics.
+// EndTick completes the effects of a tick: it adds to messages what they say of the store, and
+// the state of the store and of the route table for the metrics.
 func (w *World) EndTick(now carobinstant.Instant) {
 	w.Outbox.RoutesVersion, w.Outbox.RoutesRejected = w.RoutesVersion(), w.RouteRejection != nil
 	w.Outbox.StoreEra, w.Outbox.Evacuations = w.StoreEra, w.ActiveEvacuations()
-	w.nameStoreEra(now)
-	for i := range w.Outbox.Messages {
-		w.Outbox.Messages[i].Evacuations = w.EvacuationNotices
-	}
-	if w.RoutesConfirmedAt == carobinstant.Never {
-		return
+	if w.RoutesConfirmedAt != carobinstant.Never {
+		w.Outbox.RoutesAge = max(1, now.Sub(w.RoutesConfirmedAt))
 	}
-	age := carobduration.Duration(max(1, now.Sub(w.RoutesConfirmedAt)))
-	w.Outbox.RoutesAge = age.Duration()
+	restored := w.StoreRestoredAt != carobinstant.Never && !w.StoreRestoredAt.Add(restoreNoticePeriod).Reached(now)
 	for i := range w.Outbox.Messages {
-		if message := &w.Outbox.Messages[i]; message.RoutesVersion == w.RoutesVersion() {
-			message.RoutesAge = age
-		}
+		w.describeStore(&w.Outbox.Messages[i], restored)
 	}
 }
 
@@ -61,13 +54,21 @@
 // that gets none for so long reads the store itself.
 const restoreNoticePeriod = time.Minute
 
-// nameStoreEra adds the era of the store to the heartbeats of a tick, and to all messages for a
-// while after a restore, so that nodes learn of it that do not read the store.
-func (w *World) nameStoreEra(now carobinstant.Instant) {
-	recent := w.StoreRestoredAt != carobinstant.Never && !w.StoreRestoredAt.Add(restoreNoticePeriod).Reached(now)
-	for i := range w.Outbox.Messages {
-		if message := &w.Outbox.Messages[i]; recent || message.Heartbeat != nil {
-			message.StoreEra = w.StoreEra
-		}
+// describeStore adds to a message what the node knows of the store: the evacuations that are to
+// be known; the age of the confirmation of the route table, if the message names the table's
+// version; and the era, in heartbeats, and in all messages if the store was restored recently, so
+// that nodes learn of it that do not read the store. The size of load probes and reports is
+// limited, so they carry neither eras nor evacuations; nor the age while there are evacuations,
+// because who learns that the store had nothing newer must learn the evacuations as of then too.
+func (w *World) describeStore(message *carobmessage.Message, restored bool) {
+	limited := message.LoadProbe != nil || message.Report != nil
+	if !limited {
+		message.Evacuations = w.EvacuationNotices
+	}
+	if !limited && (restored || message.Heartbeat != nil) {
+		message.StoreEra = w.StoreEra
+	}
+	if message.RoutesVersion == w.RoutesVersion() && (!limited || len(w.EvacuationNotices) == 0) {
+		message.RoutesAge = carobduration.Duration(w.Outbox.RoutesAge)
 	}
 }
--- a/test/fuzz/actions_test.go
+++ b/test/fuzz/actions_test.go
@@ -29,7 +29,7 @@
 			sim.advance(time.Duration(rapid.IntRange(1, 40).Draw(t, "tenths")) * 100 * time.Millisecond)
 		},
 	}
-	for _, group := range []map[string]func(*rapid.T){callerActions(sim), networkActions(sim), nodeActions(sim), logActions(sim), targetActions(sim)} {
+	for _, group := range []map[string]func(*rapid.T){callerActions(sim), networkActions(sim), nodeActions(sim), logActions(sim), targetActions(sim), evacuationActions(sim)} {
 		maps.Copy(all, group)
 	}
 	return all
--- a/test/fuzz/fuzz_test.go
+++ b/test/fuzz/fuzz_test.go
@@ -40,6 +40,9 @@
 	cases, ticks int
 	tally        tally
 	kinds        map[carobkind.Kind]int
+	// evacuatedChecks counts the starts of jobs in data centres that had been evacuated for longer
+	// than the bound.
+	evacuatedChecks int
 	// violated is true once a simulation violated a guarantee. Later simulations, in
 	// which rapid reproduces and shrinks the failure, are not counted.
 	violated bool
@@ -52,6 +55,7 @@
 	c.violated = sim.oracle.violation != ""
 	c.cases++
 	c.ticks += sim.ticks
+	c.evacuatedChecks += sim.evacuatedChecks
 	for kind, n := range sim.kinds {
 		if c.kinds == nil {
 			c.kinds = map[carobkind.Kind]int{}
@@ -83,6 +87,9 @@
 	// healthChecks enables health checks, which report the slowness of VMs, and gives
 	// nodes that shut down a deadline.
 	healthChecks bool
+	// evacuations puts the nodes into two data centres and gives them a store, by which the
+	// operator evacuates them.
+	evacuations bool
 }
 
 // runSimulation runs actions that rapid draws on one simulation, ends all faults and
@@ -201,11 +208,13 @@
 		seed := strconv.FormatInt(time.Now().UnixNano(), 10) //nolint:forbidigo // a new seed
 		require.NoError(t, flag.Set("rapid.seed", seed))
 		name, config := "TestFaults", plan{}
-		switch round % 3 {
+		switch round % 4 {
 		case 1:
 			name, config = "TestKeys", plan{reuseKeys: true}
 		case 2:
 			name, config = "TestHealthChecks", plan{healthChecks: true}
+		case 3:
+			name, config = "TestEvacuations", evacuationPlan()
 		}
 		ok := t.Run("seed="+seed, func(t *testing.T) {
 			rapid.Check(t, func(rt *rapid.T) { runSimulation(rt, config, &total) })
@@ -228,7 +237,7 @@
 			recorder := &failureRecorder{name: t.Name()}
 			recorder.run(func() {
 				rapid.Check(recorder, func(rt *rapid.T) {
-					runSimulation(rt, plan{mutation: mutation, onlyActions: mutation.onlyActions, reuseKeys: mutation.reuseKeys}, &total)
+					runSimulation(rt, plan{mutation: mutation, onlyActions: mutation.onlyActions, reuseKeys: mutation.reuseKeys, evacuations: mutation.evacuations}, &total)
 				})
 			})
 			require.True(t, recorder.failed, "no violation was found in %s", total.String())
--- a/test/fuzz/mutations_test.go
+++ b/test/fuzz/mutations_test.go
@@ -30,6 +30,8 @@
 	reuseKeys bool
 	// onlyActions lists the actions under which the fault shows soonest; nil runs all.
 	onlyActions []string
+	// evacuations is true if the fault concerns evacuations.
+	evacuations bool
 	// changeInput changes the input or the tables before a tick; nil changes nothing.
 	changeInput func(n *node, in *carobinbox.Inbox)
 	// changeEffects changes the effects or the tables after a tick; nil changes nothing.
@@ -68,6 +70,27 @@
 
 // mutations lists the faults that the oracle must find.
 var mutations = []mutation{
+	{name: "ignore the evacuations that other nodes know", evacuations: true, onlyActions: evacuationActionNames, changeInput: func(_ *node, in *carobinbox.Inbox) {
+		in.Messages = slices.Clone(in.Messages)
+		for i := range in.Messages {
+			in.Messages[i].Evacuations = nil
+		}
+	}},
+	{name: "take an evacuation back at once if its record is missing", evacuations: true, onlyActions: []string{"evacuate often", "drop records", "call", "call often", "wait", "wait a little"}, changeInput: func(n *node, in *carobinbox.Inbox) {
+		for i := range in.EvacuationLists {
+			list := &in.EvacuationLists[i]
+			for centre := range n.core.World().Evacuations.All() {
+				if !slices.Contains(list.Active, centre) {
+					list.Removed = append(slices.Clone(list.Removed), centre)
+				}
+			}
+		}
+	}},
+	{name: "go on from the offsets of before a restore of the store", evacuations: true, onlyActions: evacuationActionNames, changeInput: func(_ *node, in *carobinbox.Inbox) {
+		for i := range in.EvacuationLists {
+			in.EvacuationLists[i].Era = 0
+		}
+	}},
 	{name: "treat a lost connection as unreachable", changeInput: func(_ *node, in *carobinbox.Inbox) {
 		for i := range in.AttemptReplies {
 			if in.AttemptReplies[i].Kind == carobkind.ConnectionLost {
--- a/test/fuzz/node_test.go
+++ b/test/fuzz/node_test.go
@@ -70,6 +70,10 @@
 	startedAt, endedAt time.Duration
 	// firstRevisions holds the first revision of each profile, for a mutation.
 	firstRevisions map[string]carobrevision.Revision
+	// readingStore is true while a read of the store is under way, and storeFailures is the
+	// number of consecutive failed reads.
+	readingStore  bool
+	storeFailures int
 	// logUnreadableAt is when the node last could not read the log.
 	logUnreadableAt time.Duration
 }
@@ -110,6 +114,9 @@
 			Region: "bavaria", Centre: "west", PeerAddress: peerAddress(place),
 		},
 	}
+	if s.plan.evacuations {
+		n.self.Centre = centreOf(place)
+	}
 	probeLimits := carobprobelimits.NewProbeLimits()
 	if s.plan.healthChecks {
 		probeLimits.ChecksPerSecond = checksPerSecond
@@ -254,6 +261,7 @@
 func (n *node) observe(out *caroboutbox.Outbox) {
 	oracle, now := n.sim.oracle, n.sim.elapsed()
 	for _, start := range out.Starts {
+		n.checkEvacuated(start.Job.String())
 		oracle.jobStarted(n.sim.targetAt(start.Address).id.String(), start.Job.String())
 	}
 	for _, send := range out.Sends {
@@ -281,6 +289,7 @@
 	n.applyJobEffects(out)
 	n.applyCallEffects(out)
 	n.applyClaimEffects(out)
+	n.applyStoreEffects(out)
 	for _, check := range out.HealthChecks {
 		n.runHealthCheck(check)
 	}
--- a/test/fuzz/simulation_test.go
+++ b/test/fuzz/simulation_test.go
@@ -26,6 +26,8 @@
 	codec  *carobcodec.Codec
 	oracle *oracle
 	log    *fakeLog
+	// store is nil without evacuations.
+	store *fakeStore
 	// nodes holds the newest incarnation of the node at each place.
 	nodes   []*node
 	targets []*fakeTarget
@@ -44,6 +46,9 @@
 	incarnations, ticks int
 	// kinds counts the errors that callers received.
 	kinds map[carobkind.Kind]int
+	// evacuatedChecks counts the starts of jobs in data centres that had been evacuated for longer
+	// than maxEvacuationDelay, by nodes that may not have known.
+	evacuatedChecks int
 	// keyCount counts the idempotency keys that were used once only.
 	keyCount int
 }
@@ -100,6 +105,9 @@
 		kinds: map[carobkind.Kind]int{}, links: map[link]linkState{}, lastFault: map[link]time.Duration{}, log: &fakeLog{streams: map[carobstream.Stream]*fakeStream{}},
 	}
 	s.now = 1
+	if plan.evacuations {
+		s.store = newFakeStore(s)
+	}
 	for place := range places {
 		for _, service := range services {
 			id := carobtargetid.ID{Service: service.name, Name: carobname.Name(fmt.Sprintf("t%d", place))}
@@ -226,6 +234,7 @@
 	s.links = map[link]linkState{}
 	s.lossRate, s.duplicateRate, s.maxExtraDelay = 0, 0, 0
 	s.log.unavailable, s.log.extraDelay, s.log.lostResponses = false, 0, 0
+	s.endStoreFaults()
 	for place, n := range s.nodes {
 		n.thaw()
 		s.lastFault[link{place, place}] = s.elapsed()
