--- a/test/fuzz/fuzz_test.go
+++ b/test/fuzz/fuzz_test.go
@@ -43,6 +43,9 @@
 	identified, late int
 	tally            tally
 	kinds            map[carobkind.Kind]int
+	// evacuatedChecks counts the starts of jobs in data centres that had been evacuated for longer
+	// than the bound.
+	evacuatedChecks int
 	// violated is true once a simulation violated a guarantee. Later simulations, in
 	// which rapid reproduces and shrinks the failure, are not counted.
 	violated bool
@@ -55,6 +58,7 @@
 	c.violated = sim.oracle.violation != ""
 	c.cases++
 	c.ticks += sim.ticks
+	c.evacuatedChecks += sim.evacuatedChecks
 	for kind, n := range sim.kinds {
 		if c.kinds == nil {
 			c.kinds = map[carobkind.Kind]int{}
@@ -95,6 +99,9 @@
 	coldTargets bool
 	// organisations makes calls carry API keys, which the operator adds and withdraws.
 	organisations bool
+	// evacuations puts the nodes into two data centres and gives them a store, by which the
+	// operator evacuates them.
+	evacuations bool
 }
 
 // runSimulation runs actions that rapid draws on one simulation, ends all faults and
@@ -235,7 +242,7 @@
 		require.NoError(t, flag.Set("rapid.seed", seed))
 		name, config := "TestFaults", plan{}
 		run := func(rt *rapid.T) { runSimulation(rt, config, &total) }
-		switch round % 6 {
+		switch round % 7 {
 		case 1:
 			name, config = "TestKeys", plan{reuseKeys: true}
 		case 2:
@@ -246,6 +253,8 @@
 			name, config = "TestOrganisations", plan{organisations: true}
 		case 5:
 			name, run = "TestQuotasHold", func(rt *rapid.T) { runQuotaSimulation(rt, plan{}, &total) }
+		case 6:
+			name, config = "TestEvacuations", evacuationPlan()
 		}
 		ok := t.Run("seed="+seed, func(t *testing.T) {
 			rapid.Check(t, run)
@@ -270,7 +279,7 @@
 				rapid.Check(recorder, func(rt *rapid.T) {
 					runSimulation(rt, plan{
 						mutation: mutation, onlyActions: mutation.onlyActions, reuseKeys: mutation.reuseKeys,
-						healthChecks: mutation.coldTargets, coldTargets: mutation.coldTargets, organisations: mutation.organisations,
+						healthChecks: mutation.coldTargets, coldTargets: mutation.coldTargets, organisations: mutation.organisations, evacuations: mutation.evacuations,
 					}, &total)
 				})
 			})
--- a/test/fuzz/node_test.go
+++ b/test/fuzz/node_test.go
@@ -74,6 +74,10 @@
 	firstRevisions map[string]carobrevision.Revision
 	// firstTable is the first route table, for a mutation.
 	firstTable *carobroutetable.RouteTable
+	// readingStore is true while a read of the store is under way, and storeFailures is the
+	// number of consecutive failed reads.
+	readingStore  bool
+	storeFailures int
 	// logUnreadableAt is when the node last could not read the log.
 	logUnreadableAt time.Duration
 	// storeReadableSince is the first read of the operator's store that succeeded since the
@@ -122,6 +126,9 @@
 			Region: "bavaria", Centre: "west", PeerAddress: peerAddress(place),
 		},
 	}
+	if s.plan.evacuations {
+		n.self.Centre = centreOf(place)
+	}
 	probeLimits := carobprobelimits.NewProbeLimits()
 	if s.plan.healthChecks {
 		probeLimits.ChecksPerSecond = checksPerSecond
@@ -274,6 +281,7 @@
 	oracle, now := n.sim.oracle, n.sim.elapsed()
 	n.sim.quotas.observe(n, out)
 	for _, start := range out.Starts {
+		n.checkEvacuated(start.Job.String())
 		target := n.sim.targetAt(start.Address)
 		oracle.jobStarted(target.id.String(), start.Job.String())
 		oracle.startedCold(target.id.String(), target.cold.known && target.coldLeft() > 0, now, min(target.cold.from, n.startedAt))
@@ -304,6 +312,7 @@
 	n.applyCallEffects(out)
 	n.applyClaimEffects(out)
 	n.applyStoreEffects(out)
+	n.applyTableEffects(out)
 	for _, check := range out.HealthChecks {
 		n.runHealthCheck(check)
 	}
--- a/test/fuzz/operator_test.go
+++ b/test/fuzz/operator_test.go
@@ -41,8 +41,6 @@
 	anonymousPath = "/open/"
 	// constantKey is in every table.
 	constantKey = "key-0"
-	// storeTimeout is when a request to the store without a response fails.
-	storeTimeout = time.Second
 	// storeFailures is the number of failed reads after which the store counts as unreadable,
 	// and storeRecheck the time after which such a node reads again.
 	storeFailures = 2
@@ -135,6 +133,9 @@
 
 // setCut cuts the node of a place off from the store, or ends that.
 func (o *operator) setCut(place int, cut bool) {
+	if o.cut[place] == cut {
+		return
+	}
 	o.cut[place] = cut
 	o.sim.nodes[place].storeReadableSince = neverReadable
 }
@@ -142,9 +143,9 @@
 // neverReadable is the value of node.storeReadableSince before the first read that succeeds.
 const neverReadable = time.Duration(-1)
 
-// applyStoreEffects carries out the effects of a tick that concern the operator's store, as
+// applyTableEffects carries out the effects of a tick that concern the operator's store, as
 // the poller of route tables does.
-func (n *node) applyStoreEffects(out *caroboutbox.Outbox) {
+func (n *node) applyTableEffects(out *caroboutbox.Outbox) {
 	if n.sim.operator == nil {
 		return
 	}
@@ -209,9 +210,9 @@
 	}
 }
 
-// readStoreSince reports whether the node has run without a pause and could read the store all
+// readTablesSince reports whether the node has run without a pause and could read the store all
 // the time since an instant.
-func (n *node) readStoreSince(since time.Duration) bool {
+func (n *node) readTablesSince(since time.Duration) bool {
 	return n.runningSince(since) && n.storeReadableSince != neverReadable && n.storeReadableSince <= since
 }
 
@@ -221,11 +222,11 @@
 	if !n.runningSince(since) {
 		return false
 	}
-	if n.readStoreSince(since) {
+	if n.readTablesSince(since) {
 		return true
 	}
 	for _, other := range n.sim.nodes {
-		if other != n && other.readStoreSince(since) && n.sim.connectedSince(n.place, other.place) <= since {
+		if other != n && other.readTablesSince(since) && n.sim.connectedSince(n.place, other.place) <= since {
 			return true
 		}
 	}
--- a/test/fuzz/simulation_test.go
+++ b/test/fuzz/simulation_test.go
@@ -28,6 +28,8 @@
 	codec  *carobcodec.Codec
 	oracle *oracle
 	log    *fakeLog
+	// store is nil without evacuations.
+	store *fakeStore
 	// nodes holds the newest incarnation of the node at each place.
 	nodes   []*node
 	targets []*fakeTarget
@@ -50,6 +52,9 @@
 	kinds map[carobkind.Kind]int
 	// quotas is the load of organisations with quotas; nil if there are none.
 	quotas *quotaLoad
+	// evacuatedChecks counts the starts of jobs in data centres that had been evacuated for longer
+	// than maxEvacuationDelay, by nodes that may not have known.
+	evacuatedChecks int
 	// keyCount counts the idempotency keys that were used once only.
 	keyCount int
 }
@@ -109,6 +114,9 @@
 	if plan.organisations {
 		s.operator = newOperator(s)
 	}
+	if plan.evacuations {
+		s.store = newFakeStore(s)
+	}
 	for place := range places {
 		for _, service := range services {
 			id := carobtargetid.ID{Service: service.name, Name: carobname.Name(fmt.Sprintf("t%d", place))}
@@ -247,6 +255,7 @@
 	if s.operator != nil {
 		s.operator.mend()
 	}
+	s.endStoreFaults()
 	for place, n := range s.nodes {
 		n.thaw()
 		s.lastFault[link{place, place}] = s.elapsed()
