End an evacuation by a missing record only after a recent read

Cause: an evacuation ended 5 s after the first read that lacked its record, also if the store could not be read since, so that the operator could not write it again, and at once after a pause of the node, by what it had read before.

Change: after the 5 s the record must be missing by a read of the last 2 s, which the node requests. A pause begins the 5 s anew.

--- a/pkg/carobevacuating/system.go
+++ b/pkg/carobevacuating/system.go
@@ -27,14 +27,23 @@
 	// counts as taken back. A store that was restored, or dropped its records, gets them again
 	// from the operator; within evacuate-s, a new evacuation must be in force anyway.
 	absencePeriod = 5 * time.Second
+	// maxListAge is the age of the newest read above which another one is needed before a missing
+	// record counts, since the operator may have written it again.
+	maxListAge = 2 * time.Second
+	// readInterval is the time between two requests for such a read.
+	readInterval = time.Second
 	// knownDelay is the delay after which a node of an evacuated data centre should be known.
 	knownDelay = 10 * time.Second
 )
 
 // System applies changes of evacuations and announces them.
 type System struct {
-	// newest is the position of the newest list that this node has read.
+	// newest is the newest list that this node has read, and readAt when the last read that was
+	// not older arrived; Never before the first.
 	newest carobevacuationlist.EvacuationList
+	readAt carobinstant.Instant
+	// nextRead is when a read may be requested again; Never if none was.
+	nextRead carobinstant.Instant
 }
 
 // NewSystem returns a System of a node that has read nothing yet.
@@ -70,8 +79,8 @@
 // applyList applies what the store has, and reports whether a data centre has changed.
 func (s *System) applyList(world *carobworld.World, now carobinstant.Instant, list *carobevacuationlist.EvacuationList) bool {
 	changed := false
-	if list.Era > s.newest.Era || list.Era == s.newest.Era && list.End > s.newest.End {
-		s.newest = *list
+	if list.Era > s.newest.Era || list.Era == s.newest.Era && list.End >= s.newest.End {
+		s.newest, s.readAt = *list, now
 	}
 	for _, centre := range list.Removed {
 		changed = merge(world, now, stateOf(list, centre, false), "store") || changed
@@ -102,23 +111,41 @@
 	return carobevacuation.Evacuation{Centre: centre, Active: active, Era: list.Era, Offset: list.End}
 }
 
-// endAbsences ends the evacuations whose record has been missing for absencePeriod, and reports
-// whether there were any.
+// endAbsences ends the evacuations whose record has been missing for absencePeriod, and still is
+// by a recent read, and reports whether there were any. While the store cannot be read, the
+// state in force stays. After a pause, the period begins again: what the operator and other
+// nodes did meanwhile has not arrived yet.
 func (s *System) endAbsences(world *carobworld.World, now carobinstant.Instant) bool {
 	changed := false
 	for centre, row := range world.Evacuations.All() {
 		if row.AbsentSince == carobinstant.Never {
 			continue
 		}
+		if world.Paused {
+			row.AbsentSince = now
+		}
 		if end := row.AbsentSince.Add(absencePeriod); !end.Reached(now) {
 			world.WakeAt(end)
 			continue
 		}
+		if now.Sub(s.readAt) > maxListAge {
+			s.requestRead(world, now)
+			continue
+		}
 		changed = merge(world, now, stateOf(&s.newest, centre, false), "store") || changed
 	}
 	return changed
 }
 
+// requestRead requests a read of the store, at most once each readInterval.
+func (s *System) requestRead(world *carobworld.World, now carobinstant.Instant) {
+	if s.nextRead == carobinstant.Never || s.nextRead.Reached(now) {
+		world.Outbox.ConfirmRoutes = true
+		s.nextRead = now.Add(readInterval)
+	}
+	world.WakeAt(s.nextRead)
+}
+
 // merge applies a state if it supersedes the known one, and reports whether the data centre has
 // become evacuated or no longer is. If the sender's state is older and says otherwise, the
 // known one is sent again, so that the sender learns it.
--- a/pkg/carobevacuating/system_test.go
+++ b/pkg/carobevacuating/system_test.go
@@ -162,6 +162,28 @@
 	}
 }
 
+// Guards against an evacuation that lapses by a read of long ago, while the store is down and the operator cannot write it again, or after a pause of the node.
+func TestMissingRecordCountsOnlyByARecentRead(t *testing.T) {
+	r := newRig()
+	r.read(0, listOf(1, 5, there))
+	r.read(time.Second, listOf(2, 3))
+	requests := 0
+	for range 100 {
+		r.step(100*time.Millisecond, carobinbox.Inbox{})
+		require.True(t, r.world.IsEvacuated(there))
+		if r.world.Outbox.ConfirmRoutes {
+			requests++
+		}
+	}
+	require.InDelta(t, 5, requests, 1, "a read is requested each second once the record has been missing for a while")
+	r.world.Paused = true
+	r.read(time.Minute, listOf(2, 3))
+	r.world.Paused = false
+	require.True(t, r.world.IsEvacuated(there))
+	r.read(hold+time.Millisecond, listOf(2, 3))
+	require.False(t, r.world.IsEvacuated(there))
+}
+
 // Guards against an evacuation that lapses although the operator has written it again after a restore, which this node hears from another one, or reads.
 func TestEvacuationWrittenAgainNeverLapses(t *testing.T) {
 	for name, again := range map[string]func(r *rig){
