Order calls of organisations by what a refusal costs their callers

Deployments whose route table requires API keys now order jobs by pkg/caroburgency: calls that can still be answered in time by the measured work of their class, nested calls, calls whose organisation or route is far behind at the entry (marked in the offer), priorities, calls on which resources were spent, due time, recent starts, arrival. A job that cannot be answered in time at the target is refused at once. Retry-After of refused calls is spread over a time that fits the share of calls served, at most half of the SLO. All other deployments keep their order, and offers of calls without an organisation are unchanged byte for byte.

--- a/internal/carobemulator/caller.go
+++ b/internal/carobemulator/caller.go
@@ -2,15 +2,18 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/carobknot/carobknot/pkg/carobarrival"
 	"github.com/carobknot/carobknot/pkg/carobcallid"
 	"github.com/carobknot/carobknot/pkg/carobconclusion"
+	"github.com/carobknot/carobknot/pkg/carobcredential"
 	"github.com/carobknot/carobknot/pkg/carobdelivery"
 	"github.com/carobknot/carobknot/pkg/carobguarantee"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
+	"github.com/carobknot/carobknot/pkg/carobkeydigest"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 )
 
@@ -25,6 +28,10 @@
 	// the emulator.
 	callKind int
 	node     int
+	// organisation indexes the organisations of the scenario, or is noOrganisation.
+	organisation int
+	// calledAt is when the newest call was made.
+	calledAt carobinstant.Instant
 	// arrivedAt is when the first call was made, and deadline when the caller gives up.
 	arrivedAt, deadline carobinstant.Instant
 	// retriesLeft is the number of retries that the caller may still make.
@@ -40,13 +47,72 @@
 func (e *Emulator) addArrivals() {
 	for i, ok := e.arrivalSchedule.Pop(e.now); ok; i, ok = e.arrivalSchedule.Pop(e.now) {
 		callKind := &e.scenario.CallKinds[i]
-		e.arrivalSchedule.Set(i, e.now.Add(e.randomInterval(callKind.Rate)))
+		e.arrivalSchedule.Set(i, e.now.Add(e.randomInterval(callKind.Rate*e.loadFactor())))
 		e.addRequest(request{
-			callKind: i, node: e.random.IntN(len(e.nodes)), arrivedAt: e.now, deadline: e.now.Add(callKind.Deadline.Duration()), retriesLeft: callKind.Retries,
+			callKind: i, organisation: e.drawOrganisation(), node: e.random.IntN(len(e.nodes)), arrivedAt: e.now, deadline: e.now.Add(callKind.Deadline.Duration()), retriesLeft: callKind.Retries,
 		})
 	}
 }
 
+// noOrganisation stands for requests without an organisation.
+const noOrganisation = -1
+
+// weight returns the weight of an organisation now.
+func (e *Emulator) weight(organisation int) float64 {
+	weight := e.scenario.Organisations[organisation].Weight
+	for _, surge := range e.scenario.Surges {
+		if surge.Organisation == e.scenario.Organisations[organisation].Name {
+			weight *= e.surgeFactor(surge.At.Duration(), surge.Duration.Duration(), surge.Factor)
+		}
+	}
+	return weight
+}
+
+// surgeFactor returns the factor of a surge if the surge is on, and 1 otherwise.
+func (e *Emulator) surgeFactor(at, duration time.Duration, factor float64) float64 {
+	if begin := startTime.Add(warmUp + at); begin.Reached(e.now) && !begin.Add(duration).Reached(e.now) {
+		return factor
+	}
+	return 1
+}
+
+// loadFactor returns by how much the load is higher now than usual.
+func (e *Emulator) loadFactor() float64 {
+	factor := 1.0
+	for _, surge := range e.scenario.Surges {
+		if surge.Organisation == "" {
+			factor *= e.surgeFactor(surge.At.Duration(), surge.Duration.Duration(), surge.Factor)
+		}
+	}
+	var usual, present float64
+	for i := range e.scenario.Organisations {
+		usual += e.scenario.Organisations[i].Weight
+		present += e.weight(i)
+	}
+	if usual > 0 {
+		factor *= present / usual
+	}
+	return factor
+}
+
+// drawOrganisation draws the organisation of a request from outside.
+func (e *Emulator) drawOrganisation() int {
+	if len(e.scenario.Organisations) == 0 {
+		return noOrganisation
+	}
+	var sum float64
+	for i := range e.scenario.Organisations {
+		sum += e.weight(i)
+	}
+	point := e.random.Float64() * sum
+	for i := range e.scenario.Organisations {
+		if point -= e.weight(i); point < 0 {
+			return i
+		}
+	}
+	return len(e.scenario.Organisations) - 1
+}
+
 // startNestedCall has a job make a request at the node beside its target. The
 // request ends with the job's deadline at the latest and is never retried.
 func (e *Emulator) startNestedCall(id carobjobid.ID, parentJob *job) {
@@ -54,7 +120,7 @@
 	for i := range e.scenario.CallKinds {
 		if called := &e.scenario.CallKinds[i]; called.Name == callKind.NestedKind {
 			deadline := carobinstant.Earlier(parentJob.deadline, e.now.Add(called.Deadline.Duration()))
-			e.addRequest(request{callKind: i, node: parentJob.node, arrivedAt: e.now, deadline: deadline, parent: id})
+			e.addRequest(request{callKind: i, organisation: noOrganisation, node: parentJob.node, arrivedAt: e.now, deadline: deadline, parent: id})
 		}
 	}
 }
@@ -69,7 +135,12 @@
 	node := e.nodes[request.node]
 	request.call = carobcallid.ID{Node: node.self.Node, Incarnation: node.self.Incarnation, Sequence: id<<counterBits | node.callCount%(1<<counterBits)}
 	node.callCount++
+	request.calledAt = e.now
 	arrival := carobarrival.Arrival{Call: request.call, Host: host(request.callKind), Path: "/", Timeout: request.deadline.Sub(e.now)}
+	if request.organisation != noOrganisation {
+		name := e.scenario.Organisations[request.organisation].Name
+		arrival.Credential = carobcredential.Credential{Key: carobkeydigest.Of([]byte(name)), Valid: true}
+	}
 	e.enqueueInput(request.node, 0, func(in *carobinbox.Inbox) { in.Arrivals = append(in.Arrivals, arrival) })
 }
 
@@ -133,6 +204,10 @@
 	} else {
 		summary.AddError(duration, kind.Outcome(), kind)
 	}
+	key := tallyKey{request.callKind, request.organisation}
+	tally := e.tallies[key]
+	tally.Add(duration, e.now.Sub(request.calledAt), e.scenario.CallKinds[request.callKind].SLO.Duration(), kind == carobkind.None && status < http.StatusInternalServerError)
+	e.tallies[key] = tally
 	parent := request.parent
 	e.requests.Delete(id)
 	if parent != (carobjobid.ID{}) {
--- a/internal/carobemulator/emulator.go
+++ b/internal/carobemulator/emulator.go
@@ -11,11 +11,16 @@
 
 	"github.com/carobknot/carobknot/internal/carobscenario"
 	"github.com/carobknot/carobknot/internal/carobsummary"
+	"github.com/carobknot/carobknot/internal/carobtally"
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobjobid"
+	"github.com/carobknot/carobknot/pkg/carobkeydigest"
+	"github.com/carobknot/carobknot/pkg/carobname"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
+	"github.com/carobknot/carobknot/pkg/caroborganisation"
+	"github.com/carobknot/carobknot/pkg/caroborganisationid"
 	"github.com/carobknot/carobknot/pkg/carobroute"
 	"github.com/carobknot/carobknot/pkg/carobroutetable"
 	"github.com/carobknot/carobknot/pkg/carobschedule"
@@ -27,14 +32,17 @@
 	Scenario carobscenario.Scenario
 	// Seed seeds all random numbers of a run.
 	Seed uint64
+	// AdmissionOrder is the name of the order of jobs at targets; empty for the usual one.
+	AdmissionOrder string
 }
 
 // Emulator is the state of an emulated deployment at one instant. Its entities are
 // rows of tables, and at each instant the systems run over the rows that are due.
 type Emulator struct {
-	scenario carobscenario.Scenario
-	random   *rand.Rand
-	now      carobinstant.Instant
+	scenario       carobscenario.Scenario
+	admissionOrder string
+	random         *rand.Rand
+	now            carobinstant.Instant
 	// nodes has one node for each target.
 	nodes []*node
 	// nodeByAddress and nodeByID hold indexes into nodes.
@@ -57,6 +65,27 @@
 	lastNumber uint64
 	// summaries has one summary for each call kind.
 	summaries []*carobsummary.Summary
+	// tallies has a tally for each call kind and organisation that made requests.
+	tallies map[tallyKey]carobtally.Tally
+}
+
+// tallyKey is the index of a call kind and that of an organisation; the latter is noOrganisation
+// for requests without one.
+type tallyKey struct{ callKind, organisation int }
+
+// Tally returns what the callers of a kind got that belong to an organisation. An empty name
+// stands for all kinds, and for all organisations.
+func (e *Emulator) Tally(kind carobname.Name, organisation caroborganisationid.ID) carobtally.Tally {
+	var sum carobtally.Tally
+	for key, tally := range e.tallies {
+		if kind != "" && e.scenario.CallKinds[key.callKind].Name != kind {
+			continue
+		}
+		if organisation == "" || key.organisation != noOrganisation && e.scenario.Organisations[key.organisation].Name == organisation {
+			sum = sum.Plus(tally)
+		}
+	}
+	return sum
 }
 
 // input is in transit to a node; apply adds it to the node's inbox.
@@ -80,7 +109,7 @@
 func NewEmulator(c Config) (*Emulator, error) {
 	const stream = 1
 	e := &Emulator{
-		scenario: c.Scenario, random: rand.New(rand.NewPCG(c.Seed, stream)), //nolint:gosec // a run must repeat under a seed
+		scenario: c.Scenario, admissionOrder: c.AdmissionOrder, tallies: map[tallyKey]carobtally.Tally{}, random: rand.New(rand.NewPCG(c.Seed, stream)), //nolint:gosec // a run must repeat under a seed
 		now: startTime, nodeByAddress: map[carobaddress.Address]int{}, nodeByID: map[carobnodeid.ID]int{},
 		arrivalSchedule: carobschedule.NewSchedule[int](),
 		inputs:          carobtable.NewTable[uint64, input](carobtable.Config{Limit: maxRows}), inputSchedule: carobschedule.NewSchedule[uint64](),
@@ -96,8 +125,13 @@
 			e.arrivalSchedule.Set(i, startTime.Add(warmUp).Add(e.randomInterval(callKind.Rate)))
 		}
 	}
-	var err error
-	if e.routes, err = carobroutetable.NewRouteTable(1, routes); err != nil {
+	e.routes = &carobroutetable.RouteTable{Version: 1, Routes: routes, RequiresKey: len(e.scenario.Organisations) > 0}
+	for _, organisation := range e.scenario.Organisations {
+		e.routes.Organisations = append(e.routes.Organisations, caroborganisation.Organisation{
+			ID: organisation.Name, Priority: organisation.Priority, Keys: []carobkeydigest.Digest{carobkeydigest.Of([]byte(organisation.Name))},
+		})
+	}
+	if err := e.routes.Check(); err != nil {
 		return nil, err
 	}
 	e.addNodes()
@@ -173,7 +207,7 @@
 	callKind := &scenario.CallKinds[i]
 	return carobroute.Route{
 		Name: callKind.Name, Host: host(i), Prefix: "/", Guarantee: callKind.Guarantee, Attempts: maxTries, Timeout: callKind.Timeout, SLO: callKind.SLO,
-		Priority: callKind.Priority, WeightedServices: weightedServices(callKind.Service),
+		Priority: callKind.Priority, Anonymous: callKind.Rate == 0, WeightedServices: weightedServices(callKind.Service),
 	}
 }
 
--- a/internal/carobemulator/node.go
+++ b/internal/carobemulator/node.go
@@ -87,7 +87,7 @@
 		self: carobmember.Member{
 			Node: carobnodeid.ID(fmt.Sprintf("n%d", index)), Incarnation: 1, Region: "here", Centre: centre, PeerAddress: peer,
 		},
-		target: target{id: carobtargetid.ID{Service: service, Name: carobname.Name(fmt.Sprintf("t%d", index))}, slots: slots},
+		target: target{id: carobtargetid.ID{Service: service, Name: carobname.Name(fmt.Sprintf("t%d", index))}, slots: slots, paceFactor: e.paceFactor(index)},
 	}
 	var seedAddresses []carobaddress.Address
 	for _, other := range e.nodes[:min(seedCount, index)] {
@@ -99,6 +99,7 @@
 			Seed: e.random.Uint64(),
 		},
 		Seeds: seedAddresses, Profiles: []carobprofile.Profile{e.scenario.Profile}, AnnouncementTimeout: forever, NoTracePropagation: true,
+		AdmissionOrder: e.admissionOrder,
 	})
 	node.inbox.RouteTables = []*carobroutetable.RouteTable{e.routes}
 	node.inbox.Announcements = []carobannouncement.Announcement{{
@@ -109,6 +110,16 @@
 	e.nodeByAddress[peer], e.nodeByID[node.self.Node] = index, index
 }
 
+// paceFactor returns by how much the work of the target beside a node takes longer than that
+// of most targets. The slow ones are spread over all nodes.
+func (e *Emulator) paceFactor(index int) float64 {
+	slow := e.scenario.SlowTargets
+	if share := float64(slow.Share); int(float64(index+1)*share) > int(float64(index)*share) {
+		return slow.Factor
+	}
+	return 1
+}
+
 // stepNodes runs a tick of each core that is due and applies its effects.
 func (e *Emulator) stepNodes() {
 	for _, node := range e.nodes {
--- a/internal/carobemulator/target.go
+++ b/internal/carobemulator/target.go
@@ -20,9 +20,11 @@
 // target runs jobs. The slowness of the VM at the start of a job applies to the whole
 // job.
 type target struct {
-	id      carobtargetid.ID
-	slots   int
-	running int
+	id    carobtargetid.ID
+	slots int
+	// paceFactor multiplies the time of all work.
+	paceFactor float64
+	running    int
 	// slowFrom and slowUntil are the start and end of the current or next slow period.
 	slowFrom, slowUntil carobinstant.Instant
 }
@@ -79,7 +81,7 @@
 		job.callsLeft = callKind.NestedCalls
 	}
 	const minWorkFactor = 0.2
-	work := float64(callKind.Work) * max(minWorkFactor, 1+float64(callKind.Spread)*e.random.NormFloat64()) * e.slowness(&node.target)
+	work := float64(callKind.Work) * max(minWorkFactor, 1+float64(callKind.Spread)*e.random.NormFloat64()) * e.slowness(&node.target) * node.target.paceFactor
 	e.jobs.Put(start.Job, job)
 	e.jobSchedule.Set(start.Job, carobinstant.Earlier(job.deadline, e.now.Add(time.Duration(work))))
 }
--- a/internal/carobheader/offer.go
+++ b/internal/carobheader/offer.go
@@ -31,7 +31,10 @@
 // separator.
 const (
 	flagMovable, flagFixed = "t", "f"
-	flagSeparator          = ","
+	// flagMovableBehind and flagFixedBehind replace them if the call has an organisation and
+	// is far behind.
+	flagMovableBehind, flagFixedBehind = "T", "F"
+	flagSeparator                      = ","
 )
 
 // FormatOffer encodes the description of an attempt for the target's node. It is
@@ -103,12 +106,19 @@
 	if requirements.Organisation == "" {
 		return flags
 	}
+	if requirements.Behind {
+		flags = strings.ToUpper(flags)
+	}
 	return flags + flagSeparator + strconv.FormatInt(int64(requirements.OrganisationPriority), numberBase) + flagSeparator + string(requirements.Organisation)
 }
 
 // parseFlags decodes what formatFlags encodes. The error has kind Invalid.
 func parseFlags(text string, requirements *carobrequirements.Requirements) error {
 	flag, organisation, hasOrganisation := strings.Cut(text, flagSeparator)
+	requirements.Behind = hasOrganisation && (flag == flagMovableBehind || flag == flagFixedBehind)
+	if requirements.Behind {
+		flag = strings.ToLower(flag)
+	}
 	if flag != flagMovable && flag != flagFixed {
 		return carobkind.New(carobkind.Invalid, "offer: %q is no flag", flag)
 	}
--- a/internal/carobheader/offer_test.go
+++ b/internal/carobheader/offer_test.go
@@ -47,6 +47,21 @@
 	}
 }
 
+// Guards against a mark that is lost between the nodes, and against one that changes the header of a call without an organisation.
+func TestOfferCarriesTheMarkOfACallFarBehind(t *testing.T) {
+	for _, movable := range []bool{true, false} {
+		send := testSend("r1")
+		send.Requirements.Movable = movable
+		unmarked := carobheader.FormatOffer(send)
+		send.Requirements.Behind = true
+		require.Equal(t, unmarked, carobheader.FormatOffer(send), "no organisation")
+		send.Requirements.Organisation = "clinic-7"
+		offer, err := carobheader.ParseOffer(carobheader.FormatOffer(send))
+		require.NoError(t, err)
+		require.Equal(t, send.Requirements, offer.Requirements)
+	}
+}
+
 // An organisation that is lost or changed between the nodes makes the target serve the call
 // for another one, or start it in the wrong order. A caller may choose its request ID, which
 // must not be taken for an organisation.
--- a/internal/carobscenario/scenario.go
+++ b/internal/carobscenario/scenario.go
@@ -11,6 +11,7 @@
 	"github.com/carobknot/carobknot/pkg/carobguarantee"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobname"
+	"github.com/carobknot/carobknot/pkg/caroborganisationid"
 	"github.com/carobknot/carobknot/pkg/carobprobelimits"
 	"github.com/carobknot/carobknot/pkg/carobprofile"
 	"github.com/carobknot/carobknot/pkg/carobretrylimits"
@@ -38,6 +39,38 @@
 	// CallKinds has at least one element. A kind must precede those that name it in
 	// NestedKind.
 	CallKinds []callKind `json:"kinds"`
+	// Organisations make the requests from outside, if there are any. Targets' own calls need
+	// no API key.
+	Organisations []organisation `json:"organisations"`
+	// Surges are periods of higher load.
+	Surges []surge `json:"surges"`
+	// SlowTargets are slower than the others for the whole run.
+	SlowTargets slowTargets `json:"slow"`
+}
+
+// organisation is an organisation whose calls the route table admits.
+type organisation struct {
+	Name caroborganisationid.ID `json:"name"`
+	// Priority is the priority, 0 the highest.
+	Priority int `json:"rank"`
+	// Weight is the part of the load that the organisation makes, in proportion to the sum of
+	// all weights.
+	Weight float64 `json:"weight"`
+}
+
+// surge multiplies the load of an organisation, or of all if Organisation is empty, from At on
+// for Duration.
+type surge struct {
+	At           carobduration.Duration `json:"at"`
+	Duration     carobduration.Duration `json:"lasting"`
+	Factor       float64                `json:"factor"`
+	Organisation caroborganisationid.ID `json:"organisation"`
+}
+
+// slowTargets describes a share of all targets whose work takes Factor times as long.
+type slowTargets struct {
+	Share  carobshare.Share `json:"share"`
+	Factor float64          `json:"factor"`
 }
 
 // noise describes the slow periods of VMs.
--- a/pkg/carobadmission/rate_test.go
+++ b/pkg/carobadmission/rate_test.go
@@ -52,7 +52,7 @@
 		}
 		l.running = nil
 		if random.Float64() < perSecond*interval.Seconds() {
-			in.Offers = append(in.Offers, l.newOffer())
+			in.Offers = append(in.Offers, l.newLimitedOffer())
 		}
 		l.step(interval, in)
 		for _, start := range l.world.Outbox.Starts {
@@ -62,7 +62,7 @@
 	}
 }
 
-func (l *limitedTarget) newOffer() caroboffer.Offer {
+func (l *limitedTarget) newLimitedOffer() caroboffer.Offer {
 	l.next++
 	required := requirements(1, time.Second)
 	if l.nested {
@@ -145,7 +145,7 @@
 func TestJobsBeyondTheRateLimitAreRefusedAtOnce(t *testing.T) {
 	l := &limitedTarget{rig: newRig(12, 4), limit: 1, known: 1}
 	l.run(2*time.Second, 50)
-	l.step(0, carobinbox.Inbox{Offers: []caroboffer.Offer{l.newOffer(), l.newOffer(), l.newOffer()}})
+	l.step(0, carobinbox.Inbox{Offers: []caroboffer.Offer{l.newLimitedOffer(), l.newLimitedOffer(), l.newLimitedOffer()}})
 	require.GreaterOrEqual(t, len(l.world.Outbox.Refusals), 2)
 	require.LessOrEqual(t, l.world.AdmissionStates.Get(target).Queued, 1)
 }
@@ -159,7 +159,7 @@
 		l.nested = false
 		l.run(500*time.Millisecond, 200)
 		l.nested = true
-		l.step(time.Millisecond, carobinbox.Inbox{Offers: []caroboffer.Offer{l.newOffer()}})
+		l.step(time.Millisecond, carobinbox.Inbox{Offers: []caroboffer.Offer{l.newLimitedOffer()}})
 		started += len(l.world.Outbox.Starts)
 		for _, start := range l.world.Outbox.Starts {
 			l.running = append(l.running, start.Job)
--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -27,12 +27,21 @@
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
+// Config holds the settings of the system.
+type Config struct {
+	// Order is the name of an order of jobs, for measurements; empty for the one that the route
+	// table calls for.
+	Order string
+}
+
 // System admits jobs to the node's own targets.
-type System struct{}
+type System struct {
+	config Config
+}
 
 // NewSystem returns the system.
-func NewSystem() *System {
-	return &System{}
+func NewSystem(c Config) *System {
+	return &System{config: c}
 }
 
 // Run handles the tick's health check results, offers and finished jobs, refuses
@@ -51,7 +60,7 @@
 		updateColdLimit(world, now, id, state)
 	}
 	for _, offer := range world.Inbox.Offers {
-		handleOffer(world, now, offer)
+		s.handleOffer(world, now, offer)
 	}
 	for _, finish := range world.Inbox.Finishes {
 		handleFinish(world, now, finish)
@@ -60,7 +69,7 @@
 	for id, state := range world.AdmissionStates.All() {
 		if state.Queued > 0 {
 			refuseMovable(world, now, id, state)
-			startQueued(world, now, id, state)
+			s.startQueued(world, now, id, state)
 		}
 	}
 	publishReports(world)
@@ -78,7 +87,7 @@
 }
 
 // handleOffer refuses an offer, or adds its job. Offers of a known job are ignored.
-func handleOffer(world *carobworld.World, now carobinstant.Instant, offer caroboffer.Offer) {
+func (s *System) handleOffer(world *carobworld.World, now carobinstant.Instant, offer caroboffer.Offer) {
 	if isDuplicate(world, offer.Job) {
 		return
 	}
@@ -99,13 +108,13 @@
 	if isNested(job) {
 		state.LastNestedAt = now
 	}
-	startOrEnqueue(world, now, target, state, job)
+	s.startOrEnqueue(world, now, target, state, job)
 }
 
 // startOrEnqueue starts a job that has just arrived, or enqueues it. If the queue is then
 // longer than the profile's queue limit plus the free slots, or than the rate limit will
 // soon allow to start, its least urgent job is shed.
-func startOrEnqueue(world *carobworld.World, now carobinstant.Instant, target *carobtarget.Target, state *carobadmissionstate.AdmissionState, job *carobjob.Job) {
+func (s *System) startOrEnqueue(world *carobworld.World, now carobinstant.Instant, target *carobtarget.Target, state *carobadmissionstate.AdmissionState, job *carobjob.Job) {
 	if state.Running < jobLimitFor(state, now, job) && state.Queued == 0 && hasToken(world, now, state, isNested(job)) && mayStart(world, now, target, state) {
 		startJob(world, now, job, target, state)
 		return
@@ -113,9 +122,11 @@
 	state.Queued++
 	switch {
 	case state.Queued > queueLimit(world, target)+max(0, state.Limit-state.Running):
-		shed(world, now, leastUrgent(world, now, target.ID), state, "queue full")
+		shed(world, now, s.leastUrgent(world, now, target.ID), state, "queue full")
+	case !s.orderOf(world).mayWait(world, now, state, job):
+		shed(world, now, job, state, "cannot be served in time")
 	case state.CallLimit() > 0 && state.Queued > tokensSoon(state, now):
-		shed(world, now, leastUrgent(world, now, target.ID), state, limitReason(state))
+		shed(world, now, s.leastUrgent(world, now, target.ID), state, limitReason(state))
 	}
 }
 
@@ -174,6 +185,9 @@
 	job.StartedAt = now
 	state.Running++
 	recordStart(state, now)
+	if id := job.Offer.Requirements.Organisation; id != "" {
+		carobworld.AddDemand(world.OrganisationStarts, now, id, true)
+	}
 	world.RecordDecision(carobdecision.Decision{
 		Component: "admit", Text: "job started", Request: job.Offer.Requirements.Request, Call: job.Offer.Job.Call,
 		Attempt: job.Offer.Job.Attempt, Target: job.Offer.Target, Inputs: decisionInputs(state, now, job.ArrivedAt),
@@ -204,6 +218,9 @@
 	}
 	state.Limit = jobLimit(state, now)
 	updateLatency(state, job.StartedAt, now)
+	if finish.Kind == carobkind.None && world.RequiresKey() {
+		recordWork(world, now, job)
+	}
 	if finish.Kind == carobkind.Unreachable {
 		// The target may restart, and answer before its first announcement.
 		state.ForgetWarmth(now)
@@ -266,10 +283,10 @@
 
 // startQueued starts the target's queued jobs, the most urgent first, while slots are
 // free and the VM is not slow.
-func startQueued(world *carobworld.World, now carobinstant.Instant, id carobtargetid.ID, state *carobadmissionstate.AdmissionState) {
+func (s *System) startQueued(world *carobworld.World, now carobinstant.Instant, id carobtargetid.ID, state *carobadmissionstate.AdmissionState) {
 	target := world.Targets.Get(id)
 	for target != nil && state.Queued > 0 && state.Running < state.Limit && hasToken(world, now, state, true) && mayStart(world, now, target, state) {
-		job := mostUrgent(world, now, id)
+		job := s.mostUrgent(world, now, id)
 		if job == nil || state.Running >= jobLimitFor(state, now, job) || !hasToken(world, now, state, isNested(job)) {
 			return
 		}
--- a/pkg/carobadmission/urgency.go
+++ b/pkg/carobadmission/urgency.go
@@ -1,9 +1,9 @@
 package carobadmission
 
 import (
-	"cmp"
 	"time"
 
+	"github.com/carobknot/carobknot/pkg/carobadmissionstate"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobjob"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
@@ -14,14 +14,38 @@
 // a job that holds a slot until the call is answered.
 const maxNestedSLO = 200 * time.Millisecond
 
+// order decides which queued jobs of a target start first and which are shed first.
+type order interface {
+	// compare returns a negative number if job a precedes job b.
+	compare(world *carobworld.World, now carobinstant.Instant, a, b *carobjob.Job) int
+	// mayWait reports whether a job that cannot start at once may be queued.
+	mayWait(world *carobworld.World, now carobinstant.Instant, state *carobadmissionstate.AdmissionState, job *carobjob.Job) bool
+}
+
+// orders has the orders that Config.Order names.
+var orders = map[string]order{"arrival": byArrival{}, "deadline": byDeadline{}, "priority": byPriority{}, "urgency": byUrgency{}}
+
+// orderOf returns the order that is in force.
+func (s *System) orderOf(world *carobworld.World) order {
+	if chosen, ok := orders[s.config.Order]; ok {
+		return chosen
+	}
+	if world.RequiresKey() {
+		return byUrgency{}
+	}
+	return byPriority{}
+}
+
 // mostUrgent returns the queued job that the target starts next; nil if none is queued.
-func mostUrgent(world *carobworld.World, now carobinstant.Instant, id carobtargetid.ID) *carobjob.Job {
-	return selectQueued(world, id, func(a, b *carobjob.Job) bool { return compareUrgency(now, a, b) < 0 })
+func (s *System) mostUrgent(world *carobworld.World, now carobinstant.Instant, id carobtargetid.ID) *carobjob.Job {
+	inForce := s.orderOf(world)
+	return selectQueued(world, id, func(a, b *carobjob.Job) bool { return inForce.compare(world, now, a, b) < 0 })
 }
 
 // leastUrgent returns the queued job that the target sheds next; nil if none is queued.
-func leastUrgent(world *carobworld.World, now carobinstant.Instant, id carobtargetid.ID) *carobjob.Job {
-	return selectQueued(world, id, func(a, b *carobjob.Job) bool { return compareUrgency(now, a, b) > 0 })
+func (s *System) leastUrgent(world *carobworld.World, now carobinstant.Instant, id carobtargetid.ID) *carobjob.Job {
+	inForce := s.orderOf(world)
+	return selectQueued(world, id, func(a, b *carobjob.Job) bool { return inForce.compare(world, now, a, b) > 0 })
 }
 
 // selectQueued returns the target's queued job that precedes all others; nil if none is
@@ -39,26 +63,6 @@
 	return best
 }
 
-// compareUrgency orders queued jobs by urgency, the more urgent first. The order
-// matters when the load exceeds the target's capacity:
-//
-//   - calls that can still meet their SLO precede those that cannot;
-//   - nested calls precede others, because the job that made the call holds a slot
-//     until the call is answered. A nested call is never late: without its response
-//     the outer call fails too, which may still be in time;
-//   - then the lower priority number of the organisation precedes, then that of the route,
-//     then the earlier due time, then the earlier arrival.
-func compareUrgency(now carobinstant.Instant, a, b *carobjob.Job) int {
-	return cmp.Or(
-		cmp.Compare(boolToInt(isLate(now, a)), boolToInt(isLate(now, b))),
-		cmp.Compare(boolToInt(!isNested(a)), boolToInt(!isNested(b))),
-		cmp.Compare(a.Offer.Requirements.OrganisationPriority, b.Offer.Requirements.OrganisationPriority),
-		cmp.Compare(a.Offer.Requirements.Priority, b.Offer.Requirements.Priority),
-		cmp.Compare(dueAt(a), dueAt(b)),
-		cmp.Compare(a.ArrivedAt, b.ArrivedAt),
-	)
-}
-
 // isLate reports whether the job has missed its SLO. Nested calls and calls without an
 // SLO are never late.
 func isLate(now carobinstant.Instant, job *carobjob.Job) bool {
--- a/pkg/carobadmission/urgency_test.go
+++ b/pkg/carobadmission/urgency_test.go
@@ -18,6 +18,7 @@
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroblimits"
 	"github.com/carobknot/carobknot/pkg/carobmember"
+	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/caroboffer"
 	"github.com/carobknot/carobknot/pkg/carobprofile"
 	"github.com/carobknot/carobknot/pkg/carobreadiness"
@@ -46,7 +47,7 @@
 	world.Profiles.Put("p", carobrevision.Revision{Change: carobchange.Change{Profile: profile}})
 	world.Targets.Put(target, carobtarget.Target{ID: target, Node: "here", Profile: "p", Slots: slots, Readiness: carobreadiness.Ready})
 	world.AdmissionStates.Put(target, carobadmissionstate.AdmissionState{Slots: slots, Limit: slots})
-	return &rig{world: world, system: carobadmission.NewSystem(), now: carobinstant.Instant(time.Hour)}
+	return &rig{world: world, system: carobadmission.NewSystem(carobadmission.Config{}), now: carobinstant.Instant(time.Hour)}
 }
 
 func (r *rig) step(d time.Duration, in carobinbox.Inbox) {
@@ -57,12 +58,24 @@
 
 // offer steps with the offer of a new job and returns the job's ID.
 func (r *rig) offer(required carobrequirements.Requirements) carobjobid.ID {
+	return r.offerAttempt(required, 1, "there")
+}
+
+// offerAttempt steps with the offer of an attempt at a new call of an entry node.
+func (r *rig) offerAttempt(required carobrequirements.Requirements, attempt int, entry carobnodeid.ID) carobjobid.ID {
 	r.next++
-	job := carobjobid.ID{Call: carobcallid.ID{Node: "there", Incarnation: 1, Sequence: r.next}, Attempt: 1}
-	r.step(time.Millisecond, carobinbox.Inbox{Offers: []caroboffer.Offer{
-		{Job: job, Target: target, Incarnation: 1, TimeLeft: 10 * time.Second, Requirements: required},
-	}})
-	return job
+	offer := r.newOffer(r.next, required)
+	offer.Job.Attempt, offer.Job.Call.Node = attempt, entry
+	r.step(time.Millisecond, carobinbox.Inbox{Offers: []caroboffer.Offer{offer}})
+	return offer.Job
+}
+
+// newOffer returns the offer of the first attempt at the call of the given number.
+func (r *rig) newOffer(number uint64, required carobrequirements.Requirements) caroboffer.Offer {
+	return caroboffer.Offer{
+		Job: carobjobid.ID{Call: carobcallid.ID{Node: "there", Incarnation: 1, Sequence: number}, Attempt: 1}, Target: target, Incarnation: 1,
+		TimeLeft: 10 * time.Second, Requirements: required,
+	}
 }
 
 // finish steps with the end of a job and returns the jobs that the step started.
--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -65,6 +65,9 @@
 	// ApplyTimeout is the time within which a route table must be in force after the store has
 	// acknowledged it; 0 selects the default of 2 s.
 	ApplyTimeout time.Duration
+	// AdmissionOrder is the name of an order of jobs at targets, for measurements; empty for the
+	// one that the route table calls for.
+	AdmissionOrder string
 	// NoTracePropagation disables the propagation of trace context.
 	NoTracePropagation bool
 }
@@ -131,7 +134,7 @@
 			carobcompaction.NewSystem(),
 			carobgrouping.NewSystem(),
 			carobfencing.NewSystem(),
-			carobadmission.NewSystem(),
+			carobadmission.NewSystem(carobadmission.Config{Order: c.AdmissionOrder}),
 			carobclaiming.NewSystem(carobclaiming.Config{
 				AppendInterval: claimAppendInterval, SettlementInterval: settlementAppendInterval, ReadBackTimeout: claimReadBackTimeout,
 				RetryDelay: claimRetryDelay, MaxKeys: maxClaimKeys, MaxStoredBytes: maxClaimBytes,
--- a/pkg/carobentry/conclude.go
+++ b/pkg/carobentry/conclude.go
@@ -20,6 +20,7 @@
 // faulty target may send bytes without end.
 func forwardAnswer(world *carobworld.World, now carobinstant.Instant, call *carobcall.Call, attempt int) {
 	call.Stage = carobstage.Delivering
+	world.CountCall(now, call, call.SLODeadline == carobinstant.Never || !call.SLODeadline.Reached(now))
 	logEnd(world, now, call, "answer forwarded", carobkind.None, 0)
 	cancelOthers(world, call, attempt)
 	conclusion := carobconclusion.Conclusion{Call: call.Arrival.Call, Attempt: attempt}
@@ -71,6 +72,9 @@
 		addSettlement(world, now, call, kind, nil)
 	}
 	cancelOthers(world, call, 0)
+	if kind != carobkind.Cancelled {
+		world.CountCall(now, call, false)
+	}
 	after := retryAfter(world, call, kind)
 	world.Outbox.Conclusions = append(world.Outbox.Conclusions, carobconclusion.Conclusion{
 		Call: call.Arrival.Call, Kind: kind, RetryAfter: after,
@@ -89,7 +93,21 @@
 		return 0
 	}
 	mean := max(1, min(after, call.SLODeadline.Sub(call.ArrivedAt)/sloDivisor))
-	return mean/2 + time.Duration(world.Random.Int64N(int64(mean)))
+	return mean/2 + time.Duration(world.Random.Int64N(int64(retrySpread(world, call, mean))))
+}
+
+// retrySpread returns over what time callers that are refused now should return. If only a part
+// of all calls is served, capacity for the others is expected over a correspondingly longer
+// time. Half of the SLO is left for the call that returns.
+func retrySpread(world *carobworld.World, call *carobcall.Call, mean time.Duration) time.Duration {
+	if !call.RequiresKey {
+		return mean
+	}
+	longest := max(mean, call.SLODeadline.Sub(call.ArrivedAt)/2-mean/2)
+	if share := world.OverallDemand.Share(); share > 0 {
+		return min(longest, time.Duration(float64(mean)/share))
+	}
+	return longest
 }
 
 // cancelOthers cancels all open attempts of a call except the attempt numbered
--- a/pkg/carobfencing/system_test.go
+++ b/pkg/carobfencing/system_test.go
@@ -60,7 +60,7 @@
 	r.now++
 	r.world.BeginTick(in)
 	carobfencing.NewSystem().Run(r.world, r.now)
-	carobadmission.NewSystem().Run(r.world, r.now)
+	carobadmission.NewSystem(carobadmission.Config{}).Run(r.world, r.now)
 }
 
 // job returns the ID of the first attempt of a call of another node.
--- a/pkg/carobpause/system_test.go
+++ b/pkg/carobpause/system_test.go
@@ -45,7 +45,7 @@
 			step := func(now carobinstant.Instant, in carobinbox.Inbox) {
 				world.BeginTick(in)
 				pause.Run(world, now)
-				carobadmission.NewSystem().Run(world, now)
+				carobadmission.NewSystem(carobadmission.Config{}).Run(world, now)
 			}
 			now := carobinstant.Instant(1)
 			step(now, carobinbox.Inbox{Offers: []caroboffer.Offer{offer(1), offer(2)}})
--- a/pkg/carobrequirements/requirements.go
+++ b/pkg/carobrequirements/requirements.go
@@ -30,6 +30,10 @@
 	SLO time.Duration
 	// Guarantee is how often the call may run.
 	Guarantee carobguarantee.Guarantee
+	// Behind is set if the organisation or the route of the call has lately had far fewer of
+	// its calls served at the entry node than the average. It is sent for calls with an
+	// organisation only.
+	Behind bool
 	// Movable is set if the call can be sent to another target at little cost,
 	// instead of waiting for a slow one.
 	Movable bool
--- a/pkg/carobrouting/system.go
+++ b/pkg/carobrouting/system.go
@@ -256,6 +256,7 @@
 		},
 	})
 	requirements := call.Requirements(now)
+	requirements.Behind = world.IsBehind(now, call)
 	requirements.Movable = len(call.Attempts) == 1 && len(s.candidates) > 1 && call.Arrival.Size <= maxMovableSize
 	world.Outbox.Sends = append(world.Outbox.Sends, carobsend.Send{
 		Job:    carobjobid.ID{Call: call.Arrival.Call, Attempt: len(call.Attempts)},
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -3,12 +3,15 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobadmissionstate"
 	"github.com/carobknot/carobknot/pkg/carobcall"
+	"github.com/carobknot/carobknot/pkg/carobcallclass"
 	"github.com/carobknot/carobknot/pkg/carobcallid"
 	"github.com/carobknot/carobknot/pkg/carobcallrate"
+	"github.com/carobknot/carobknot/pkg/carobdemand"
 	"github.com/carobknot/carobknot/pkg/carobevictingmap"
 	"github.com/carobknot/carobknot/pkg/carobfinish"
 	"github.com/carobknot/carobknot/pkg/carobgroup"
@@ -28,6 +31,7 @@
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/caroboffset"
 	"github.com/carobknot/carobknot/pkg/carobopenhop"
+	"github.com/carobknot/carobknot/pkg/caroborganisationid"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobpeer"
 	"github.com/carobknot/carobknot/pkg/carobpendingheartbeat"
@@ -142,6 +146,16 @@
 	EvictedIncarnation, EvictedFencedIncarnation carobincarnation.Incarnation
 	// RetryBudgets has each service's budget of retries and hedges.
 	RetryBudgets *carobtable.Table[carobservice.Service, carobretrybudget.RetryBudget]
+	// OrganisationDemands and RouteDemands count the calls of this entry by organisation and by
+	// route, and OverallDemand counts all of them, while the route table requires API keys.
+	OrganisationDemands *carobtable.Table[caroborganisationid.ID, carobdemand.Demand]
+	RouteDemands        *carobtable.Table[carobname.Name, carobdemand.Demand]
+	OverallDemand       carobdemand.Demand
+	// OrganisationStarts counts the calls that have started at the node's own targets by
+	// organisation.
+	OrganisationStarts *carobtable.Table[caroborganisationid.ID, carobdemand.Demand]
+	// WorkEstimates has the mean time that the node's own targets take for calls of a class.
+	WorkEstimates *carobtable.Table[carobcallclass.CallClass, time.Duration]
 	// Homes has the shards of idempotency keys that this node is home of.
 	Homes *carobtable.Table[carobshard.Shard, carobhome.Home]
 	// AppendCount counts the batches of claims that this node has appended.
@@ -251,6 +265,7 @@
 		Profiles:          carobtable.NewTable[carobname.Name, carobrevision.Revision](carobtable.Config{Limit: carobrevision.MaxProfiles}),
 	}
 	w.makeCallTables(c.Limits)
+	w.makeDemandTables()
 	return w
 }
 
