--- a/internal/carobmeter/meter.go
+++ b/internal/carobmeter/meter.go
@@ -15,6 +15,7 @@
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobreport"
 	"github.com/carobknot/carobknot/pkg/carobrouteversion"
+	"github.com/carobknot/carobknot/pkg/carobsend"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 )
 
@@ -111,6 +112,7 @@
 		m.routesRejected.Update(1)
 	}
 	m.add("attempts", len(out.Sends))
+	m.add("attempts_behind", countBehind(out.Sends))
 	m.add("starts", len(out.Starts))
 	m.add("checks", len(out.HealthChecks))
 	m.add("cancels", len(out.Cancels))
@@ -132,6 +134,17 @@
 	gauge.Update(float64(report.ColdLimit))
 }
 
+// countBehind returns the number of attempts at calls whose organisation or route is far behind.
+func countBehind(sends []carobsend.Send) int {
+	count := 0
+	for i := range sends {
+		if sends[i].Requirements.Behind {
+			count++
+		}
+	}
+	return count
+}
+
 // add adds n to a counter without labels. The counter first appears with a count above
 // zero.
 func (m *Meter) add(name string, n int) {
--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"net/http"
 	"time"
 
 	"github.com/carobknot/carobknot/pkg/carobadmissionstate"
@@ -134,7 +135,7 @@
 func shed(world *carobworld.World, now carobinstant.Instant, job *carobjob.Job, state *carobadmissionstate.AdmissionState, reason string) {
 	world.RecordDecision(carobdecision.Decision{
 		Component: "admit", Text: reason, Request: job.Offer.Requirements.Request, Organisation: job.Offer.Requirements.Organisation, Call: job.Offer.Job.Call,
-		Attempt: job.Offer.Job.Attempt, Target: job.Offer.Target, Kind: carobkind.Busy, Inputs: decisionInputs(state, now, job.ArrivedAt),
+		Attempt: job.Offer.Job.Attempt, Target: job.Offer.Target, Kind: carobkind.Busy, Inputs: decisionInputs(world, state, now, job),
 	})
 	carobfencing.RefuseQueued(world, job, carobkind.Busy)
 }
@@ -190,7 +191,7 @@
 	}
 	world.RecordDecision(carobdecision.Decision{
 		Component: "admit", Text: "job started", Request: job.Offer.Requirements.Request, Call: job.Offer.Job.Call,
-		Attempt: job.Offer.Job.Attempt, Target: job.Offer.Target, Inputs: decisionInputs(state, now, job.ArrivedAt),
+		Attempt: job.Offer.Job.Attempt, Target: job.Offer.Target, Inputs: decisionInputs(world, state, now, job),
 	})
 	world.Outbox.Starts = append(world.Outbox.Starts, carobstart.Start{
 		Job: job.Offer.Job, Address: target.Address, TimeLeft: job.Deadline.Sub(now),
@@ -218,7 +219,7 @@
 	}
 	state.Limit = jobLimit(state, now)
 	updateLatency(state, job.StartedAt, now)
-	if finish.Kind == carobkind.None && world.RequiresKey() {
+	if finish.Kind == carobkind.None && finish.Status < http.StatusInternalServerError && world.RequiresKey() {
 		recordWork(world, now, job)
 	}
 	if finish.Kind == carobkind.Unreachable {
@@ -306,18 +307,25 @@
 }
 
 // decisionInputs returns the values that admission decisions are based on.
-func decisionInputs(state *carobadmissionstate.AdmissionState, now, arrived carobinstant.Instant) []carobinput.Input {
+func decisionInputs(world *carobworld.World, state *carobadmissionstate.AdmissionState, now carobinstant.Instant, job *carobjob.Job) []carobinput.Input {
 	inputs := []carobinput.Input{
 		{Name: "running", Value: float64(state.Running)},
 		{Name: "queued", Value: float64(state.Queued)},
 		{Name: "limit", Value: float64(state.Limit)},
 		{Name: "rate", Value: float64(state.RateLimit)},
 		{Name: "slowness", Value: state.Slowness},
-		carobinput.Age("toldms", now, state.SlownessReadAt), carobinput.Age("waitedms", now, arrived),
+		carobinput.Age("toldms", now, state.SlownessReadAt), carobinput.Age("waitedms", now, job.ArrivedAt),
 	}
 	if state.ColdRate > 0 {
 		inputs = append(inputs, carobinput.Input{Name: "cold", Value: float64(state.ColdLimit)})
 	}
+	if world.RequiresKey() {
+		inputs = append(inputs,
+			carobinput.Input{Name: "behind", Value: float64(boolToInt(job.Offer.Requirements.Behind))},
+			carobinput.Input{Name: "workms", Value: float64(workOf(world, job).Milliseconds())},
+			carobinput.Input{Name: "duems", Value: float64(dueAt(job).Sub(now).Milliseconds())},
+		)
+	}
 	return inputs
 }
 
