--- a/internal/carobmeter/meter_test.go
+++ b/internal/carobmeter/meter_test.go
@@ -8,11 +8,14 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/carobknot/carobknot/pkg/carobcallrate"
 	"github.com/carobknot/carobknot/pkg/carobconclusion"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobname"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobreport"
+	"github.com/carobknot/carobknot/pkg/carobrequirements"
+	"github.com/carobknot/carobknot/pkg/carobsend"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 )
 
@@ -23,7 +26,8 @@
 	for range 2 {
 		meter.Execute(&caroboutbox.Outbox{
 			Conclusions:   []carobconclusion.Conclusion{{Kind: carobkind.Busy}, {}},
-			Reports:       []carobreport.Report{{Target: carobtargetid.ID{Service: "lookups", Name: "a"}, Running: 7}},
+			Reports:       []carobreport.Report{{Target: carobtargetid.ID{Service: "lookups", Name: "a"}, Running: 7, ColdLimit: 2.5}},
+			Sends:         []carobsend.Send{{}, {Requirements: carobrequirements.Requirements{Behind: true}}},
 			RoutesVersion: 42, Organisations: 74,
 		})
 	}
@@ -32,12 +36,30 @@
 	meter.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", http.NoBody))
 	for _, line := range []string{
 		`carobknot_calls{kind="busy"} 2`, `carobknot_calls{kind="none"} 2`, `carobknot_running{service="lookups",target="a"} 7`, `carobknot_routes 42`,
-		`carobknot_organisations 74`,
+		`carobknot_organisations 74`, `carobknot_cold_limit{service="lookups",target="a"} 2.5`, `carobknot_attempts 4`, `carobknot_attempts_behind 2`,
 	} {
 		require.Contains(t, recorder.Body.String(), line+"\n")
 	}
 }
 
+// Guards against a gauge of the limit of cold targets that appears where there is no such limit, or that keeps the limit of a target that has become warm.
+func TestColdLimitIsShownOnlyWhereThereIsOne(t *testing.T) {
+	id := carobtargetid.ID{Service: "lookups", Name: "a"}
+	meter := NewMeter()
+	serve := func() string {
+		recorder := httptest.NewRecorder()
+		meter.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", http.NoBody))
+		return recorder.Body.String()
+	}
+	meter.Execute(&caroboutbox.Outbox{Reports: []carobreport.Report{{Target: id}}})
+	require.Empty(t, meter.coldLimits)
+	for _, limit := range []carobcallrate.CallRate{5, 0} {
+		meter.Execute(&caroboutbox.Outbox{Reports: []carobreport.Report{{Target: id, ColdLimit: limit}}})
+	}
+	require.NoError(t, meter.Close())
+	require.Contains(t, serve(), `carobknot_cold_limit{service="lookups",target="a"} 0`+"\n")
+}
+
 // Guards against metrics that grow with each lifetime of a target.
 func TestGaugesOfTargetsAreBounded(t *testing.T) {
 	meter := NewMeter()
--- a/pkg/carobspendingwindow/spendingwindow_test.go
+++ b/pkg/carobspendingwindow/spendingwindow_test.go
@@ -45,3 +45,23 @@
 	require.False(t, window.Fits(now.Add(time.Second), 3, 10))
 	require.True(t, window.Fits(now.Add(time.Second+1), 3, 10))
 }
+
+// Guards against an instant at which the amount does not fit yet, or that is later than necessary.
+func TestFitsAtIsTheFirstInstantThatFits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 10
+		var window carobspendingwindow.SpendingWindow
+		now := carobinstant.Instant(time.Hour)
+		for range rapid.IntRange(0, 20).Draw(t, "expenses") {
+			now = now.Add(time.Duration(rapid.Int64Range(0, int64(time.Second)/4).Draw(t, "pause")))
+			window.Add(now, float64(rapid.IntRange(1, 3).Draw(t, "amount")))
+		}
+		amount := float64(rapid.IntRange(1, limit).Draw(t, "next"))
+		at := window.FitsAt(now, amount, limit)
+		require.GreaterOrEqual(t, at, now)
+		if at > now {
+			require.False(t, window.Fits(at-1, amount, limit))
+		}
+		require.True(t, window.Fits(at, amount, limit))
+	})
+}
