--- a/internal/carobmeter/meter.go
+++ b/internal/carobmeter/meter.go
@@ -16,6 +16,7 @@
 	"github.com/carobknot/carobknot/pkg/carobreport"
 	"github.com/carobknot/carobknot/pkg/carobrouteversion"
 	"github.com/carobknot/carobknot/pkg/carobsend"
+	"github.com/carobknot/carobknot/pkg/carobstoreera"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 )
 
@@ -42,6 +43,13 @@
 	organisations tally.Gauge
 	// routesRejected is 1 while the newest route table in the store cannot be read.
 	routesRejected tally.Gauge
+	// quotaNodes, quotaLeases and allocating show the lending of quotas; all are 0 while no
+	// organisation has a quota.
+	quotaNodes, quotaLeases, allocating tally.Gauge
+	// storeEra is the store's number of the newest era that is known. It appears once one is.
+	storeEra tally.Gauge
+	// evacuations is the number of data centres that are evacuated. It appears with the first.
+	evacuations tally.Gauge
 }
 
 const (
@@ -70,6 +78,7 @@
 	}, flushInterval)
 	m.routes, m.routesAge = m.scope.Gauge("routes"), m.scope.Gauge("routes_age")
 	m.routesRejected, m.organisations = m.scope.Gauge("routes_rejected"), m.scope.Gauge("organisations")
+	m.quotaNodes, m.quotaLeases, m.allocating = m.scope.Gauge("quota_nodes"), m.scope.Gauge("quota_leases"), m.scope.Gauge("quota_allocating")
 	return m
 }
 
@@ -111,6 +120,19 @@
 	if out.RoutesRejected {
 		m.routesRejected.Update(1)
 	}
+	m.countQuotas(out)
+	if out.StoreEra != carobstoreera.None {
+		if m.storeEra == nil {
+			m.storeEra = m.scope.Gauge("store_era")
+		}
+		m.storeEra.Update(float64(out.StoreEra.Number()))
+	}
+	if out.Evacuations > 0 && m.evacuations == nil {
+		m.evacuations = m.scope.Gauge("evacuations")
+	}
+	if m.evacuations != nil {
+		m.evacuations.Update(float64(out.Evacuations))
+	}
 	m.add("attempts", len(out.Sends))
 	m.add("attempts_behind", countBehind(out.Sends))
 	m.add("starts", len(out.Starts))
@@ -145,6 +167,17 @@
 	return count
 }
 
+// countQuotas updates the metrics of quotas.
+func (m *Meter) countQuotas(out *caroboutbox.Outbox) {
+	m.quotaNodes.Update(float64(out.QuotaNodes))
+	m.quotaLeases.Update(float64(out.QuotaLeases))
+	m.allocating.Update(0)
+	if out.Allocating {
+		m.allocating.Update(1)
+	}
+	m.add("quota_tokens", out.QuotaTokens)
+}
+
 // add adds n to a counter without labels. The counter first appears with a count above
 // zero.
 func (m *Meter) add(name string, n int) {
--- a/internal/carobmeter/meter_test.go
+++ b/internal/carobmeter/meter_test.go
@@ -28,7 +28,7 @@
 			Conclusions:   []carobconclusion.Conclusion{{Kind: carobkind.Busy}, {}},
 			Reports:       []carobreport.Report{{Target: carobtargetid.ID{Service: "lookups", Name: "a"}, Running: 7, ColdLimit: 2.5}},
 			Sends:         []carobsend.Send{{}, {Requirements: carobrequirements.Requirements{Behind: true}}},
-			RoutesVersion: 42, Organisations: 74,
+			RoutesVersion: 42, QuotaNodes: 64, QuotaLeases: 60, Allocating: true, QuotaTokens: 3, Organisations: 74,
 		})
 	}
 	require.NoError(t, meter.Close())
@@ -36,6 +36,7 @@
 	meter.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", http.NoBody))
 	for _, line := range []string{
 		`carobknot_calls{kind="busy"} 2`, `carobknot_calls{kind="none"} 2`, `carobknot_running{service="lookups",target="a"} 7`, `carobknot_routes 42`,
+		`carobknot_quota_nodes 64`, `carobknot_quota_leases 60`, `carobknot_quota_allocating 1`, `carobknot_quota_tokens 6`,
 		`carobknot_organisations 74`, `carobknot_cold_limit{service="lookups",target="a"} 2.5`, `carobknot_attempts 4`, `carobknot_attempts_behind 2`,
 	} {
 		require.Contains(t, recorder.Body.String(), line+"\n")
--- a/internal/carobroutepoller/routepoller.go
+++ b/internal/carobroutepoller/routepoller.go
@@ -12,11 +12,13 @@
 
 	"github.com/carobknot/carobknot/internal/carobmailbox"
 	"github.com/carobknot/carobknot/internal/carobtimer"
+	"github.com/carobknot/carobknot/pkg/carobevacuationlist"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobrouterejection"
 	"github.com/carobknot/carobknot/pkg/carobroutetable"
+	"github.com/carobknot/carobknot/pkg/carobstoreera"
 )
 
 // source provides the operator's route tables.
@@ -32,6 +34,18 @@
 	Rejection() *carobrouterejection.RouteRejection
 }
 
+// eraSource is a source whose store names its era.
+type eraSource interface {
+	// Era returns the highest era that a response of the store has named.
+	Era() carobstoreera.Era
+}
+
+// evacuationSource is a source whose store has records of evacuations.
+type evacuationSource interface {
+	// Evacuations returns what the last successful call of AwaitRoutes found of them.
+	Evacuations() carobevacuationlist.EvacuationList
+}
+
 // Config holds the parameters of a poller.
 type Config struct {
 	Source  source
@@ -66,6 +80,8 @@
 	changed, confirmDue chan struct{}
 	// rejection is the newest one that was posted; nil if there is none.
 	rejection *carobrouterejection.RouteRejection
+	// era is the highest one that was posted; None if none was.
+	era carobstoreera.Era
 	// failures is the number of consecutive failed reads.
 	failures int
 	// unreadable is true from the failure that reaches failureThreshold to the next
@@ -192,6 +208,7 @@
 func (p *RoutePoller) readOnce(ctx context.Context, wait time.Duration) error {
 	startedAt := p.config.Timer.Now()
 	routes, err := p.config.Source.AwaitRoutes(ctx, wait)
+	p.postEra()
 	if err != nil && ctx.Err() != nil {
 		return err
 	}
@@ -203,8 +220,12 @@
 		return err
 	}
 	rejection, changed := p.newRejection()
+	evacuations, ok := p.config.Source.(evacuationSource)
 	p.config.Mailbox.Post(func(in *carobinbox.Inbox) {
 		in.StoreReads = append(in.StoreReads, startedAt)
+		if ok {
+			in.EvacuationLists = append(in.EvacuationLists, evacuations.Evacuations())
+		}
 		if changed {
 			in.RouteRejections = append(in.RouteRejections, rejection)
 		}
@@ -215,6 +236,22 @@
 	return nil
 }
 
+// postEra posts the era of the store if it has risen. Failed reads may name one too.
+func (p *RoutePoller) postEra() {
+	source, ok := p.config.Source.(eraSource)
+	if !ok {
+		return
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	era := source.Era()
+	if era <= p.era {
+		return
+	}
+	p.era = era
+	p.config.Mailbox.Post(func(in *carobinbox.Inbox) { in.StoreEras = append(in.StoreEras, era) })
+}
+
 // newRejection returns the table that the source rejects at present, and whether it has
 // changed since the last call.
 func (p *RoutePoller) newRejection() (*carobrouterejection.RouteRejection, bool) {
--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -18,6 +18,7 @@
 	"github.com/carobknot/carobknot/pkg/carobdissemination"
 	"github.com/carobknot/carobknot/pkg/carobejection"
 	"github.com/carobknot/carobknot/pkg/carobentry"
+	"github.com/carobknot/carobknot/pkg/carobevacuating"
 	"github.com/carobknot/carobknot/pkg/carobfencing"
 	"github.com/carobknot/carobknot/pkg/carobfold"
 	"github.com/carobknot/carobknot/pkg/carobgrouping"
@@ -31,6 +32,9 @@
 	"github.com/carobknot/carobknot/pkg/carobpause"
 	"github.com/carobknot/carobknot/pkg/carobprobing"
 	"github.com/carobknot/carobknot/pkg/carobprofile"
+	"github.com/carobknot/carobknot/pkg/carobquotaallocation"
+	"github.com/carobknot/carobknot/pkg/carobquotacounting"
+	"github.com/carobknot/carobknot/pkg/carobquotalending"
 	"github.com/carobknot/carobknot/pkg/carobreconciliation"
 	"github.com/carobknot/carobknot/pkg/carobregistry"
 	"github.com/carobknot/carobknot/pkg/carobrevision"
@@ -39,6 +43,7 @@
 	"github.com/carobknot/carobknot/pkg/carobrouting"
 	"github.com/carobknot/carobknot/pkg/carobshutdown"
 	"github.com/carobknot/carobknot/pkg/carobstorereading"
+	"github.com/carobknot/carobknot/pkg/carobstorerecovery"
 	"github.com/carobknot/carobknot/pkg/carobtracing"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
@@ -122,6 +127,7 @@
 			carobregistry.NewSystem(carobregistry.Config{
 				AnnouncementTimeout: cmp.Or(c.AnnouncementTimeout, announcementTimeout), ConfirmationPeriod: c.ConfirmationPeriod,
 			}),
+			carobstorerecovery.NewSystem(),
 			carobjoining.NewSystem(carobjoining.Config{Seeds: c.Seeds}),
 			carobmembership.NewSystem(),
 			carobdetection.NewSystem(),
@@ -129,6 +135,7 @@
 			carobroutesync.NewSystem(),
 			carobstorereading.NewSystem(),
 			carobrouteconfirmation.NewSystem(carobrouteconfirmation.Config{ApplyTimeout: cmp.Or(c.ApplyTimeout, applyTimeout)}),
+			carobevacuating.NewSystem(),
 			carobfold.NewSystem(),
 			carobcatchup.NewSystem(),
 			carobcompaction.NewSystem(),
@@ -139,6 +146,9 @@
 				AppendInterval: claimAppendInterval, SettlementInterval: settlementAppendInterval, ReadBackTimeout: claimReadBackTimeout,
 				RetryDelay: claimRetryDelay, MaxKeys: maxClaimKeys, MaxStoredBytes: maxClaimBytes,
 			}),
+			carobquotacounting.NewSystem(),
+			carobquotaallocation.NewSystem(),
+			carobquotalending.NewSystem(),
 			carobentry.NewSystem(),
 			carobprobing.NewSystem(),
 			carobrouting.NewSystem(),
--- a/pkg/carobentry/retry_after_test.go
+++ b/pkg/carobentry/retry_after_test.go
@@ -10,6 +10,7 @@
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroblimits"
+	"github.com/carobknot/carobknot/pkg/caroborganisation"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
@@ -40,7 +41,7 @@
 			var longest time.Duration
 			shortest := slo
 			for range 1000 {
-				after := retryAfter(world, call, carobkind.Busy)
+				after := retryAfter(world, now, call, carobkind.Busy)
 				longest, shortest = max(longest, after), min(shortest, after)
 			}
 			require.LessOrEqual(t, longest, c.longest)
@@ -49,3 +50,19 @@
 		})
 	}
 }
+
+// Guards against an organisation that gains precedence over others by calls that it gives up or that are beyond its quota.
+func TestOnlyCallsThatFoundNoRoomCountAsNotServed(t *testing.T) {
+	const now = carobinstant.Instant(time.Hour)
+	for kind, counted := range map[carobkind.Kind]bool{
+		carobkind.Busy: true, carobkind.NotStartedInTime: true, carobkind.ConnectionLost: true,
+		carobkind.Cancelled: false, carobkind.Quota: false, carobkind.NotReady: false,
+	} {
+		for _, keyed := range []bool{true, false} {
+			world := carobworld.NewWorld(carobworld.Config{Limits: caroblimits.NewLimits(), Seed: 1})
+			organisation := &caroborganisation.Organisation{ID: "clinic"}
+			conclude(world, now, &carobcall.Call{RequiresKey: keyed, Organisation: organisation, ArrivedAt: now}, kind)
+			require.Equal(t, counted && keyed, world.OrganisationDemands.Get("clinic") != nil, "%s, keyed: %t", kind, keyed)
+		}
+	}
+}
--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -10,7 +10,6 @@
 	"github.com/carobknot/carobknot/pkg/carobarrival"
 	"github.com/carobknot/carobknot/pkg/carobcall"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
-	"github.com/carobknot/carobknot/pkg/carobkey"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobmessage"
 	"github.com/carobknot/carobknot/pkg/carobprofile"
@@ -116,9 +115,15 @@
 	call.Organisation, call.RequiresKey = organisation, requiresKey(world)
 	if world.ShutdownDeadline.Before(call.Deadline) {
 		// The node may exit before the call is answered. Another node can answer it.
-		refuse(world, now, &call, carobkind.Leaving, retryAfter(world, &call, carobkind.Leaving))
+		refuse(world, now, &call, carobkind.Leaving, retryAfter(world, now, &call, carobkind.Leaving))
 		return
 	}
+	if limited(&call) {
+		if kind := acquireOnArrival(world, now, &call); kind != carobkind.None {
+			refuse(world, now, &call, kind, retryAfter(world, now, &call, kind))
+			return
+		}
+	}
 	world.CreditRetryBudget(arrival.Service)
 	world.Calls.Put(arrival.Call, call)
 }
@@ -137,9 +142,7 @@
 	if route != nil && route.SLO > 0 {
 		call.SLODeadline = now.Add(route.SLO.Duration())
 	}
-	if call.Key() != (carobkey.Key{}) {
-		call.Stage = carobstage.Claiming
-	}
+	call.Stage = firstStage(&call)
 	return call
 }
 
@@ -164,7 +167,7 @@
 		return carobkind.Leaving
 	case world.Calls.Full():
 		return carobkind.Busy
-	case world.Groups.Get(arrival.Service) == nil:
+	case world.Groups.Get(arrival.Service) == nil, world.IsServiceEvacuated(arrival.Service):
 		return carobkind.NoTarget
 	case world.ProfileOf(arrival.Service) == nil:
 		return carobkind.NotReady
@@ -180,7 +183,7 @@
 	group := world.Groups.Get(service)
 	return group != nil && lo.SomeBy(group.Targets, func(id carobtargetid.ID) bool {
 		target := world.Targets.Get(id)
-		return target != nil && !world.Owns(target) && target.Readiness == carobreadiness.Ready
+		return target != nil && !world.Owns(target) && target.Readiness == carobreadiness.Ready && !world.IsTargetEvacuated(target)
 	})
 }
 
@@ -190,11 +193,17 @@
 	if call.Stage == carobstage.Delivering {
 		return
 	}
+	if call.Stage == carobstage.Acquiring {
+		continueAcquiring(world, now, call)
+	}
+	if call.Stage == carobstage.Acquiring {
+		return
+	}
 	if call.Stage == carobstage.Claiming {
 		sendClaim(world, now, call)
 		return
 	}
-	if call.Stage == carobstage.Waiting && call.NoTarget && call.SLODeadline != carobinstant.Never && !mayBackOff(now, call) {
+	if call.Stage == carobstage.Waiting && call.NoTarget && waitsInVain(world, now, call) {
 		concludeWithoutTarget(world, now, call)
 		return
 	}
@@ -209,3 +218,9 @@
 		continueFencing(world, now, call)
 	}
 }
+
+// waitsInVain reports whether a call without a target is to be concluded: all targets are
+// evacuated, or it has an SLO and has waited long enough.
+func waitsInVain(world *carobworld.World, now carobinstant.Instant, call *carobcall.Call) bool {
+	return world.IsServiceEvacuated(call.Arrival.Service) || call.SLODeadline != carobinstant.Never && !mayBackOff(now, call)
+}
--- a/pkg/carobinbox/inbox.go
+++ b/pkg/carobinbox/inbox.go
@@ -9,6 +9,7 @@
 	"github.com/carobknot/carobknot/pkg/carobcallid"
 	"github.com/carobknot/carobknot/pkg/carobcheckresult"
 	"github.com/carobknot/carobknot/pkg/carobdelivery"
+	"github.com/carobknot/carobknot/pkg/carobevacuationlist"
 	"github.com/carobknot/carobknot/pkg/carobfinish"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobmessage"
@@ -16,6 +17,7 @@
 	"github.com/carobknot/carobknot/pkg/carobrecord"
 	"github.com/carobknot/carobknot/pkg/carobrouterejection"
 	"github.com/carobknot/carobknot/pkg/carobroutetable"
+	"github.com/carobknot/carobknot/pkg/carobstoreera"
 	"github.com/carobknot/carobknot/pkg/carobstreambounds"
 )
 
@@ -40,9 +42,15 @@
 	// StoreReads are the instants at which successful reads of the store began. What they
 	// found is in RouteTables.
 	StoreReads []carobinstant.Instant
+	// EvacuationLists are what successful reads of the store found about evacuations, the newest
+	// last.
+	EvacuationLists []carobevacuationlist.EvacuationList
 	// StoreUnreadable has a value for each change of whether the store can be read, true if it
 	// cannot, the newest last.
 	StoreUnreadable []bool
+	// StoreEras are the eras that responses of the store to this node have named. Each is higher
+	// than the one before from the same goroutine.
+	StoreEras []carobstoreera.Era
 	// Stop requests a graceful shutdown of the node.
 	Stop bool
 	// ShutdownDeadline is the deadline of the shutdown, in the tick in which it becomes
--- a/pkg/carobmessage/message.go
+++ b/pkg/carobmessage/message.go
@@ -9,6 +9,7 @@
 	"github.com/carobknot/carobknot/pkg/carobclaimreply"
 	"github.com/carobknot/carobknot/pkg/carobdigest"
 	"github.com/carobknot/carobknot/pkg/carobduration"
+	"github.com/carobknot/carobknot/pkg/carobevacuation"
 	"github.com/carobknot/carobknot/pkg/carobfence"
 	"github.com/carobknot/carobknot/pkg/carobfencereply"
 	"github.com/carobknot/carobknot/pkg/carobgossip"
@@ -16,6 +17,8 @@
 	"github.com/carobknot/carobknot/pkg/carobloadprobe"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/carobpeerheartbeat"
+	"github.com/carobknot/carobknot/pkg/carobquotareply"
+	"github.com/carobknot/carobknot/pkg/carobquotarequest"
 	"github.com/carobknot/carobknot/pkg/carobrecordfetch"
 	"github.com/carobknot/carobknot/pkg/carobrecordfetchreply"
 	"github.com/carobknot/carobknot/pkg/carobreport"
@@ -23,6 +26,7 @@
 	"github.com/carobknot/carobknot/pkg/carobroutetable"
 	"github.com/carobknot/carobknot/pkg/carobrouteversion"
 	"github.com/carobknot/carobknot/pkg/carobsettlement"
+	"github.com/carobknot/carobknot/pkg/carobstoreera"
 )
 
 // Message is one control message. At most one of the pointers is set, which makes it the
@@ -44,6 +48,14 @@
 	// newer route table than RoutesVersion; 0 if that is not known.
 	RoutesAge carobduration.Duration `json:"routesage,omitempty"`
 
+	// StoreEra is the newest era of the store that the sender knows; None if none is known. Not
+	// all messages name it.
+	StoreEra carobstoreera.Era `json:"era,omitempty"`
+
+	// Evacuations are the states of data centres that are evacuated or have changed recently. At
+	// most one is of the same data centre.
+	Evacuations []carobevacuation.Evacuation `json:"evacuate,omitempty"`
+
 	// Membership and profiles.
 
 	// Gossip carries descriptions of nodes.
@@ -73,6 +85,12 @@
 	Settlement *carobsettlement.Settlement `json:"settlement,omitempty"`
 	Settled    *carobcallid.ID             `json:"settled,omitempty"`
 
+	// Quotas.
+
+	// QuotaRequest requests tokens from an allocator, and QuotaReply answers.
+	QuotaRequest *carobquotarequest.QuotaRequest `json:"quota,omitempty"`
+	QuotaReply   *carobquotareply.QuotaReply     `json:"quotareply,omitempty"`
+
 	// Load probes.
 
 	// LoadProbe requests the load of a target. Its name on the wire is poll.
--- a/pkg/caroboutbox/outbox.go
+++ b/pkg/caroboutbox/outbox.go
@@ -19,6 +19,7 @@
 	"github.com/carobknot/carobknot/pkg/carobrouteversion"
 	"github.com/carobknot/carobknot/pkg/carobsend"
 	"github.com/carobknot/carobknot/pkg/carobstart"
+	"github.com/carobknot/carobknot/pkg/carobstoreera"
 	"github.com/carobknot/carobknot/pkg/carobsubscription"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 )
@@ -52,6 +53,10 @@
 	// RoutesAge is how long ago the route table in force was last confirmed to be the newest;
 	// 0 if it never was.
 	RoutesAge time.Duration
+	// StoreEra is the newest era of the store that is known; None if none is.
+	StoreEra carobstoreera.Era
+	// Evacuations is the number of data centres that are evacuated.
+	Evacuations int
 	// Stopped is true when a graceful shutdown is complete.
 	Stopped bool
 
@@ -78,6 +83,17 @@
 	Cancels     []carobjobid.ID
 	Conclusions []carobconclusion.Conclusion
 
+	// Quotas. All are zero if no organisation has one.
+
+	// QuotaNodes is the number of nodes that the quotas are divided by.
+	QuotaNodes int
+	// QuotaLeases is the number of nodes that lend their share to this one, and Allocating is
+	// true while this node chooses itself as the allocator.
+	QuotaLeases int
+	Allocating  bool
+	// QuotaTokens is the number of tokens that this node granted, as an allocator.
+	QuotaTokens int
+
 	// Audit trail, decisions and traces.
 
 	Audits    []carobaudit.Audit
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -11,7 +11,11 @@
 	"github.com/carobknot/carobknot/pkg/carobcallclass"
 	"github.com/carobknot/carobknot/pkg/carobcallid"
 	"github.com/carobknot/carobknot/pkg/carobcallrate"
+	"github.com/carobknot/carobknot/pkg/carobcapacity"
+	"github.com/carobknot/carobknot/pkg/carobcentre"
+	"github.com/carobknot/carobknot/pkg/carobcountednode"
 	"github.com/carobknot/carobknot/pkg/carobdemand"
+	"github.com/carobknot/carobknot/pkg/carobevacuation"
 	"github.com/carobknot/carobknot/pkg/carobevictingmap"
 	"github.com/carobknot/carobknot/pkg/carobfinish"
 	"github.com/carobknot/carobknot/pkg/carobgroup"
@@ -37,6 +41,11 @@
 	"github.com/carobknot/carobknot/pkg/carobpendingheartbeat"
 	"github.com/carobknot/carobknot/pkg/carobpendingsettlement"
 	"github.com/carobknot/carobknot/pkg/carobprobelimits"
+	"github.com/carobknot/carobknot/pkg/carobquotabucket"
+	"github.com/carobknot/carobknot/pkg/carobquotalease"
+	"github.com/carobknot/carobknot/pkg/carobquotaledger"
+	"github.com/carobknot/carobknot/pkg/carobquotasettings"
+	"github.com/carobknot/carobknot/pkg/carobquotastock"
 	"github.com/carobknot/carobknot/pkg/carobrecord"
 	"github.com/carobknot/carobknot/pkg/carobretrybudget"
 	"github.com/carobknot/carobknot/pkg/carobretrylimits"
@@ -47,6 +56,7 @@
 	"github.com/carobknot/carobknot/pkg/carobservice"
 	"github.com/carobknot/carobknot/pkg/carobshard"
 	"github.com/carobknot/carobknot/pkg/carobspendingwindow"
+	"github.com/carobknot/carobknot/pkg/carobstoreera"
 	"github.com/carobknot/carobknot/pkg/carobtable"
 	"github.com/carobknot/carobknot/pkg/carobtarget"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
@@ -61,6 +71,11 @@
 	Limits      caroblimits.Limits
 	ProbeLimits carobprobelimits.ProbeLimits
 	RetryLimits carobretrylimits.RetryLimits
+	// QuotaSettings bounds the calls of organisations with a quota; zero selects the defaults.
+	QuotaSettings carobquotasettings.QuotaSettings
+	// Capacity is the processor capacity of this node, by which an allocator of quotas is
+	// chosen; 0 if it is not known.
+	Capacity carobcapacity.Capacity
 	// Seed is the seed of the random number generator.
 	Seed uint64
 }
@@ -74,6 +89,10 @@
 	Limits      caroblimits.Limits
 	ProbeLimits carobprobelimits.ProbeLimits
 	RetryLimits carobretrylimits.RetryLimits
+	// QuotaSettings bounds the calls of organisations with a quota.
+	QuotaSettings carobquotasettings.QuotaSettings
+	// Capacity is the processor capacity of this node; 0 if it is not known.
+	Capacity carobcapacity.Capacity
 	// Random is the only random number generator that systems use, so that a run is
 	// reproducible from its seed.
 	Random *rand.Rand
@@ -176,6 +195,17 @@
 	// RoutesConfirmedAt is an instant at which the store had no newer route table than
 	// RouteTable; Never if none is known. It never decreases.
 	RoutesConfirmedAt carobinstant.Instant
+	// StoreEra is the newest era of the store that is known; None if none is. It never decreases.
+	StoreEra carobstoreera.Era
+	// StoreRestored is true in the tick in which a restore of the store from an earlier copy
+	// becomes known, and StoreRestoredAt is when the last one did; Never if none has.
+	StoreRestored   bool
+	StoreRestoredAt carobinstant.Instant
+	// Evacuations has the data centres that were ever known to be evacuated. Only rows that are
+	// active are so now.
+	Evacuations *carobtable.Table[carobcentre.Centre, carobevacuation.Evacuation]
+	// EvacuationNotices are the states that all messages carry.
+	EvacuationNotices []carobevacuation.Evacuation
 	// AwaitingLog is true after a start until the node has read the log, which may hold newer
 	// profiles. Until then no profile from the log is in force.
 	AwaitingLog bool
@@ -194,6 +224,37 @@
 	SnapshotOffset     caroboffset.Offset
 	SnapshotLastOffset caroboffset.Offset
 
+	// Quotas.
+
+	// QuotasInForce is true if an organisation of the route table in force has a quota. All
+	// tables of this section are empty otherwise.
+	QuotasInForce bool
+	// CountedNodes has the other nodes that may be using their share of the quotas.
+	CountedNodes *carobtable.Table[carobnodeid.ID, carobcountednode.CountedNode]
+	// QuotaNodes is the number of nodes that the quotas are divided by, this one included.
+	QuotaNodes int
+	// QuotaShareUsable is true while this node may use or lend its share.
+	QuotaShareUsable bool
+	// QuotaStocks has the organisations with a quota that this node has had calls of recently.
+	QuotaStocks *carobtable.Table[caroborganisationid.ID, carobquotastock.QuotaStock]
+	// LoweredQuotas has the version of the route table that last lowered the limit of each
+	// organisation.
+	LoweredQuotas *carobtable.Table[caroborganisationid.ID, carobrouteversion.Version]
+	// QuotaWaiting is the number of calls that wait for a token.
+	QuotaWaiting int
+	// QuotaUrgent is true if a call began to wait for a token after the last request.
+	QuotaUrgent bool
+	// QuotaSpent is true if a token was taken since the last request.
+	QuotaSpent bool
+	// OwnQuotaSince is since when this node uses its own share; Never while it does not.
+	OwnQuotaSince carobinstant.Instant
+	// QuotaLedger is the account of the shares that are lent to this node as an allocator,
+	// QuotaBuckets has the organisations that it allocates tokens of, and QuotaLeases the nodes
+	// that have requested tokens, this one included.
+	QuotaLedger  carobquotaledger.QuotaLedger
+	QuotaBuckets *carobtable.Table[caroborganisationid.ID, carobquotabucket.QuotaBucket]
+	QuotaLeases  *carobtable.Table[carobnodeid.ID, carobquotalease.QuotaLease]
+
 	// Tracing.
 
 	// OpenCallHops has the hops of the calls that this node is the entry of.
@@ -260,12 +321,14 @@
 		LoggedMembers:     carobtable.NewTable[carobnodeid.ID, carobmember.Member](carobtable.Config{Limit: c.Limits.Peers}),
 		PendingHeartbeats: carobtable.NewTable[uint64, carobpendingheartbeat.PendingHeartbeat](carobtable.Config{Limit: maxPendingHeartbeats}),
 		Peers:             carobtable.NewTable[carobnodeid.ID, carobpeer.Peer](carobtable.Config{Limit: c.Limits.Peers}),
+		Evacuations:       carobtable.NewTable[carobcentre.Centre, carobevacuation.Evacuation](carobtable.Config{Limit: carobevacuation.MaxRows}),
 		OpenCallHops:      carobtable.NewTable[carobcallid.ID, carobopenhop.OpenHop](carobtable.Config{Limit: 2 * c.Limits.Calls}),
 		OpenJobHops:       carobtable.NewTable[carobjobid.ID, carobopenhop.OpenHop](carobtable.Config{Limit: 2 * c.Limits.Jobs}),
 		Profiles:          carobtable.NewTable[carobname.Name, carobrevision.Revision](carobtable.Config{Limit: carobrevision.MaxProfiles}),
 	}
 	w.makeCallTables(c.Limits)
 	w.makeDemandTables()
+	w.makeQuotaTables(c)
 	return w
 }
 
--- a/test/fuzz/fuzz_test.go
+++ b/test/fuzz/fuzz_test.go
@@ -234,7 +234,8 @@
 		seed := strconv.FormatInt(time.Now().UnixNano(), 10) //nolint:forbidigo // a new seed
 		require.NoError(t, flag.Set("rapid.seed", seed))
 		name, config := "TestFaults", plan{}
-		switch round % 5 {
+		run := func(rt *rapid.T) { runSimulation(rt, config, &total) }
+		switch round % 6 {
 		case 1:
 			name, config = "TestKeys", plan{reuseKeys: true}
 		case 2:
@@ -243,9 +244,11 @@
 			name, config = "TestColdTargets", plan{healthChecks: true, coldTargets: true}
 		case 4:
 			name, config = "TestOrganisations", plan{organisations: true}
+		case 5:
+			name, run = "TestQuotasHold", func(rt *rapid.T) { runQuotaSimulation(rt, plan{}, &total) }
 		}
 		ok := t.Run("seed="+seed, func(t *testing.T) {
-			rapid.Check(t, func(rt *rapid.T) { runSimulation(rt, config, &total) })
+			rapid.Check(t, run)
 		})
 		if !ok {
 			t.Fatalf("reproduce: go test ./test/fuzz -run '^%s$' -rapid.seed=%s\n%s", name, seed, total.String())
--- a/test/fuzz/node_test.go
+++ b/test/fuzz/node_test.go
@@ -272,6 +272,7 @@
 // observe reports the decisions of a tick to the oracle.
 func (n *node) observe(out *caroboutbox.Outbox) {
 	oracle, now := n.sim.oracle, n.sim.elapsed()
+	n.sim.quotas.observe(n, out)
 	for _, start := range out.Starts {
 		target := n.sim.targetAt(start.Address)
 		oracle.jobStarted(target.id.String(), start.Job.String())
--- a/test/fuzz/simulation_test.go
+++ b/test/fuzz/simulation_test.go
@@ -48,6 +48,8 @@
 	incarnations, ticks int
 	// kinds counts the errors that callers received.
 	kinds map[carobkind.Kind]int
+	// quotas is the load of organisations with quotas; nil if there are none.
+	quotas *quotaLoad
 	// keyCount counts the idempotency keys that were used once only.
 	keyCount int
 }
