--- a/pkg/carobquotalending/system_test.go
+++ b/pkg/carobquotalending/system_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/carobknot/carobknot/pkg/carobquotaperiods"
+
 	"github.com/stretchr/testify/require"
 
 	"github.com/carobknot/carobknot/pkg/carobaddress"
@@ -165,7 +167,7 @@
 	r.tick(20 * time.Millisecond)
 	require.Positive(t, r.last.Nodes)
 	require.Equal(t, carobinstant.Never, r.world.OwnQuotaSince)
-	for r.now < received.Add(2*time.Second-20*time.Millisecond) {
+	for r.now < received.Add(carobquotaperiods.Of(r.world.QuotaNodes).Lease-20*time.Millisecond) {
 		r.tick(10 * time.Millisecond)
 		require.Equal(t, carobinstant.Never, r.world.OwnQuotaSince, "the allocator may count the share")
 		require.Zero(t, r.world.QuotaLedger.Leases, "nor does this node lend it to itself")
@@ -179,7 +181,7 @@
 func TestShareIsLentToOneAllocatorAtATime(t *testing.T) {
 	r := newRig(t, peer("b", 900, true))
 	r.lend("b")
-	bound := r.now.Add(-20 * time.Millisecond).Add(2 * time.Second)
+	bound := r.now.Add(-20 * time.Millisecond).Add(carobquotaperiods.Of(r.world.QuotaNodes).Lease)
 	r.tick(time.Millisecond, reply("b", r.last.Number))
 	// The reply renews the stamp, but the lease ends with the stamp that was sent.
 	r.setPeer(peer("a", 900, true))
@@ -259,6 +261,35 @@
 	require.Zero(t, r.world.QuotaStocks.Get("clinic").Tokens)
 }
 
+// Guards against requests that list all organisations each time, and against ones that leave something
+// out of which the allocator may have no record.
+func TestRequestsListWhatChanged(t *testing.T) {
+	r := newRig(t, peer("a", 900, true))
+	stock := r.world.QuotaStocks.Put("clinic", carobquotastock.QuotaStock{Rate: 100, Burst: 10, Tokens: 2, ExpiresAt: r.now.Add(time.Minute)})
+	stock.RecordCall(r.now)
+	r.tick(0)
+	require.True(t, r.last.Complete)
+	require.Len(t, r.last.Demands, 1)
+	r.tick(time.Millisecond, reply("a", 1))
+	r.tick(20 * time.Millisecond)
+	require.False(t, r.last.Complete)
+	require.Empty(t, r.last.Demands)
+	r.tick(time.Millisecond, reply("a", 2))
+	stock.Tokens = 1
+	r.tick(carobquotaperiods.Of(r.world.QuotaNodes).Renewal)
+	require.False(t, r.last.Complete)
+	require.Equal(t, 1, r.last.Demands[0].Held)
+	number := r.last.Number
+	r.pass(240 * time.Millisecond)
+	r.setPeer(peer("b", 999, true))
+	r.tick(time.Millisecond, reply("a", number))
+	r.setLimit(2, 100)
+	for r.last = nil; r.last == nil; {
+		r.tick(10 * time.Millisecond)
+	}
+	require.True(t, r.last.Complete, "the record of the other node, or of the table before, is not this one")
+}
+
 // Guards against an allocator that gives its own calls no tokens.
 func TestAllocatorServesItself(t *testing.T) {
 	r := newRig(t)
