--- a/internal/carobmeter/meter.go
+++ b/internal/carobmeter/meter.go
@@ -15,6 +15,7 @@
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobreport"
 	"github.com/carobknot/carobknot/pkg/carobrouteversion"
+	"github.com/carobknot/carobknot/pkg/carobsend"
 	"github.com/carobknot/carobknot/pkg/carobstoreera"
 	"github.com/carobknot/carobknot/pkg/carobtargetid"
 )
@@ -133,6 +134,7 @@
 		m.evacuations.Update(float64(out.Evacuations))
 	}
 	m.add("attempts", len(out.Sends))
+	m.add("attempts_behind", countBehind(out.Sends))
 	m.add("starts", len(out.Starts))
 	m.add("checks", len(out.HealthChecks))
 	m.add("cancels", len(out.Cancels))
@@ -154,6 +156,17 @@
 	gauge.Update(float64(report.ColdLimit))
 }
 
+// countBehind returns the number of attempts at calls whose organisation or route is far behind.
+func countBehind(sends []carobsend.Send) int {
+	count := 0
+	for i := range sends {
+		if sends[i].Requirements.Behind {
+			count++
+		}
+	}
+	return count
+}
+
 // countQuotas updates the metrics of quotas.
 func (m *Meter) countQuotas(out *caroboutbox.Outbox) {
 	m.quotaNodes.Update(float64(out.QuotaNodes))
--- a/pkg/carobadmission/system.go
+++ b/pkg/carobadmission/system.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"net/http"
 	"time"
 
 	"github.com/carobknot/carobknot/pkg/carobadmissionstate"
@@ -26,12 +27,21 @@
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
+// Config holds the settings of the system.
+type Config struct {
+	// Order is the name of an order of jobs, for measurements; empty for the one that the route
+	// table calls for.
+	Order string
+}
+
 // System admits jobs to the node's own targets.
-type System struct{}
+type System struct {
+	config Config
+}
 
 // NewSystem returns the system.
-func NewSystem() *System {
-	return &System{}
+func NewSystem(c Config) *System {
+	return &System{config: c}
 }
 
 // Run handles the tick's health check results, offers and finished jobs, refuses
@@ -50,7 +60,7 @@
 		updateColdLimit(world, now, id, state)
 	}
 	for _, offer := range world.Inbox.Offers {
-		handleOffer(world, now, offer)
+		s.handleOffer(world, now, offer)
 	}
 	for _, finish := range world.Inbox.Finishes {
 		handleFinish(world, now, finish)
@@ -59,7 +69,7 @@
 	for id, state := range world.AdmissionStates.All() {
 		if state.Queued > 0 {
 			refuseMovable(world, now, id, state)
-			startQueued(world, now, id, state)
+			s.startQueued(world, now, id, state)
 		}
 	}
 	publishReports(world)
@@ -77,7 +87,7 @@
 }
 
 // handleOffer refuses an offer, or adds its job. Offers of a known job are ignored.
-func handleOffer(world *carobworld.World, now carobinstant.Instant, offer caroboffer.Offer) {
+func (s *System) handleOffer(world *carobworld.World, now carobinstant.Instant, offer caroboffer.Offer) {
 	if isDuplicate(world, offer.Job) {
 		return
 	}
@@ -98,13 +108,13 @@
 	if isNested(job) {
 		state.LastNestedAt = now
 	}
-	startOrEnqueue(world, now, target, state, job)
+	s.startOrEnqueue(world, now, target, state, job)
 }
 
 // startOrEnqueue starts a job that has just arrived, or enqueues it. If the queue is then
 // longer than the profile's queue limit plus the free slots, or than the rate limit will
 // soon allow to start, its least urgent job is shed.
-func startOrEnqueue(world *carobworld.World, now carobinstant.Instant, target *carobtarget.Target, state *carobadmissionstate.AdmissionState, job *carobjob.Job) {
+func (s *System) startOrEnqueue(world *carobworld.World, now carobinstant.Instant, target *carobtarget.Target, state *carobadmissionstate.AdmissionState, job *carobjob.Job) {
 	if state.Running < jobLimitFor(state, now, job) && state.Queued == 0 && hasToken(world, now, state, isNested(job)) && mayStart(world, now, target, state) {
 		startJob(world, now, job, target, state)
 		return
@@ -112,9 +122,11 @@
 	state.Queued++
 	switch {
 	case state.Queued > queueLimit(world, target)+max(0, state.Limit-state.Running):
-		shed(world, now, leastUrgent(world, now, target.ID), state, "queue full")
+		shed(world, now, s.leastUrgent(world, now, target.ID), state, "queue full")
+	case !s.orderOf(world).mayWait(world, now, state, job):
+		shed(world, now, job, state, "cannot be served in time")
 	case state.CallLimit() > 0 && state.Queued > tokensSoon(state, now):
-		shed(world, now, leastUrgent(world, now, target.ID), state, limitReason(state))
+		shed(world, now, s.leastUrgent(world, now, target.ID), state, limitReason(state))
 	}
 }
 
@@ -122,7 +134,7 @@
 func shed(world *carobworld.World, now carobinstant.Instant, job *carobjob.Job, state *carobadmissionstate.AdmissionState, reason string) {
 	world.RecordDecision(carobdecision.Decision{
 		Component: "admit", Text: reason, Request: job.Offer.Requirements.Request, Organisation: job.Offer.Requirements.Organisation, Call: job.Offer.Job.Call,
-		Attempt: job.Offer.Job.Attempt, Target: job.Offer.Target, Kind: carobkind.Busy, Inputs: decisionInputs(state, now, job.ArrivedAt),
+		Attempt: job.Offer.Job.Attempt, Target: job.Offer.Target, Kind: carobkind.Busy, Inputs: decisionInputs(world, state, now, job),
 	})
 	carobfencing.RefuseQueued(world, job, carobkind.Busy)
 }
@@ -173,9 +185,12 @@
 	job.StartedAt = now
 	state.Running++
 	recordStart(state, now)
+	if id := job.Offer.Requirements.Organisation; id != "" {
+		carobworld.AddDemand(world.OrganisationStarts, now, id, true)
+	}
 	world.RecordDecision(carobdecision.Decision{
 		Component: "admit", Text: "job started", Request: job.Offer.Requirements.Request, Call: job.Offer.Job.Call,
-		Attempt: job.Offer.Job.Attempt, Target: job.Offer.Target, Inputs: decisionInputs(state, now, job.ArrivedAt),
+		Attempt: job.Offer.Job.Attempt, Target: job.Offer.Target, Inputs: decisionInputs(world, state, now, job),
 	})
 	world.Outbox.Starts = append(world.Outbox.Starts, carobstart.Start{
 		Job: job.Offer.Job, Address: target.Address, TimeLeft: job.Deadline.Sub(now),
@@ -203,6 +218,9 @@
 	}
 	state.Limit = jobLimit(state, now)
 	updateLatency(state, job.StartedAt, now)
+	if finish.Kind == carobkind.None && finish.Status < http.StatusInternalServerError && world.RequiresKey() {
+		recordWork(world, now, job)
+	}
 	if finish.Kind == carobkind.Unreachable {
 		// The target may restart, and answer before its first announcement.
 		state.ForgetWarmth(now)
@@ -265,10 +283,10 @@
 
 // startQueued starts the target's queued jobs, the most urgent first, while slots are
 // free and the VM is not slow.
-func startQueued(world *carobworld.World, now carobinstant.Instant, id carobtargetid.ID, state *carobadmissionstate.AdmissionState) {
+func (s *System) startQueued(world *carobworld.World, now carobinstant.Instant, id carobtargetid.ID, state *carobadmissionstate.AdmissionState) {
 	target := world.Targets.Get(id)
 	for target != nil && state.Queued > 0 && state.Running < state.Limit && hasToken(world, now, state, true) && mayStart(world, now, target, state) {
-		job := mostUrgent(world, now, id)
+		job := s.mostUrgent(world, now, id)
 		if job == nil || state.Running >= jobLimitFor(state, now, job) || !hasToken(world, now, state, isNested(job)) {
 			return
 		}
@@ -288,18 +306,25 @@
 }
 
 // decisionInputs returns the values that admission decisions are based on.
-func decisionInputs(state *carobadmissionstate.AdmissionState, now, arrived carobinstant.Instant) []carobinput.Input {
+func decisionInputs(world *carobworld.World, state *carobadmissionstate.AdmissionState, now carobinstant.Instant, job *carobjob.Job) []carobinput.Input {
 	inputs := []carobinput.Input{
 		{Name: "running", Value: float64(state.Running)},
 		{Name: "queued", Value: float64(state.Queued)},
 		{Name: "limit", Value: float64(state.Limit)},
 		{Name: "rate", Value: float64(state.RateLimit)},
 		{Name: "slowness", Value: state.Slowness},
-		carobinput.Age("toldms", now, state.SlownessReadAt), carobinput.Age("waitedms", now, arrived),
+		carobinput.Age("toldms", now, state.SlownessReadAt), carobinput.Age("waitedms", now, job.ArrivedAt),
 	}
 	if state.ColdRate > 0 {
 		inputs = append(inputs, carobinput.Input{Name: "cold", Value: float64(state.ColdLimit)})
 	}
+	if world.RequiresKey() {
+		inputs = append(inputs,
+			carobinput.Input{Name: "behind", Value: float64(boolToInt(job.Offer.Requirements.Behind))},
+			carobinput.Input{Name: "workms", Value: float64(workOf(world, job).Milliseconds())},
+			carobinput.Input{Name: "duems", Value: float64(dueAt(job).Sub(now).Milliseconds())},
+		)
+	}
 	return inputs
 }
 
--- a/pkg/carobentry/conclude.go
+++ b/pkg/carobentry/conclude.go
@@ -20,6 +20,7 @@
 // faulty target may send bytes without end.
 func forwardAnswer(world *carobworld.World, now carobinstant.Instant, call *carobcall.Call, attempt int) {
 	call.Stage = carobstage.Delivering
+	world.CountCall(now, call, call.SLODeadline == carobinstant.Never || !call.SLODeadline.Reached(now))
 	logEnd(world, now, call, "answer forwarded", carobkind.None, 0)
 	cancelOthers(world, call, attempt)
 	conclusion := carobconclusion.Conclusion{Call: call.Arrival.Call, Attempt: attempt}
@@ -71,6 +72,9 @@
 		addSettlement(world, now, call, kind, nil)
 	}
 	cancelOthers(world, call, 0)
+	if showsShortage(kind) {
+		world.CountCall(now, call, false)
+	}
 	endAcquiring(world, call)
 	if call.NotRun() {
 		returnToken(world, now, call)
@@ -83,6 +87,13 @@
 	world.Calls.Delete(call.Arrival.Call)
 }
 
+// showsShortage reports whether a call that ended with a kind counts as one that was not served.
+// Calls that their callers gave up, and those without a token of their organisation's quota, do
+// not: an organisation is not to gain precedence by them.
+func showsShortage(kind carobkind.Kind) bool {
+	return kind != carobkind.Cancelled && kind != carobkind.Quota && kind != carobkind.NotReady
+}
+
 // retryAfter returns after what time a caller with an SLO should retry: within the
 // SLO and jittered, so that refused callers do not retry at the same time. It is 0
 // if there is no SLO or the kind has no retry time; the kind's own retry time
@@ -96,7 +107,21 @@
 		return 0
 	}
 	mean := max(1, min(after, call.SLODeadline.Sub(call.ArrivedAt)/sloDivisor))
-	return mean/2 + time.Duration(world.Random.Int64N(int64(mean)))
+	return mean/2 + time.Duration(world.Random.Int64N(int64(retrySpread(world, call, mean))))
+}
+
+// retrySpread returns over what time callers that are refused now should return. If only a part
+// of all calls is served, capacity for the others is expected over a correspondingly longer
+// time. Half of the SLO is left for the call that returns.
+func retrySpread(world *carobworld.World, call *carobcall.Call, mean time.Duration) time.Duration {
+	if !call.RequiresKey {
+		return mean
+	}
+	longest := max(mean, call.SLODeadline.Sub(call.ArrivedAt)/2-mean/2)
+	if share := world.OverallDemand.Share(); share > 0 {
+		return min(longest, time.Duration(float64(mean)/share))
+	}
+	return longest
 }
 
 // cancelOthers cancels all open attempts of a call except the attempt numbered
