Receive bodies in steps, from one budget of all connections

Cause: the server of a platform's callers had the HTTP library read whole bodies, which allocates the announced length, and counted bodies only after they were read. Read buffers of 16 KiB a connection and parsed fields were not counted at all.

Buffered answers count towards the same budget. When it is short, connections wait; clients without progress yield first, then idle connections; a request that has waited for 2 s is refused as busy. pkg/carobshedding decides this without a network.

--- a/internal/carobanswer/answer.go
+++ b/internal/carobanswer/answer.go
@@ -24,6 +24,8 @@
 	Length int
 	// Body returns the body, or an error if it is cut off. It must be closed.
 	Body io.ReadCloser
+	// Buffered is true if Buffer has read the whole body.
+	Buffered bool
 	// Report is the target's load; nil if the answer has no report.
 	Report *carobreport.Report
 }
@@ -51,6 +53,7 @@
 		return nil
 	}
 	err = a.Body.Close()
+	a.Buffered = true
 	a.Length, a.Body = len(buffer.data), &bufferedBody{Reader: bytes.NewReader(buffer.data), buffer: buffer}
 	return err
 }
--- a/internal/carobbytebudget/bytebudget.go
+++ b/internal/carobbytebudget/bytebudget.go
@@ -11,12 +11,14 @@
 type Config struct {
 	// Limit is the largest number of bytes that may be reserved at once.
 	Limit carobsize.Size
+	// Parent is a budget that counts the reserved bytes as well; nil if there is none.
+	Parent *ByteBudget
 }
 
 // ByteBudget counts reserved bytes. A nil ByteBudget has no limit.
 type ByteBudget struct {
 	config Config
-	// reserved is at least 0 and at most Config.Limit.
+	// reserved is at least 0, and at most Config.Limit apart from what Add reserved.
 	reserved atomic.Int64
 }
 
@@ -31,17 +33,26 @@
 	if b == nil {
 		return true
 	}
-	if b.reserved.Add(int64(bytes)) > int64(b.config.Limit) {
+	if b.reserved.Add(int64(bytes)) > int64(b.config.Limit) || !b.config.Parent.Reserve(bytes) {
 		b.reserved.Add(-int64(bytes))
 		return false
 	}
 	return true
 }
 
+// Add reserves bytes whatever the limit, for what is bounded in another way.
+func (b *ByteBudget) Add(bytes int) {
+	if b != nil {
+		b.reserved.Add(int64(bytes))
+		b.config.Parent.Add(bytes)
+	}
+}
+
 // Release returns reserved bytes.
 func (b *ByteBudget) Release(bytes int) {
 	if b != nil {
 		b.reserved.Add(-int64(bytes))
+		b.config.Parent.Release(bytes)
 	}
 }
 
--- a/internal/carobdialectfrontend/dialectfrontend.go
+++ b/internal/carobdialectfrontend/dialectfrontend.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/carobknot/carobknot/internal/carobanswer"
+	"github.com/carobknot/carobknot/internal/carobconnectiontable"
 	"github.com/carobknot/carobknot/internal/carobexchange"
 	"github.com/carobknot/carobknot/internal/carobheader"
 	"github.com/carobknot/carobknot/internal/carobpipelinedrequest"
@@ -49,6 +50,8 @@
 	Dialect     dialect
 	Exchanges   *carobexchange.Exchanges
 	Timer       *carobtimer.Timer
+	// Connections has the callers' connections and their memory; nil means no limit.
+	Connections *carobconnectiontable.ConnectionTable
 }
 
 // DialectFrontEnd is the server for callers that use the platform's dialect.
@@ -57,8 +60,6 @@
 	server *carobserver.Server
 	// sequence is the sequence number of the newest call.
 	sequence atomic.Uint64
-	// buffered is the size in bytes of the request bodies of all calls.
-	buffered atomic.Int64
 }
 
 // maxPipelined is the maximum number of requests of one connection that run
@@ -71,7 +72,7 @@
 	f.server = carobserver.NewServer(carobserver.Config{
 		Handler: f, Timer: c.Timer, MaxHeader: c.Limits.HeaderSize, MaxBody: c.Limits.BodySize,
 		HeaderTimeout: c.Limits.HeaderTimeout.Duration(), StallTimeout: c.Limits.StallTimeout.Duration(), IdleTimeout: c.Limits.IdleTimeout.Duration(),
-		MaxPipelined: maxPipelined, MaxConnections: c.Limits.Connections,
+		MaxPipelined: maxPipelined, MaxConnections: c.Limits.Connections, Connections: c.Connections,
 	})
 	return f
 }
@@ -112,17 +113,16 @@
 		r.SendError(carobkind.Of(err), 0, err.Error())
 		return
 	}
-	bodySize := int64(len(req.Body()))
-	defer f.buffered.Add(-bodySize)
-	if f.buffered.Add(bodySize) > int64(f.config.Limits.TotalBufferedSize) {
-		r.SendError(carobkind.Busy, carobkind.Busy.RetryAfter(), "the limit of buffered request bodies is reached")
-		return
-	}
 	arrival.Call = carobcallid.ID{
 		Node: f.config.Node, Incarnation: f.config.Incarnation, Sequence: f.sequence.Add(1),
 	}
-	arrival.Size = carobsize.Size(bodySize)
-	body, err := carobrequestbody.NewRequestBody(carobrequestbody.Config{Body: req.Body()})
+	bodyConfig := carobrequestbody.Config{}
+	if segments := pipelined.Body(); segments != nil {
+		bodyConfig.Segments, arrival.Size = segments, carobsize.Size(segments.Size())
+	} else {
+		bodyConfig.Body, arrival.Size = req.Body(), carobsize.Size(len(req.Body()))
+	}
+	body, err := carobrequestbody.NewRequestBody(bodyConfig)
 	if err != nil {
 		r.SendError(carobkind.Of(err), 0, err.Error())
 		return
--- a/internal/carobmeter/meter.go
+++ b/internal/carobmeter/meter.go
@@ -111,6 +111,12 @@
 	m.add("audits", len(out.Audits))
 }
 
+// CountYielded counts a connection that was closed, or a request that was refused, because
+// the memory for connections was short. It may be called from any goroutine.
+func (m *Meter) CountYielded(reason string) {
+	m.scope.Tagged(map[string]string{"reason": reason}).Counter("yielded").Inc(1)
+}
+
 // add adds n to a counter without labels. The counter first appears with a count above
 // zero.
 func (m *Meter) add(name string, n int) {
--- a/internal/carobnode/traffic_providers.go
+++ b/internal/carobnode/traffic_providers.go
@@ -10,6 +10,7 @@
 
 	"github.com/carobknot/carobknot/internal/carobadmitter"
 	"github.com/carobknot/carobknot/internal/carobbytebudget"
+	"github.com/carobknot/carobknot/internal/carobconnectiontable"
 	"github.com/carobknot/carobknot/internal/carobcontrol"
 	"github.com/carobknot/carobknot/internal/carobdialectfrontend"
 	"github.com/carobknot/carobknot/internal/carobdisconnectwatch"
@@ -17,12 +18,15 @@
 	"github.com/carobknot/carobknot/internal/carobfrontend"
 	"github.com/carobknot/carobknot/internal/carobmailbox"
 	"github.com/carobknot/carobknot/internal/carobmembersync"
+	"github.com/carobknot/carobknot/internal/carobmeter"
 	"github.com/carobknot/carobknot/internal/carobpool"
 	"github.com/carobknot/carobknot/internal/carobrelay"
 	"github.com/carobknot/carobknot/internal/carobroutepoller"
 	"github.com/carobknot/carobknot/internal/carobtimer"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/carobmember"
+	"github.com/carobknot/carobknot/pkg/carobshedding"
+	"github.com/carobknot/carobknot/pkg/carobsize"
 )
 
 const (
@@ -34,6 +38,22 @@
 	disconnectCheckInterval = 25 * time.Millisecond
 )
 
+// What follows applies only while the memory for connections is short.
+const (
+	// stallWhileShort is how long a client may make no progress with its request. It is
+	// longer than a lost packet takes to be sent again.
+	stallWhileShort = time.Second
+	// unreadWhileShort is how long a client may accept no bytes of its response. A client on
+	// a slow link takes a while for the bytes that the kernel has buffered.
+	unreadWhileShort = 5 * time.Second
+	// maxMemoryWait is how long a connection waits for memory. Clients that stall have
+	// yielded before.
+	maxMemoryWait = 2 * time.Second
+	// progressSize is how many bytes count as progress. The slowest link that is worth an
+	// upload carries them in well under stallWhileShort.
+	progressSize = carobsize.KiB
+)
+
 // Shares of Limits.Descriptors, as divisors, for the idle connections to the node's own
 // targets and to other nodes.
 const (
@@ -61,7 +81,7 @@
 			Timer: do.MustInvoke[*carobtimer.Timer](injector), PollInterval: disconnectCheckInterval,
 		}), nil
 	})
-	do.ProvideValue(injector, carobbytebudget.NewByteBudget(carobbytebudget.Config{Limit: settings.Limits.TotalBufferedSize}))
+	n.provideBudgets(injector)
 	do.Provide(injector, func(injector do.Injector) (targetPool, error) {
 		config := carobpool.Config{
 			Timer: do.MustInvoke[*carobtimer.Timer](injector), DialTimeout: dialTimeout, IdleTimeout: targetIdleTimeout,
@@ -117,7 +137,7 @@
 				Timer: do.MustInvoke[*carobtimer.Timer](injector), MaxBufferedAnswer: maxBufferedResponse,
 				AnswerBudget: do.MustInvoke[*carobbytebudget.ByteBudget](injector),
 			}),
-			Timer: do.MustInvoke[*carobtimer.Timer](injector),
+			Timer: do.MustInvoke[*carobtimer.Timer](injector), Connections: do.MustInvoke[*carobconnectiontable.ConnectionTable](injector),
 		}), nil
 	})
 	do.Provide(injector, func(injector do.Injector) (*attemptServer, error) {
@@ -137,6 +157,22 @@
 	})
 }
 
+// provideBudgets adds the constructors of what limits the memory of connections.
+func (n *Node) provideBudgets(injector do.Injector) {
+	settings := n.config.Settings
+	connectionBudget := carobbytebudget.NewByteBudget(carobbytebudget.Config{Limit: settings.Limits.ConnectionMemory})
+	do.ProvideValue(injector, carobbytebudget.NewByteBudget(carobbytebudget.Config{Limit: settings.Limits.TotalBufferedSize, Parent: connectionBudget}))
+	do.Provide(injector, func(injector do.Injector) (*carobconnectiontable.ConnectionTable, error) {
+		return carobconnectiontable.NewConnectionTable(carobconnectiontable.Config{
+			Budget: connectionBudget, Limit: settings.Limits.ConnectionMemory, Timer: do.MustInvoke[*carobtimer.Timer](injector),
+			Shedding: carobshedding.NewShedding(carobshedding.Config{
+				StallTimeout: stallWhileShort, UnreadTimeout: unreadWhileShort, WaitTimeout: maxMemoryWait, ProgressSize: progressSize,
+			}),
+			Count: do.MustInvoke[*carobmeter.Meter](injector).CountYielded,
+		}), nil
+	})
+}
+
 // provideStore adds the constructors of the parts that use a platform's store.
 func (n *Node) provideStore(injector do.Injector) {
 	do.Provide(injector, func(injector do.Injector) (*carobmembersync.MemberSync, error) {
--- a/internal/carobpipelinedrequest/pipelinedrequest.go
+++ b/internal/carobpipelinedrequest/pipelinedrequest.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/carobknot/carobknot/internal/carobanswer"
+	"github.com/carobknot/carobknot/internal/carobsegmentedbody"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 )
 
@@ -20,6 +21,9 @@
 	ClosesAfter(pipelined *PipelinedRequest) bool
 	// ExtendDeadline extends the write deadline.
 	ExtendDeadline()
+	// Respond records that the call of a request has ended, and that its complete response
+	// is to be sent.
+	Respond()
 	// Remove removes pipelined after its answer was sent. If complete is false, the
 	// answer was not sent completely, and the connection cannot be used any more.
 	Remove(pipelined *PipelinedRequest, complete bool)
@@ -27,8 +31,10 @@
 
 // Config holds the parameters of a PipelinedRequest.
 type Config struct {
-	// Request includes the complete body.
-	Request    *fasthttp.Request
+	// Request includes the complete body, unless that is in Body.
+	Request *fasthttp.Request
+	// Body is the body if it is in several segments; nil otherwise.
+	Body       *carobsegmentedbody.SegmentedBody
 	Connection connection
 	Writer     *bufio.Writer
 	// PreviousDone is closed once the earlier requests of the connection are answered.
@@ -46,6 +52,8 @@
 	disconnected bool
 	// closing is true if the connection is to close after the answer.
 	closing bool
+	// responded is true once the complete response is to be sent.
+	responded bool
 	// done is closed once the request was answered or its connection broke.
 	done chan struct{}
 }
@@ -55,9 +63,15 @@
 	return &PipelinedRequest{config: c, done: make(chan struct{})}
 }
 
-// Request returns the request, including the complete body.
+// Request returns the request, including the complete body unless Body returns it.
 func (p *PipelinedRequest) Request() *fasthttp.Request { return p.config.Request }
 
+// Body returns the body if it is in several segments, and nil otherwise.
+func (p *PipelinedRequest) Body() *carobsegmentedbody.SegmentedBody { return p.config.Body }
+
+// Responded reports whether the complete response was known before it was sent.
+func (p *PipelinedRequest) Responded() bool { return p.responded }
+
 // Done returns a channel that is closed once the request was answered or its
 // connection broke.
 func (p *PipelinedRequest) Done() <-chan struct{} { return p.done }
@@ -98,6 +112,7 @@
 
 // SendResponse sends a complete response after the answers to the earlier requests.
 func (p *PipelinedRequest) SendResponse(resp *fasthttp.Response) {
+	p.respond()
 	<-p.config.PreviousDone
 	p.finish(p.writeWhole(resp) == nil)
 }
@@ -106,6 +121,9 @@
 // earlier requests. It returns None if the complete answer was sent, and
 // ConnectionLost otherwise.
 func (p *PipelinedRequest) SendAnswer(answer *carobanswer.Answer) carobkind.Kind {
+	if answer.Buffered {
+		p.respond()
+	}
 	<-p.config.PreviousDone
 	err := p.writeStream(answer)
 	closeErr := answer.Body.Close()
@@ -116,6 +134,12 @@
 	return carobkind.None
 }
 
+// respond records that nothing remains but to send the response.
+func (p *PipelinedRequest) respond() {
+	p.responded = true
+	p.config.Connection.Respond()
+}
+
 // finish removes the request before the next answer may begin, which closes a draining
 // connection if no other request is pending.
 func (p *PipelinedRequest) finish(complete bool) {
--- a/internal/carobrequestbody/requestbody.go
+++ b/internal/carobrequestbody/requestbody.go
@@ -27,6 +27,14 @@
 	SetReadDeadline(at time.Time) error
 }
 
+// segments is a body in several pieces.
+type segments interface {
+	// Reader returns a reader of the whole body.
+	Reader() io.Reader
+	// Size returns the size of the body in bytes.
+	Size() int
+}
+
 // Config holds the parameters of a RequestBody.
 type Config struct {
 	// Stream returns the body, or an error if it is cut off. If it is nil, Body is
@@ -34,6 +42,8 @@
 	Stream io.Reader
 	// Body is the body if the HTTP library has already read it.
 	Body []byte
+	// Segments is the body if it is in the memory, but not in one piece; nil otherwise.
+	Segments segments
 	// Length is the length of the body in bytes; negative if it is unknown.
 	Length int
 	// MaxBuffered is the maximum size of a body that is buffered for further attempts.
@@ -132,6 +142,8 @@
 	switch {
 	case b.NotResendable():
 		return carobkind.New(carobkind.NotResendable, "the body was already sent and is too long to be buffered")
+	case b.config.Segments != nil:
+		req.SetBodyStream(b.config.Segments.Reader(), b.config.Segments.Size())
 	case b.streamed:
 		req.SetBodyStream(&attemptBody{body: b}, b.config.Length)
 	case b.config.Stream != nil || len(b.buffered) > 0:
--- a/internal/carobserver/conn.go
+++ b/internal/carobserver/conn.go
@@ -6,14 +6,16 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/carobknot/carobknot/internal/carobheader"
 	"github.com/carobknot/carobknot/internal/carobpipelinedrequest"
+	"github.com/carobknot/carobknot/pkg/carobconnectionid"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/carobsize"
 )
 
 const (
@@ -49,6 +51,18 @@
 	// refused is true if the first request is rejected, because the server has no room for
 	// another connection.
 	refused bool
+	// id is the connection's ID in Config.Connections.
+	id carobconnectionid.ID
+	// readerSize is the number of bytes that are reserved for a reader that is larger than
+	// readBufferSize; 0 if it is not.
+	readerSize carobsize.Size
+	// pendingSize is the number of bytes that are reserved for the pending requests. It is
+	// guarded by mutex.
+	pendingSize carobsize.Size
+	// yielding is true if the request that is being received is to be refused.
+	yielding atomic.Bool
+	// blockedSince is the carobinstant.Instant since when a write of a response waits.
+	blockedSince atomic.Int64
 	// slotFreed signals that a pending request has ended. It has room for one
 	// element.
 	slotFreed chan struct{}
@@ -62,10 +76,12 @@
 }()
 
 func newConn(s *Server, netConn net.Conn) *conn {
-	return &conn{
+	c := &conn{
 		Conn: netConn, server: s, lastDone: closedChannel, slotFreed: make(chan struct{}, 1), idleSince: s.config.Timer.Now(),
-		reader: bufio.NewReaderSize(netConn, int(s.config.MaxHeader)), writer: bufio.NewWriterSize(netConn, writeBufferSize),
+		reader: bufio.NewReaderSize(netConn, min(readBufferSize, int(s.config.MaxHeader))),
 	}
+	c.writer = bufio.NewWriterSize(blockingWriter{c}, writeBufferSize)
+	return c
 }
 
 // run serves requests until the connection ends.
@@ -86,32 +102,22 @@
 	}
 	config := &c.server.config
 	_ = c.SetReadDeadline(config.Timer.WallTime().Add(config.HeaderTimeout))
-	req := &fasthttp.Request{}
-	req.Header.SetNoDefaultContentType(true)
-	if err := req.Header.Read(c.reader); err != nil {
-		c.reject(req, readError(err))
-		return false
-	}
-	if err := carobheader.Check(&req.Header); err != nil {
-		c.reject(req, err)
-		return false
-	}
-	if c.refused {
-		c.reject(req, carobkind.New(carobkind.Busy, "the limit of %d connections is reached", c.server.config.MaxConnections))
-		return false
-	}
-	if err := c.readBody(req); err != nil {
-		c.reject(req, err)
+	config.Connections.BeginRequest(c.id)
+	received := &receivedRequest{request: &fasthttp.Request{}}
+	received.request.Header.SetNoDefaultContentType(true)
+	if err := c.readRequest(received); err != nil {
+		c.reject(received, err)
 		return false
 	}
-	if !c.awaitSlot(req) {
+	if !c.awaitSlot(received) {
 		return false
 	}
-	pipelined := c.addRequest(req)
+	pipelined := c.addRequest(received)
 	if pipelined == nil {
 		return false
 	}
-	go config.Handler.Handle(pipelined)
+	go c.handle(pipelined, received.reserved)
+	c.shrinkReader()
 	if pipelined.ClosesAfter() {
 		c.discard()
 		return false
@@ -162,10 +168,10 @@
 
 // readBody reads the whole body of a request. If the caller waits for "100
 // Continue", it is sent once the request may run.
-func (c *conn) readBody(req *fasthttp.Request) error {
-	config := &c.server.config
+func (c *conn) readBody(received *receivedRequest) error {
+	req := received.request
 	if req.MayContinue() {
-		if !c.awaitSlot(req) {
+		if !c.awaitSlot(received) {
 			return io.ErrClosedPipe
 		}
 		if _, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
@@ -175,26 +181,22 @@
 	if req.Header.ContentLength() == 0 {
 		return nil
 	}
-	_ = c.SetReadDeadline(config.Timer.WallTime().Add(config.StallTimeout))
-	if err := req.ContinueReadBody(c.reader, int(config.MaxBody), false); err != nil {
-		return readError(err)
-	}
-	return nil
+	return c.receiveBody(received)
 }
 
 // awaitSlot waits until a request may run beside the pending ones. It returns
 // false if the connection is closing. Only GET and HEAD run beside others: if the
 // connection closes after an earlier answer, the caller assumes that later
 // requests were not read and sends them again. Such requests have to be
-// idempotent.
-func (c *conn) awaitSlot(req *fasthttp.Request) bool {
+// idempotent. Together they hold at most maxPendingSize, or are a single one.
+func (c *conn) awaitSlot(received *receivedRequest) bool {
 	limit := 1
-	if req.Header.IsGet() || req.Header.IsHead() {
+	if header := &received.request.Header; header.IsGet() || header.IsHead() {
 		limit = c.server.config.MaxPipelined
 	}
 	for {
 		c.mutex.Lock()
-		free, closing := len(c.pending) < limit, c.closing
+		free, closing := len(c.pending) == 0 || len(c.pending) < limit && c.pendingSize+received.reserved <= maxPendingSize, c.closing
 		c.mutex.Unlock()
 		if closing {
 			return false
@@ -208,16 +210,18 @@
 
 // addRequest appends a request to the pending ones. It returns nil if the
 // connection is closing.
-func (c *conn) addRequest(req *fasthttp.Request) *carobpipelinedrequest.PipelinedRequest {
+func (c *conn) addRequest(received *receivedRequest) *carobpipelinedrequest.PipelinedRequest {
+	c.server.config.Connections.EndRequest(c.id)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.closing {
 		return nil
 	}
 	pipelined := carobpipelinedrequest.NewPipelinedRequest(carobpipelinedrequest.Config{
-		Request: req, Connection: c, Writer: c.writer, PreviousDone: c.lastDone,
+		Request: received.request, Body: received.body, Connection: c, Writer: c.writer, PreviousDone: c.lastDone,
 	})
 	c.reading = false
+	c.pendingSize += received.reserved
 	c.lastDone = pipelined.Done()
 	c.pending = append(c.pending, pipelined)
 	return pipelined
@@ -226,14 +230,19 @@
 // reject answers a malformed request after the pending answers, and closes the
 // connection. An error of kind Internal means that the connection is broken, so
 // that there is no answer.
-func (c *conn) reject(req *fasthttp.Request, err error) {
+func (c *conn) reject(received *receivedRequest, err error) {
 	if carobkind.Of(err) == carobkind.Internal {
 		return
 	}
-	pipelined := c.addRequest(req)
+	// Nothing of a request that is refused is kept while its response waits to be sent.
+	empty := &fasthttp.Request{}
+	empty.Header.SetMethodBytes(received.request.Header.Method())
+	received.request, received.body = empty, nil
+	pipelined := c.addRequest(received)
 	if pipelined == nil {
 		return
 	}
+	c.release(received.reserved)
 	resp := &fasthttp.Response{}
 	c.server.config.Handler.Reject(resp, err)
 	pipelined.SetCloseAfter()
@@ -262,6 +271,7 @@
 // Remove removes an answered request. If complete is false, the answer could not be
 // sent completely, and the connection is closed.
 func (c *conn) Remove(pipelined *carobpipelinedrequest.PipelinedRequest, complete bool) {
+	c.server.config.Connections.Finish(c.id, pipelined.Responded())
 	c.mutex.Lock()
 	for i := range c.pending {
 		if c.pending[i] == pipelined {
--- a/internal/carobserver/server.go
+++ b/internal/carobserver/server.go
@@ -16,6 +16,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/carobknot/carobknot/internal/carobconnectiontable"
 	"github.com/carobknot/carobknot/internal/carobpipelinedrequest"
 	"github.com/carobknot/carobknot/internal/carobtimer"
 	"github.com/carobknot/carobknot/pkg/carobsize"
@@ -49,6 +50,8 @@
 	// with the kind Busy. Connections beyond it by more than an eighth are closed at once.
 	// 0 means no limit.
 	MaxConnections int
+	// Connections has the connections and their memory; nil means no limit.
+	Connections *carobconnectiontable.ConnectionTable
 }
 
 // Server accepts connections and serves the requests on them.
@@ -134,12 +137,14 @@
 	}
 	s.conns[c] = struct{}{}
 	s.running.Add(1)
+	c.open()
 	return true
 }
 
 func (s *Server) remove(c *conn) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.config.Connections.Close(c.id)
 	delete(s.conns, c)
 	s.running.Done()
 }
--- a/internal/carobserver/server_test.go
+++ b/internal/carobserver/server_test.go
@@ -58,8 +58,12 @@
 	case <-h.release(path):
 	case <-disconnected:
 	}
+	body := pipelined.Request().Body()
+	if segments := pipelined.Body(); segments != nil {
+		body, _ = io.ReadAll(segments.Reader())
+	}
 	resp := &fasthttp.Response{}
-	resp.SetBodyString("answer to " + path + " " + string(pipelined.Request().Body()))
+	resp.SetBodyString("answer to " + path + " " + string(body))
 	pipelined.SendResponse(resp)
 }
 
--- a/pkg/caroblimits/limits.go
+++ b/pkg/caroblimits/limits.go
@@ -36,6 +36,10 @@
 	// buffered for another attempt. A body beyond it is streamed; a front end
 	// that needs whole bodies refuses the call instead.
 	TotalBufferedSize carobsize.Size `json:"kept"`
+	// ConnectionMemory is the maximum total size of what the connections of callers hold:
+	// buffers, headers with their fields, bodies and responses. Connections that need more
+	// wait, and others yield.
+	ConnectionMemory carobsize.Size `json:"memory"`
 	// HeaderTimeout is the timeout for receiving the header of a call.
 	HeaderTimeout carobduration.Duration `json:"head"`
 	// StallTimeout is the time without progress after which the transfer of a body
@@ -59,6 +63,7 @@
 		HeaderSize:        16 * carobsize.KiB,
 		BodySize:          1024 * carobsize.MiB,
 		TotalBufferedSize: 32 * carobsize.MiB,
+		ConnectionMemory:  256 * carobsize.MiB,
 		HeaderTimeout:     carobduration.Duration(10 * time.Second),
 		StallTimeout:      carobduration.Duration(30 * time.Second),
 		IdleTimeout:       carobduration.Duration(60 * time.Second),
@@ -81,6 +86,7 @@
 		{"header", int64(l.HeaderSize)},
 		{"body", int64(l.BodySize)},
 		{"kept", int64(l.TotalBufferedSize)},
+		{"memory", int64(l.ConnectionMemory)},
 		{"head", int64(l.HeaderTimeout)},
 		{"stall", int64(l.StallTimeout)},
 		{"idle", int64(l.IdleTimeout)},
