Bound the connections at the addresses for heartbeats, readiness, peers and metrics

Cause: these servers accepted any number of connections, and the metrics server read bodies of 4 MiB, allocating the announced length, without a time-out. At the peer address, the HTTP library held the parsed fields of a request without an offer until its body had arrived.

Change: a listener with a limit closes a connection that stalls before its first response, or the one idle for longest, for each new one beyond it; 64 connections at each address for heartbeats, readiness checks and metrics, and a third of the descriptors at the peer address. A connection with a job under way is held. Bodies at the metrics address are limited to 64 KiB and 5 s. An attempt without an offer is refused before its body is read, and its connection closed.

--- a/internal/carobadminserver/adminserver.go
+++ b/internal/carobadminserver/adminserver.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/gofiber/fiber/v3/middleware/adaptor"
@@ -43,9 +44,23 @@
 	app    *fiber.App
 }
 
+const (
+	// maxBody is the size of the longest request body in bytes. Announcements are far
+	// shorter; the HTTP library allocates the announced length.
+	maxBody = 64 << 10
+	// readTimeout and writeTimeout are how long a request may take to arrive, and a response
+	// to be sent.
+	readTimeout, writeTimeout = 5 * time.Second, 30 * time.Second
+	// idleTimeout is how long a connection may have no request. It is longer than the time
+	// between two announcements or two reads of the metrics.
+	idleTimeout = 2 * time.Minute
+)
+
 // NewAdminServer returns a server that does not listen until Serve is called.
 func NewAdminServer(c Config) *AdminServer {
-	s := &AdminServer{config: c, app: fiber.New(fiber.Config{ErrorHandler: writeError, Immutable: true})}
+	s := &AdminServer{config: c, app: fiber.New(fiber.Config{
+		ErrorHandler: writeError, Immutable: true, BodyLimit: maxBody, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
+	})}
 	s.app.Put("/targets/:service/:name", s.announce)
 	s.app.Delete("/targets/:service/:name", s.withdraw)
 	s.app.Get("/health", s.health)
--- a/internal/carobadmitter/incoming_job.go
+++ b/internal/carobadmitter/incoming_job.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"sync"
 	"sync/atomic"
 
 	"github.com/valyala/fasthttp"
@@ -25,6 +27,20 @@
 // target. Such a body is sent in one write with the header.
 const maxBufferedBody = 4 * carobsize.KiB
 
+// holder is a connection that does not yield to others while it is held.
+type holder interface {
+	// Hold holds the connection until release is called.
+	Hold() (release func())
+}
+
+// hold holds the connection of an attempt, if it may have to yield.
+func hold(conn net.Conn) (release func()) {
+	if h, ok := conn.(holder); ok {
+		return sync.OnceFunc(h.Hold())
+	}
+	return func() {}
+}
+
 // incomingJob is a job that another node sent, from its offer until the response has
 // been forwarded. It is cancelled when the entry node closes its connection.
 type incomingJob struct {
@@ -35,6 +51,8 @@
 	cancel   context.CancelFunc
 	// unwatch ends the watch of the entry node's connection.
 	unwatch func()
+	// release lets the entry node's connection yield to others again.
+	release func()
 	// acquired is true once Serve runs the job or abandon has ended it.
 	acquired atomic.Bool
 }
@@ -57,6 +75,7 @@
 // close ends the watch of the entry node's connection and the job's context.
 func (j *incomingJob) close() {
 	j.unwatch()
+	j.release()
 	j.cancel()
 }
 
--- a/internal/carobadmitter/serve.go
+++ b/internal/carobadmitter/serve.go
@@ -32,6 +32,17 @@
 	}
 }
 
+// HandleHeader is called with the header of an attempt before its body is read. No node
+// sends one without an offer. Its fields, which take many times their size and which the
+// HTTP library would hold until a body has arrived, are dropped, so that the attempt is
+// refused at once.
+func (a *Admitter) HandleHeader(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	if len(header.Peek(carobheader.Offer)) == 0 {
+		*header = fasthttp.RequestHeader{}
+	}
+	return fasthttp.RequestConfig{}
+}
+
 // HandleExpect handles the header of an attempt with "Expect: 100-continue". It
 // returns 100 once the job is started, and otherwise the status of the refusal. After a
 // refusal the entry node sends no body, so it can send the body to another target.
@@ -51,10 +62,12 @@
 func (a *Admitter) receive(ctx *fasthttp.RequestCtx) (*incomingJob, error) {
 	offer, err := parseOffer(&ctx.Request.Header)
 	if err != nil {
+		ctx.SetConnectionClose()
 		return nil, err
 	}
 	job := &incomingJob{admitter: a, offer: offer}
 	job.context, job.cancel = context.WithCancel(context.Background())
+	job.release = hold(ctx.Conn())
 	job.unwatch = a.config.DisconnectWatch.Add(ctx.Conn(), job.cancel)
 	if job.start, err = a.admit(job.context, offer); err != nil {
 		job.close()
--- a/internal/carobnode/node.go
+++ b/internal/carobnode/node.go
@@ -151,6 +151,8 @@
 		}
 		*endpoint.into = n.Guard(listener, endpoint.name)
 	}
+	n.peerListener = n.bound(n.peerListener, max(1, c.Settings.Limits.Descriptors/peerShare))
+	n.adminListener = n.bound(n.adminListener, maxServiceConnections)
 	return n, nil
 }
 
--- a/internal/carobnode/traffic_providers.go
+++ b/internal/carobnode/traffic_providers.go
@@ -140,9 +140,16 @@
 			Timer: do.MustInvoke[*carobtimer.Timer](injector), Connections: do.MustInvoke[*carobconnectiontable.ConnectionTable](injector),
 		}), nil
 	})
+	n.provideAttemptServer(injector)
+}
+
+// provideAttemptServer adds the constructor of the server for the attempts of other nodes.
+func (n *Node) provideAttemptServer(injector do.Injector) {
+	settings := n.config.Settings
 	do.Provide(injector, func(injector do.Injector) (*attemptServer, error) {
 		return &attemptServer{Server: &fasthttp.Server{
 			Handler:              do.MustInvoke[*carobadmitter.Admitter](injector).Serve,
+			HeaderReceived:       do.MustInvoke[*carobadmitter.Admitter](injector).HandleHeader,
 			ExpectHandler:        do.MustInvoke[*carobadmitter.Admitter](injector).HandleExpect,
 			ErrorHandler:         do.MustInvoke[*carobadmitter.Admitter](injector).HandleError,
 			ReadBufferSize:       peerHeaderSpace + int(settings.Limits.HeaderSize),
--- a/internal/carobsplitter/splitter.go
+++ b/internal/carobsplitter/splitter.go
@@ -96,6 +96,15 @@
 	return syscallConn.SyscallConn()
 }
 
+// Hold keeps the connection from yielding while a call on it is under way, until release
+// is called, if its listener bounds its connections.
+func (c *bufferedConn) Hold() (release func()) {
+	if holder, ok := c.Conn.(interface{ Hold() (release func()) }); ok {
+		return holder.Hold()
+	}
+	return func() {}
+}
+
 // queueListener is a net.Listener that returns the connections put into it.
 type queueListener struct {
 	address net.Addr
--- a/pkg/carobshedding/shedding.go
+++ b/pkg/carobshedding/shedding.go
@@ -50,7 +50,8 @@
 // all that may be closed if those are too few. First come connections whose clients make no
 // progress, those without progress for longest first, and then idle ones, those idle for
 // longest first. Idle ones do not yield before others have waited for Config.StallTimeout,
-// since only then is it known who stalls. A connection with a call under way, one whose client makes progress and one
+// since only then is it known who stalls, nor while they are that young, since a request
+// may be on its way. A connection with a call under way, one whose client makes progress and one
 // that waits for memory are never closed.
 func (s *Shedding) Closed(now carobinstant.Instant, rows []carobconnection.Connection, needed carobsize.Size) []carobconnectionid.ID {
 	var stalled, idle []carobconnection.Connection
@@ -63,9 +64,10 @@
 			if row.BlockedSince != carobinstant.Never && now.Sub(row.BlockedSince) >= s.config.UnreadTimeout {
 				stalled = append(stalled, *row)
 			}
-		case !row.Receiving && !idleYield:
 		case !row.Receiving:
-			idle = append(idle, *row)
+			if idleYield && now.Sub(row.BeganAt) >= s.config.StallTimeout {
+				idle = append(idle, *row)
+			}
 		case now.Sub(row.ProgressAt) >= s.config.StallTimeout:
 			stalled = append(stalled, *row)
 		}
