Cut responses with a status that does not exist, and early ones after a reset

Cause: the HTTP library takes the status 000 for 200, 001 to 099 for interim responses and passes on 600 to 999. The status 102 in place of 100 was taken for the final response between nodes. When a target resets a connection during an upload, the kernel reports the reset once: if the goroutine that sends the body got it, reading the response returned the end of the stream, so that a response without a length looked complete.

Change: a status outside 100 to 599, or 000, breaks the exchange, as does an interim status other than 100 before the body. At the end of a response without a length, before the whole request was sent, the state of the TCP connection tells a reset from an orderly end. Bodies that the product's own front end buffers grow with what arrives as well, instead of the announced length.

--- a/internal/carobpool/exchange.go
+++ b/internal/carobpool/exchange.go
@@ -7,8 +7,10 @@
 	"io"
 	"net/http/httputil"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"github.com/carobknot/carobknot/pkg/carobkind"
 )
@@ -18,6 +20,11 @@
 	// maxInterimResponses is the largest number of interim (1xx) responses accepted
 	// before the final one.
 	maxInterimResponses = 100
+	// tcpClose is the state of a TCP connection that was reset (TCP_CLOSE of Linux).
+	tcpClose = 7
+	// minStatus and maxStatus bound the status of a response. The HTTP library accepts any
+	// three digits, takes those below 200 for an interim response and passes on the others.
+	minStatus, maxStatus = 100, 599
 	// copyBufferSize is the size of the buffer that copies a body, in bytes. It is also
 	// the longest body that discardResponse reads.
 	copyBufferSize = 32 * 1024
@@ -55,9 +62,12 @@
 	}
 	if x.config.ExpectContinue {
 		resp, err := x.readHeader()
-		if err != nil || resp.StatusCode() != fasthttp.StatusContinue {
+		if err != nil || resp.StatusCode() >= fasthttp.StatusOK {
 			return resp, err
 		}
+		if resp.StatusCode() != fasthttp.StatusContinue {
+			return nil, carobkind.New(carobkind.ConnectionLost, "response has the interim status %d instead of %d", resp.StatusCode(), fasthttp.StatusContinue)
+		}
 	}
 	go x.sendBody()
 	return x.readFinalResponse()
@@ -106,6 +116,30 @@
 	}
 }
 
+// isBroken reports whether the peer has reset the connection, or may have, before the whole
+// request was sent. The kernel reports a reset once only. If the goroutine that sends the
+// body gets to know, reading returns io.EOF, as at the end of a complete response.
+func (x *exchange) isBroken() bool {
+	if x.requestSent.Load() {
+		return false
+	}
+	syscallConn, ok := x.conn.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := syscallConn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	broken := true
+	err = raw.Control(func(fd uintptr) {
+		// A connection that the peer has closed for sending only is not in this state.
+		info, errInfo := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) //nolint:gosec // descriptors are small
+		broken = errInfo != nil || info.State == tcpClose
+	})
+	return err != nil || broken
+}
+
 // newBodySource returns the reader of the body of the request.
 func (x *exchange) newBodySource() *bodySource {
 	if x.request.IsBodyStream() {
@@ -222,6 +256,9 @@
 	if err := resp.Header.Read(x.conn.reader); err != nil {
 		return nil, err
 	}
+	if status := resp.StatusCode(); status < minStatus || status > maxStatus {
+		return nil, carobkind.New(carobkind.ConnectionLost, "response has the status %d, which does not exist", status)
+	}
 	if resp.StatusCode() < fasthttp.StatusOK || hasNoBody(x.request, resp) {
 		return resp, nil
 	}
@@ -237,13 +274,24 @@
 	transferEncodingName = []byte("\ntransfer-encoding:")
 )
 
-// checkFraming rejects a response with both Content-Length and Transfer-Encoding.
+// hasZeroStatus reports whether the status of a response is 000, which the HTTP library
+// takes for 200.
+func hasZeroStatus(head []byte) bool {
+	line, _, _ := bytes.Cut(bytes.TrimLeft(head, "\r\n"), []byte("\n"))
+	_, status, _ := bytes.Cut(line, []byte(" "))
+	return bytes.HasPrefix(bytes.TrimLeft(status, " "), []byte("000"))
+}
+
+// checkFraming rejects a response with the status 000, and one with both Content-Length and Transfer-Encoding.
 // The HTTP library would apply one of the two and ignore the other.
 func (x *exchange) checkFraming() error {
 	head, err := x.peekHeader()
 	if err != nil {
 		return err
 	}
+	if hasZeroStatus(head) {
+		return carobkind.New(carobkind.ConnectionLost, "response has the status 000, which does not exist")
+	}
 	head = bytes.ToLower(head)
 	if bytes.Contains(head, contentLengthName) && bytes.Contains(head, transferEncodingName) {
 		return carobkind.New(carobkind.ConnectionLost, "response has both a Content-Length and a Transfer-Encoding")
--- a/internal/carobpool/pool.go
+++ b/internal/carobpool/pool.go
@@ -152,6 +152,7 @@
 	respBody := &body{pool: p, conn: conn, stop: stop, exchange: x, reusable: !resp.ConnectionClose() && !refused, stream: resp.BodyStream()}
 	length := max(resp.Header.ContentLength(), -1)
 	conn.idleTimeout = p.idleTimeoutOf(resp)
+	respBody.closeDelimited = resp.Header.ContentLength() < -1
 	respBody.bytesLeft, respBody.ended = length, respBody.stream == nil || length == 0
 	return &carobanswer.Answer{Response: resp, NoBody: respBody.stream == nil, Length: length, Body: respBody}, nil
 }
@@ -176,6 +177,8 @@
 	stop func() bool
 	// reusable is false if the response has "Connection: close" or is a refusal.
 	reusable bool
+	// closeDelimited is true if the body ends when the connection closes.
+	closeDelimited bool
 	// bytesLeft is the number of bytes still to be read; negative if it is not known.
 	bytesLeft int
 	// ended is true once the whole body has been read.
@@ -192,6 +195,9 @@
 	b.conn.extendReadDeadline(b.pool.config)
 	n, err := b.stream.Read(into)
 	b.bytesLeft -= n
+	if err == io.EOF && b.closeDelimited && b.exchange.isBroken() { //nolint:errorlint // readers return io.EOF itself
+		return n, io.ErrUnexpectedEOF
+	}
 	if err == io.EOF || b.bytesLeft == 0 { //nolint:errorlint // readers return io.EOF itself
 		b.ended = true
 	}
--- a/internal/carobrequestbody/requestbody.go
+++ b/internal/carobrequestbody/requestbody.go
@@ -107,11 +107,7 @@
 // longer one of unknown length.
 func (b *RequestBody) readBuffered() error {
 	if b.config.Length >= 0 {
-		b.buffered = make([]byte, b.config.Length)
-		if _, err := io.ReadFull(b.timedStream(), b.buffered); err != nil {
-			return senderError(err)
-		}
-		return nil
+		return b.readLength()
 	}
 	ahead, err := io.ReadAll(io.LimitReader(b.timedStream(), int64(b.config.MaxBuffered)+1))
 	if err != nil {
@@ -126,6 +122,30 @@
 	return nil
 }
 
+// firstBuffer is the size of the first buffer for a body, in bytes.
+const firstBuffer = 16 << 10
+
+// readLength reads a body of Config.Length bytes. Its memory grows with the bytes that
+// arrive, since the sender may have announced more than it sends.
+func (b *RequestBody) readLength() error {
+	stream := b.timedStream()
+	b.buffered = make([]byte, 0, min(b.config.Length, firstBuffer))
+	for len(b.buffered) < b.config.Length {
+		if len(b.buffered) == cap(b.buffered) {
+			b.buffered = append(make([]byte, 0, min(b.config.Length, 2*cap(b.buffered))), b.buffered...)
+		}
+		n, err := stream.Read(b.buffered[len(b.buffered):cap(b.buffered)])
+		b.buffered = b.buffered[:len(b.buffered)+n]
+		if err == io.EOF && len(b.buffered) < b.config.Length { //nolint:errorlint // readers return io.EOF itself
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil && len(b.buffered) < b.config.Length {
+			return senderError(err)
+		}
+	}
+	return nil
+}
+
 // Streamed reports whether the body is too long to be buffered.
 func (b *RequestBody) Streamed() bool {
 	return b.streamed
--- a/internal/carobrequestbody/requestbody_test.go
+++ b/internal/carobrequestbody/requestbody_test.go
@@ -78,6 +78,21 @@
 	}
 }
 
+// Memory that is allocated for the announced length could be used up by senders that send
+// almost nothing.
+func TestMemoryOfBufferedBodyGrowsWithWhatArrives(t *testing.T) {
+	const announced = 64 << 20
+	requestBody, err := newBody(t, strings.Repeat("x", 50_000), announced, func(c *Config) { c.MaxBuffered, c.MaxSize = announced, announced })
+	require.Equal(t, carobkind.Invalid, carobkind.Of(err))
+	require.LessOrEqual(t, cap(requestBody.buffered), 100_000)
+	whole := strings.Repeat("0123456789", 10_000)
+	requestBody, err = newBody(t, whole, len(whole), func(c *Config) { c.MaxBuffered, c.MaxSize = announced, announced })
+	require.NoError(t, err)
+	body, err := read(t, requestBody)
+	require.NoError(t, err)
+	require.Equal(t, whole, body)
+}
+
 // A body that is cut off or exceeds the limit must not reach a target as if it
 // were complete.
 func TestIncompleteOrTooLongBodyIsReported(t *testing.T) {
