--- a/internal/carobconnectiontable/connectiontable.go
+++ b/internal/carobconnectiontable/connectiontable.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/carobknot/carobknot/internal/carobbytebudget"
 	"github.com/carobknot/carobknot/internal/carobtimer"
 	"github.com/carobknot/carobknot/pkg/carobconnection"
@@ -47,6 +49,8 @@
 	Timer    *carobtimer.Timer
 	// Count counts connections that yielded, by reason. It may be nil.
 	Count func(reason string)
+	// Logger receives a line each logInterval at most while connections wait. It may be nil.
+	Logger *logrus.Entry
 }
 
 // ConnectionTable has a row for each open connection. A nil ConnectionTable has no limit
@@ -63,6 +67,11 @@
 	stepAt func(at carobinstant.Instant)
 	// stepped is when step ran last.
 	stepped carobinstant.Instant
+	// nextLog is when the next line may be logged; Never before the first.
+	nextLog carobinstant.Instant
+	// yielded counts the connections that yielded and the requests that were refused since
+	// the last line.
+	yielded int
 }
 
 // row is a connection in the table.
@@ -85,6 +94,8 @@
 )
 
 const (
+	// logInterval is the shortest time between two log lines.
+	logInterval = 5 * time.Second
 	// stepInterval is the time between two decisions while connections wait.
 	stepInterval = 50 * time.Millisecond
 	// smallSize is the number of bytes up to which a connection may use the whole limit. A
@@ -280,6 +291,20 @@
 	for _, id := range t.config.Shedding.Refused(now, t.snapshot()) {
 		t.refuse(id)
 	}
+	t.log(now)
+}
+
+// log writes how short the memory is. The mutex is held, so that the line is written by
+// another goroutine.
+func (t *ConnectionTable) log(now carobinstant.Instant) {
+	if t.config.Logger == nil || t.nextLog != carobinstant.Never && !t.nextLog.Reached(now) {
+		return
+	}
+	entry := t.config.Logger.WithFields(logrus.Fields{
+		"held": t.config.Budget.Reserved(), "limit": int64(t.config.Limit), "connections": len(t.rows), "waiting": len(t.waiting), "yielded": t.yielded,
+	})
+	go entry.Warn("connections: their memory is short")
+	t.nextLog, t.yielded = now.Add(logInterval), 0
 }
 
 // shortage returns how many bytes have to become free for all that wait. The mutex is held.
@@ -353,6 +378,7 @@
 }
 
 func (t *ConnectionTable) count(reason string) {
+	t.yielded++
 	if t.config.Count != nil {
 		t.config.Count(reason)
 	}
--- a/internal/carobnode/traffic_providers.go
+++ b/internal/carobnode/traffic_providers.go
@@ -175,7 +175,7 @@
 			Shedding: carobshedding.NewShedding(carobshedding.Config{
 				StallTimeout: stallWhileShort, UnreadTimeout: unreadWhileShort, WaitTimeout: maxMemoryWait, ProgressSize: progressSize,
 			}),
-			Count: do.MustInvoke[*carobmeter.Meter](injector).CountYielded,
+			Count: do.MustInvoke[*carobmeter.Meter](injector).CountYielded, Logger: logrus.NewEntry(n.config.Logger),
 		}), nil
 	})
 }
