Close, rather than refuse, who does not read a response that comes first

Found in a read-through: a connection that yields because its client accepts no response, and that has begun another request, was to refuse that request behind the response that waits, so that its memory stayed. It is closed now. A request that completes while its connection is told to yield runs, and the connection closes after it. A request that needs more memory then is refused with 408 instead of being closed without an answer.

--- a/internal/carobconnectiontable/connectiontable.go
+++ b/internal/carobconnectiontable/connectiontable.go
@@ -200,8 +200,8 @@
 }
 
 // Reserve reserves bytes for a connection until Release or Close. It waits if there is no
-// room. The error has the kind Busy if there is none in time, and wraps net.ErrClosed if
-// the connection was closed meanwhile.
+// room. The error has the kind Busy if there is none in time, RequestTimeout if the
+// connection is to yield, and wraps net.ErrClosed if it is not in the table.
 func (t *ConnectionTable) Reserve(id carobconnectionid.ID, size carobsize.Size) error {
 	if t == nil || size == 0 {
 		return nil
@@ -210,7 +210,10 @@
 	r := t.rows[id]
 	if r == nil || r.yielding {
 		t.mutex.Unlock()
-		return carobkind.Wrap(carobkind.Internal, net.ErrClosed, "reserve memory")
+		if r == nil {
+			return carobkind.Wrap(carobkind.Internal, net.ErrClosed, "reserve memory")
+		}
+		return carobkind.New(carobkind.RequestTimeout, "the request made no progress while memory was short")
 	}
 	if t.reserve(r, size) {
 		t.mutex.Unlock()
--- a/internal/carobserver/conn.go
+++ b/internal/carobserver/conn.go
@@ -220,6 +220,10 @@
 	pipelined := carobpipelinedrequest.NewPipelinedRequest(carobpipelinedrequest.Config{
 		Request: received.request, Body: received.body, Connection: c, Writer: c.writer, PreviousDone: c.lastDone,
 	})
+	if c.yielding.Load() {
+		// The request was complete before its client could be told that it stalls.
+		pipelined.SetCloseAfter()
+	}
 	c.reading = false
 	c.pendingSize += received.reserved
 	c.lastDone = pipelined.Done()
--- a/internal/carobserver/memory_test.go
+++ b/internal/carobserver/memory_test.go
@@ -102,6 +102,35 @@
 	stalled.requireClosed()
 }
 
+// Guards against a client that keeps its memory by not reading its responses, with another request begun behind them, and against closing it while it reads.
+func TestWhoeverDoesNotReadYields(t *testing.T) {
+	f, budget := newLimitedFixture(t, carobsize.MiB, func(*carobserver.Config) {})
+	body := strings.Repeat("x", 400_000)
+	close(f.handler.release("/unread"))
+	go func() {
+		for {
+			_, err := io.WriteString(f.conn, "POST /unread HTTP/1.1\r\nHost: a\r\nContent-Length: 400000\r\n\r\n"+body)
+			if err != nil {
+				return
+			}
+		}
+	}()
+	require.Eventually(t, func() bool { return len(f.handler.arrived) > 2 }, 5*time.Second, time.Millisecond)
+	pause(t, 500*time.Millisecond)
+	require.Greater(t, budget.Reserved(), len(body), "a response waits")
+	other := *f
+	other.dial()
+	close(f.handler.release("/other"))
+	for range 20 {
+		other.send("POST /other HTTP/1.1\nHost: a\nContent-Length: 400000\n\n" + body)
+		if other.read().StatusCode() == 200 {
+			return
+		}
+		other.dial()
+	}
+	t.Fatal("the memory stays with a client that does not read")
+}
+
 // Guards against header fields that take many times the size of their bytes, and against pipelined requests that add up on a connection.
 func TestFieldsAndPipelinedRequestsAreCounted(t *testing.T) {
 	f, budget := newLimitedFixture(t, 16*carobsize.MiB, func(*carobserver.Config) {})
--- a/internal/carobserver/receive.go
+++ b/internal/carobserver/receive.go
@@ -60,17 +60,17 @@
 }
 
 // Yield makes the connection give its memory back soon. A request that is being received
-// is refused, since its client sends nothing more in time; otherwise the connection is
-// closed. Yield reports false, and does nothing, if a request has begun meanwhile.
+// is refused, since its client sends nothing more in time; otherwise, or if a response that
+// the client does not accept comes first, the connection is closed. Yield reports false, and does nothing, if a request has begun meanwhile.
 func (c *conn) Yield(receiving bool) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	switch {
-	case receiving:
+	case receiving && len(c.pending) == 0:
 		c.yielding.Store(true)
 		_ = c.SetReadDeadline(c.server.config.Timer.WallTime())
 		return true
-	case c.reading:
+	case c.reading && !receiving:
 		return false
 	default:
 		c.closing = true
@@ -256,7 +256,7 @@
 // bodyError adds the error kind to an error that occurred while a body was read. An error
 // of Reserve has its kind already.
 func bodyError(err error) error {
-	if carobkind.Of(err) == carobkind.Busy || errors.Is(err, net.ErrClosed) {
+	if kind := carobkind.Of(err); kind == carobkind.Busy || kind == carobkind.RequestTimeout || errors.Is(err, net.ErrClosed) {
 		return err
 	}
 	return readError(err)
