Bound the control messages that are being received, by their sum and in time

Cause: the server of control messages read bodies of up to 4 MiB in any number, and one whose sender stalled was kept for ever, since only the header had a time-out.

Change: the bytes of all requests that are being received come from a budget of an eighth of the connections' memory, apart from it, so that a crowd of callers does not hold up the messages between nodes.

--- a/internal/carobnode/providers.go
+++ b/internal/carobnode/providers.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/carobknot/carobknot/internal/carobadminserver"
+	"github.com/carobknot/carobknot/internal/carobbytebudget"
 	"github.com/carobknot/carobknot/internal/carobcodec"
 	"github.com/carobknot/carobknot/internal/carobcontrol"
 	"github.com/carobknot/carobknot/internal/carobeventlog"
@@ -28,6 +29,11 @@
 // a target sent before it withdrew at the process before this one.
 const confirmationTimeouts = 2
 
+// controlShare is the share, as a divisor, of Limits.ConnectionMemory that control messages
+// may hold beside it while they are received. They are short, apart from the first ones
+// after a start.
+const controlShare = 8
+
 // provide returns an injector with the constructors of all parts. A part is made when
 // it is first invoked.
 func (n *Node) provide() do.Injector {
@@ -78,6 +84,7 @@
 		}
 		return carobtransport.NewTransport(carobtransport.Config{
 			Mailbox: do.MustInvoke[*carobmailbox.Mailbox](injector), Codec: codec,
+			ReceiveBudget: carobbytebudget.NewByteBudget(carobbytebudget.Config{Limit: settings.Limits.ConnectionMemory / controlShare}),
 		}), nil
 	})
 	do.Provide(injector, func(injector do.Injector) (*carobsplitter.Splitter, error) {
--- a/internal/carobtransport/transport.go
+++ b/internal/carobtransport/transport.go
@@ -12,6 +12,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/carobknot/carobknot/internal/carobbatch"
+	"github.com/carobknot/carobknot/internal/carobbytebudget"
 	"github.com/carobknot/carobknot/internal/carobcodec"
 	"github.com/carobknot/carobknot/internal/carobmailbox"
 	"github.com/carobknot/carobknot/pkg/carobaddress"
@@ -44,6 +45,9 @@
 type Config struct {
 	Mailbox *carobmailbox.Mailbox
 	Codec   *carobcodec.Codec
+	// ReceiveBudget bounds the bytes of requests that are being received; nil means no
+	// limit. A request that exceeds it is rejected.
+	ReceiveBudget *carobbytebudget.ByteBudget
 }
 
 // Transport sends and receives control messages.
@@ -84,7 +88,9 @@
 	mux := http.NewServeMux()
 	mux.Handle(procedure, connect.NewUnaryHandler(procedure, t.receive,
 		connect.WithCodec(c.Codec), connect.WithReadMaxBytes(maxRequestSize), connect.WithCompression(gzip, nil, nil)))
-	t.server = &http.Server{Handler: mux, Protocols: protocols, ReadHeaderTimeout: requestTimeout, IdleTimeout: 2 * idleTimeout}
+	t.server = &http.Server{
+		Handler: t.limitBodies(mux), Protocols: protocols, ReadHeaderTimeout: requestTimeout, ReadTimeout: 2 * requestTimeout, IdleTimeout: 2 * idleTimeout,
+	}
 	return t
 }
 
