--- a/internal/carobrequestbody/requestbody.go
+++ b/internal/carobrequestbody/requestbody.go
@@ -27,6 +27,14 @@
 	SetReadDeadline(at time.Time) error
 }
 
+// segments is a body in several pieces.
+type segments interface {
+	// Reader returns a reader of the whole body.
+	Reader() io.Reader
+	// Size returns the size of the body in bytes.
+	Size() int
+}
+
 // Config holds the parameters of a RequestBody.
 type Config struct {
 	// Stream returns the body, or an error if it is cut off. If it is nil, Body is
@@ -34,6 +42,8 @@
 	Stream io.Reader
 	// Body is the body if the HTTP library has already read it.
 	Body []byte
+	// Segments is the body if it is in the memory, but not in one piece; nil otherwise.
+	Segments segments
 	// Length is the length of the body in bytes; negative if it is unknown.
 	Length int
 	// MaxBuffered is the maximum size of a body that is buffered for further attempts.
@@ -97,11 +107,7 @@
 // longer one of unknown length.
 func (b *RequestBody) readBuffered() error {
 	if b.config.Length >= 0 {
-		b.buffered = make([]byte, b.config.Length)
-		if _, err := io.ReadFull(b.timedStream(), b.buffered); err != nil {
-			return senderError(err)
-		}
-		return nil
+		return b.readLength()
 	}
 	ahead, err := io.ReadAll(io.LimitReader(b.timedStream(), int64(b.config.MaxBuffered)+1))
 	if err != nil {
@@ -116,6 +122,30 @@
 	return nil
 }
 
+// firstBuffer is the size of the first buffer for a body, in bytes.
+const firstBuffer = 16 << 10
+
+// readLength reads a body of Config.Length bytes. Its memory grows with the bytes that
+// arrive, since the sender may have announced more than it sends.
+func (b *RequestBody) readLength() error {
+	stream := b.timedStream()
+	b.buffered = make([]byte, 0, min(b.config.Length, firstBuffer))
+	for len(b.buffered) < b.config.Length {
+		if len(b.buffered) == cap(b.buffered) {
+			b.buffered = append(make([]byte, 0, min(b.config.Length, 2*cap(b.buffered))), b.buffered...)
+		}
+		n, err := stream.Read(b.buffered[len(b.buffered):cap(b.buffered)])
+		b.buffered = b.buffered[:len(b.buffered)+n]
+		if err == io.EOF && len(b.buffered) < b.config.Length { //nolint:errorlint // readers return io.EOF itself
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil && len(b.buffered) < b.config.Length {
+			return senderError(err)
+		}
+	}
+	return nil
+}
+
 // Streamed reports whether the body is too long to be buffered.
 func (b *RequestBody) Streamed() bool {
 	return b.streamed
@@ -132,6 +162,8 @@
 	switch {
 	case b.NotResendable():
 		return carobkind.New(carobkind.NotResendable, "the body was already sent and is too long to be buffered")
+	case b.config.Segments != nil:
+		req.SetBodyStream(b.config.Segments.Reader(), b.config.Segments.Size())
 	case b.streamed:
 		req.SetBodyStream(&attemptBody{body: b}, b.config.Length)
 	case b.config.Stream != nil || len(b.buffered) > 0:
