--- a/pkg/carobdissemination/system.go
+++ b/pkg/carobdissemination/system.go
@@ -228,12 +228,14 @@
 }
 
 // pendingPeers returns the peers whose pending description was sent fewer than maxSent
-// times, those sent least often first. It removes the ones that were sent often enough.
+// times, those sent least often first. It removes the ones that were sent often enough, except
+// those that other data centres have yet to get: the throttle may delay these for longer than
+// this data centre takes.
 func pendingPeers(world *carobworld.World, maxSent int) []*carobpeer.Peer {
 	var rows []*carobpeer.Peer
 	for id := range world.PendingGossip.All() {
 		peer := world.Peers.Get(id)
-		if peer == nil || peer.GossipCount >= maxSends {
+		if peer == nil || peer.GossipCount >= maxSends && !peer.Originated {
 			world.PendingGossip.Delete(id)
 			continue
 		}
