--- a/pkg/carobadmission/cold.go
+++ b/pkg/carobadmission/cold.go
@@ -29,7 +29,7 @@
 )
 
 // handleWarmth records whether a response to a health check shows that the target is cold.
-// Only the target itself, asked since its state was last in doubt, can show that it is warm.
+// Only the target itself, asked since its state last became unknown, can show that it is warm.
 func handleWarmth(now carobinstant.Instant, state *carobadmissionstate.AdmissionState, result carobcheckresult.CheckResult) {
 	switch directive := result.Directive; {
 	case directive == nil || directive.WarmupUnreadable:
@@ -41,7 +41,7 @@
 }
 
 // updateColdLimit applies the operator's rule for the service of a target, as far as the target
-// counts as cold, and asks a target by a health check whose state is not known.
+// counts as cold, and orders a health check of a target whose state is not known.
 func updateColdLimit(world *carobworld.World, now carobinstant.Instant, id carobtargetid.ID, state *carobadmissionstate.AdmissionState) {
 	rate := world.ColdRate(id.Service)
 	if rate == 0 && state.ColdRate == 0 {
@@ -56,7 +56,7 @@
 	}
 	setColdLimit(world, now, id, state, rate)
 	if rate > 0 {
-		askCold(world, now, id, state)
+		orderColdCheck(world, now, id, state)
 	}
 }
 
@@ -74,16 +74,16 @@
 	state.ColdLimit, state.ReportDue = limit, true
 }
 
-// askCold orders a health check of a target that counts as cold: soon if its state is not known,
+// orderColdCheck orders a health check of a target that counts as cold: soon if its state is not known,
 // and when it should be warm otherwise.
-func askCold(world *carobworld.World, now carobinstant.Instant, id carobtargetid.ID, state *carobadmissionstate.AdmissionState) {
+func orderColdCheck(world *carobworld.World, now carobinstant.Instant, id carobtargetid.ID, state *carobadmissionstate.AdmissionState) {
 	target, rate := world.Targets.Get(id), float64(world.ProbeLimits.ChecksPerSecond)
 	if rate == 0 || target == nil || !world.Owns(target) || target.Readiness == carobreadiness.Leaving {
 		return
 	}
 	due := max(state.ColdEnd, state.ColdCheckDue)
 	if state.CheckSentAt != carobinstant.Never {
-		// The check under way tells. Its result may be lost with a time-out.
+		// The check under way will show the state. Its result may be lost with a time-out.
 		due = max(due, state.CheckSentAt.Add(coldCheckInterval))
 	}
 	if !due.Reached(now) {
--- a/pkg/carobadmission/evacuation_test.go
+++ b/pkg/carobadmission/evacuation_test.go
@@ -33,5 +33,5 @@
 	require.Zero(t, r.world.Jobs.Len(), "the running job has ended normally")
 	r.world.Evacuations.Get("west").Active = false
 	r.offer(requirements(1, time.Second))
-	require.Len(t, r.world.Outbox.Starts, 1, "the evacuation is taken back")
+	require.Len(t, r.world.Outbox.Starts, 1, "the evacuation has ended")
 }
--- a/pkg/carobdissemination/contactset.go
+++ b/pkg/carobdissemination/contactset.go
@@ -16,9 +16,9 @@
 	drawInterval = 10 * time.Second
 )
 
-// contactSet has the nodes of this data centre that rounds of gossip choose from. It changes slowly, so that
-// connections are reused: if each round went to any node, a node of a large cluster that has
-// just started would soon have a connection to most others.
+// contactSet has the nodes of this data centre that rounds of gossip choose from. It changes
+// slowly, so that connections are reused: if each round went to any node, a node of a large
+// cluster that has just started would soon have a connection to most others.
 type contactSet struct {
 	nodes []carobnodeid.ID
 	// nextDraw is when the set is drawn again; Never before the first draw.
--- a/pkg/carobevacuating/system.go
+++ b/pkg/carobevacuating/system.go
@@ -24,7 +24,7 @@
 	// as long as a node can be without messages and without reading the store itself.
 	noticePeriod = time.Minute
 	// absencePeriod is how long a record must be missing from the store until the evacuation
-	// counts as taken back. A store that was restored, or dropped its records, gets them again
+	// counts as ended. A store that was restored, or dropped its records, gets them again
 	// from the operator; within evacuate-s, a new evacuation must be in force anyway.
 	absencePeriod = 5 * time.Second
 	// maxListAge is the age of the newest read above which another one is needed before a missing
@@ -147,7 +147,7 @@
 }
 
 // merge applies a state if it supersedes the known one, and reports whether the data centre has
-// become evacuated or no longer is. If the sender's state is older and says otherwise, the
+// become evacuated or no longer is. If the sender's state is older and differs, the
 // known one is sent again, so that the sender learns it.
 func merge(world *carobworld.World, now carobinstant.Instant, state carobevacuation.Evacuation, from string) bool {
 	row := world.Evacuations.Get(state.Centre)
@@ -198,7 +198,7 @@
 	if active {
 		return "evacuated"
 	}
-	return "in use"
+	return "not evacuated"
 }
 
 // checkKnown records evacuations of data centres of which no node is known, once.
--- a/pkg/carobstorerecovery/system.go
+++ b/pkg/carobstorerecovery/system.go
@@ -1,4 +1,4 @@
-// Package carobstorerecovery notices that the store was restored from an earlier copy.
+// Package carobstorerecovery detects that the store was restored from an earlier copy.
 //
 // The store names its era in each response. A node that does not read the store hears of a new
 // era from other nodes: heartbeats name the sender's, and for a minute after a rise all messages
@@ -40,7 +40,7 @@
 }
 
 // raise takes over an era if it is higher than the one known. The first one that becomes known
-// is no sign of a restore.
+// does not show a restore.
 func raise(world *carobworld.World, now carobinstant.Instant, era carobstoreera.Era, from string) {
 	if era <= world.StoreEra {
 		return
--- a/pkg/caroburgency/urgency.go
+++ b/pkg/caroburgency/urgency.go
@@ -1,4 +1,4 @@
-// Package caroburgency orders calls by what it costs their callers if they are delayed or
+// Package caroburgency orders calls by how much it costs their callers if they are delayed or
 // refused.
 package caroburgency
 
