Count restarted nodes, keep isolated nodes from whole quotas

Cause: three faults found in review of the quotas. - A node that heard of no other one stopped using its share after 55 minutes. After an hour its rows of the others expired, F became 1, and it used the whole quota, while the others could use the whole quota too. - A peer row of an incarnation that left overwrote the newer incarnation in the directory. A node that restarted behind a cut was not counted while it used its share. - A repeated call that was answered from the stored answer kept its token, although it did not run.

Change: a node that lost contact uses no share until a message arrives. The newer incarnation decides whether a node has left. concludeRepeated returns the token.

Result: TestIsolatedNodeDoesNotUseTheWholeQuota, TestRecordOfARestartedNodeCountsBesideTheOldPeer and TestTokenOfARepeatedCallReturns fail without the change and pass with it.

--- a/pkg/carobentry/claim.go
+++ b/pkg/carobentry/claim.go
@@ -85,6 +85,9 @@
 		return
 	}
 	world.Outbox.Conclusions = append(world.Outbox.Conclusions, carobconclusion.Conclusion{Call: call.Arrival.Call, StoredAnswer: stored})
+	if call.NotRun() {
+		returnToken(world, now, call)
+	}
 	world.Calls.Delete(call.Arrival.Call)
 }
 
--- a/pkg/carobentry/quota_test.go
+++ b/pkg/carobentry/quota_test.go
@@ -6,15 +6,20 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/carobknot/carobknot/pkg/carobarrival"
 	"github.com/carobknot/carobknot/pkg/carobattemptreply"
 	"github.com/carobknot/carobknot/pkg/carobcallid"
+	"github.com/carobknot/carobknot/pkg/carobclaimreply"
+	"github.com/carobknot/carobknot/pkg/carobclaimresult"
 	"github.com/carobknot/carobknot/pkg/carobduration"
 	"github.com/carobknot/carobknot/pkg/carobguarantee"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/carobmessage"
 	"github.com/carobknot/carobknot/pkg/carobquotastock"
 	"github.com/carobknot/carobknot/pkg/carobstage"
+	"github.com/carobknot/carobknot/pkg/carobstoredanswer"
 )
 
 // newLimitedRig returns a rig whose call is of an organisation with a quota. There is no allocator.
@@ -158,6 +163,24 @@
 	}
 }
 
+// Guards against quotas that are used up by repeated calls, which are answered without running again.
+func TestTokenOfARepeatedCallReturns(t *testing.T) {
+	r := newLimitedRig(t)
+	r.world.RouteTable.Routes[0].Guarantee = carobguarantee.OncePerKey
+	r.grant(3)
+	r.step(carobinbox.Inbox{Arrivals: []carobarrival.Arrival{{
+		Call: r.call, Request: "req", Host: "a.example", Path: "/one/x", Timeout: callTimeout, Key: "k", Credential: credential("key"),
+	}}})
+	require.Equal(t, carobstage.Claiming, r.world.Calls.Get(r.call).Stage)
+	require.Equal(t, 2, r.stock().Tokens)
+	r.step(carobinbox.Inbox{Messages: []carobmessage.Message{{ClaimReply: &carobclaimreply.ClaimReply{
+		Call: r.call, Result: carobclaimresult.Repeated, StoredAnswer: &carobstoredanswer.StoredAnswer{Status: 200},
+	}}}})
+	require.Len(t, r.world.Outbox.Conclusions, 1)
+	require.NotNil(t, r.world.Outbox.Conclusions[0].StoredAnswer)
+	require.Equal(t, 3, r.stock().Tokens)
+}
+
 // Guards against a retry inside the system that counts as another call.
 func TestRetriesTakeNoToken(t *testing.T) {
 	r := newLimitedRig(t)
--- a/pkg/carobquotacounting/system.go
+++ b/pkg/carobquotacounting/system.go
@@ -9,12 +9,11 @@
 import (
 	"time"
 
-	"github.com/carobknot/carobknot/pkg/carobquotaperiods"
-
 	"github.com/carobknot/carobknot/pkg/carobcountednode"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobliveness"
 	"github.com/carobknot/carobknot/pkg/carobpeer"
+	"github.com/carobknot/carobknot/pkg/carobquotaperiods"
 	"github.com/carobknot/carobknot/pkg/carobrouteversion"
 	"github.com/carobknot/carobknot/pkg/carobstream"
 	"github.com/carobknot/carobknot/pkg/carobworld"
@@ -39,6 +38,9 @@
 	// startedAt is the instant of the first tick, and heardAt when the last message of another
 	// node arrived.
 	startedAt, heardAt carobinstant.Instant
+	// isolated is true if this node has heard of no other one for isolationLimit while others
+	// counted. It stays true until a message arrives, also when those no longer count.
+	isolated bool
 	// directoryRead is true once the members recorded in the log are known.
 	directoryRead bool
 	// scannedAt is the instant of the last scan; Never if there was none since quotas are in
@@ -61,7 +63,7 @@
 		s.startedAt, s.heardAt = now, now
 	}
 	if len(world.Inbox.Messages) > 0 {
-		s.heardAt = now
+		s.heardAt, s.isolated = now, false
 	}
 	for i := range world.Inbox.Records {
 		if world.Inbox.Records[i].Stream == carobstream.Nodes {
@@ -140,7 +142,8 @@
 }
 
 // countPeer updates the row of a peer. A peer that was found to be unreachable was heard of
-// until then.
+// until then. If the row is of a newer incarnation, which the directory names, that one has not
+// left.
 func countPeer(world *carobworld.World, now carobinstant.Instant, peer *carobpeer.Peer) {
 	node := carobcountednode.CountedNode{
 		Incarnation: peer.Member.Incarnation, HeardAt: now, Left: peer.Member.Liveness == carobliveness.Left,
@@ -150,15 +153,18 @@
 	}
 	if row := world.CountedNodes.Get(peer.Member.Node); row != nil {
 		node.HeardAt = max(node.HeardAt, row.HeardAt)
-		node.Incarnation = max(node.Incarnation, row.Incarnation)
+		if row.Incarnation > node.Incarnation {
+			node.Incarnation, node.Left = row.Incarnation, row.Left
+		}
 	}
 	world.CountedNodes.Put(peer.Member.Node, node)
 }
 
-// shareUsable reports whether this node may use its share or lend it: not before a lease of the
-// process before this one must be over, which is also time for nodes that start at once to know
-// each other. A node that is not known to any other may use its share, once it has read which
-// members are recorded.
+// shareUsable reports whether this node may use its share or lend it. After a start it waits until
+// a lease of the previous process has ended, which also lets nodes that start together learn of
+// each other. A node that knows no other may use its share once it has read which members are
+// recorded. A node that has lost contact may not, even when it no longer counts the others: these
+// may be using the whole quota.
 func (s *System) shareUsable(world *carobworld.World, now carobinstant.Instant) bool {
 	settled := s.startedAt.Add(carobquotaperiods.Of(world.QuotaNodes).Lease)
 	if !settled.Reached(now) {
@@ -168,5 +174,8 @@
 	if world.LeaveAnnounced || !s.directoryRead && world.CountedNodes.Len() == 0 {
 		return false
 	}
-	return world.QuotaNodes == 1 || now.Sub(s.heardAt) < isolationLimit
+	if world.QuotaNodes > 1 && now.Sub(s.heardAt) >= isolationLimit {
+		s.isolated = true
+	}
+	return !s.isolated
 }
--- a/pkg/carobquotacounting/system_test.go
+++ b/pkg/carobquotacounting/system_test.go
@@ -116,6 +116,42 @@
 	require.Equal(t, 3, r.world.QuotaNodes, "a node that returns counts")
 }
 
+// Guards against a node that is not counted while it may be using its share, because an earlier
+// process of it left and only the directory has its restart.
+func TestRecordOfARestartedNodeCountsBesideTheOldPeer(t *testing.T) {
+	r := newRig(t, true)
+	r.setPeer("a", 1, carobliveness.Left)
+	r.pass(time.Second, true)
+	require.Equal(t, 1, r.world.QuotaNodes)
+	r.world.LoggedMembers.Put("a", carobmember.Member{Node: "a", Incarnation: 2})
+	r.tick(carobinbox.Inbox{Records: []carobrecord.Record{{Stream: carobstream.Nodes}}})
+	r.pass(2*time.Second, true)
+	require.Equal(t, 2, r.world.QuotaNodes)
+	r.pass(2*time.Minute, true)
+	require.Equal(t, 2, r.world.QuotaNodes, "after further scans")
+}
+
+// Guards against a node that uses the whole quota once all others have been silent for so long that
+// they no longer count: they may use the whole quota together.
+func TestIsolatedNodeDoesNotUseTheWholeQuota(t *testing.T) {
+	r := newRig(t, true)
+	r.record("me")
+	r.setPeer("a", 1, carobliveness.Alive)
+	r.pass(2*time.Second, true)
+	require.True(t, r.world.QuotaShareUsable)
+	r.setPeer("a", 1, carobliveness.Unreachable)
+	r.pass(2*time.Hour, false)
+	require.Equal(t, 1, r.world.QuotaNodes)
+	require.False(t, r.world.QuotaShareUsable)
+	r.setPeer("a", 1, carobliveness.Alive)
+	r.pass(time.Second, true)
+	require.True(t, r.world.QuotaShareUsable, "contact restored")
+
+	r.setPeer("a", 1, carobliveness.Left)
+	r.pass(2*time.Hour, false)
+	require.True(t, r.world.QuotaShareUsable, "all other nodes have left")
+}
+
 // Guards against a record of the directory that makes a node count which has left since.
 func TestRecordOfANodeThatLeftDoesNotCount(t *testing.T) {
 	r := newRig(t, true)
