Reword comments on quotas, evacuations and refusals

Cause: a newcomer stumbled over these: names such as word and waitsInVain, comments that are riddles without the code, and imports outside their group.

Change: allocatorText and mustConclude replace the two names, the comments are reworded, and the imports are sorted. A quota request with a repeated organisation is now reported as "is listed twice".

--- a/pkg/carobentry/conclude.go
+++ b/pkg/carobentry/conclude.go
@@ -141,9 +141,9 @@
 	}
 }
 
-// refuse concludes a call that is not accepted; its row needs no more fields than Arrival and
-// Organisation. The caller may retry after the
-// given time; if that is 0, the kind's own retry time applies.
+// refuse concludes a call that is not accepted. Only Arrival and Organisation of the call need to
+// be set. The caller may retry after the given time; if that is 0, the kind's own retry time
+// applies.
 func refuse(world *carobworld.World, now carobinstant.Instant, call *carobcall.Call, kind carobkind.Kind, after time.Duration) {
 	world.Outbox.Conclusions = append(world.Outbox.Conclusions, carobconclusion.Conclusion{
 		Call: call.Arrival.Call, Kind: kind, RetryAfter: after,
--- a/pkg/carobentry/quota.go
+++ b/pkg/carobentry/quota.go
@@ -3,12 +3,11 @@
 import (
 	"time"
 
-	"github.com/carobknot/carobknot/pkg/carobquotaperiods"
-
 	"github.com/carobknot/carobknot/pkg/carobcall"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobkey"
 	"github.com/carobknot/carobknot/pkg/carobkind"
+	"github.com/carobknot/carobknot/pkg/carobquotaperiods"
 	"github.com/carobknot/carobknot/pkg/carobquotastock"
 	"github.com/carobknot/carobknot/pkg/carobstage"
 	"github.com/carobknot/carobknot/pkg/carobworld"
@@ -23,7 +22,7 @@
 	quotaJitter = time.Second
 )
 
-// firstStage returns the stage in which a call starts that needs no token, or has one.
+// firstStage returns the stage of a call that needs no token or has just got one.
 func firstStage(call *carobcall.Call) carobstage.Stage {
 	if call.Key() != (carobkey.Key{}) {
 		return carobstage.Claiming
--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -203,7 +203,7 @@
 		sendClaim(world, now, call)
 		return
 	}
-	if call.Stage == carobstage.Waiting && call.NoTarget && waitsInVain(world, now, call) {
+	if call.Stage == carobstage.Waiting && call.NoTarget && mustConclude(world, now, call) {
 		concludeWithoutTarget(world, now, call)
 		return
 	}
@@ -219,8 +219,8 @@
 	}
 }
 
-// waitsInVain reports whether a call without a target is to be concluded: all targets are
+// mustConclude reports whether a call without a target is to be concluded: all targets are
 // evacuated, or it has an SLO and has waited long enough.
-func waitsInVain(world *carobworld.World, now carobinstant.Instant, call *carobcall.Call) bool {
+func mustConclude(world *carobworld.World, now carobinstant.Instant, call *carobcall.Call) bool {
 	return world.IsServiceEvacuated(call.Arrival.Service) || call.SLODeadline != carobinstant.Never && !mayBackOff(now, call)
 }
--- a/pkg/carobquotabucket/quotabucket.go
+++ b/pkg/carobquotabucket/quotabucket.go
@@ -28,12 +28,12 @@
 	// the tokens of an organisation that is in use at many nodes are all in stock somewhere, and
 	// calls at a node whose stock is used up are refused.
 	reserveShare = 0.25
-	// minWait is the shortest time for which a node does not ask again. Many nodes that each
-	// ask for each call would take up the allocator.
+	// minWait is the shortest time for which a node is told not to ask again. The allocator would
+	// be overloaded if many nodes sent a request for each call.
 	minWait = 100 * time.Millisecond
-	// maxWait is the longest one. The capacity may be raised meanwhile.
+	// maxWait is the longest such time. It is limited because the quota may be raised meanwhile.
 	maxWait = time.Minute
-	// rounding is more than what is lost in sums of parts of tokens.
+	// rounding is larger than the floating-point error of sums of fractions of tokens.
 	rounding = 1e-9
 )
 
--- a/pkg/carobquotalending/system.go
+++ b/pkg/carobquotalending/system.go
@@ -8,8 +8,6 @@
 import (
 	"time"
 
-	"github.com/carobknot/carobknot/pkg/carobquotaperiods"
-
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobliveness"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
@@ -17,6 +15,7 @@
 	"github.com/carobknot/carobknot/pkg/caroborganisationid"
 	"github.com/carobknot/carobknot/pkg/carobquotaallocation"
 	"github.com/carobknot/carobknot/pkg/carobquotademand"
+	"github.com/carobknot/carobknot/pkg/carobquotaperiods"
 	"github.com/carobknot/carobknot/pkg/carobquotareply"
 	"github.com/carobknot/carobknot/pkg/carobquotastock"
 	"github.com/carobknot/carobknot/pkg/carobroutetable"
@@ -133,13 +132,14 @@
 		return
 	}
 	if world.Self.Allocates != allocates {
-		world.Audit("quota", string(world.Self.Node), "allocator", word(world.Self.Allocates), word(allocates))
+		world.Audit("quota", string(world.Self.Node), "allocator", allocatorText(world.Self.Allocates), allocatorText(allocates))
 	}
 	world.Self.Capacity, world.Self.Allocates = world.Capacity, allocates
 	world.Self.Sequence++
 }
 
-func word(allocates bool) string {
+// allocatorText returns the audit trail's text for whether this node is the allocator.
+func allocatorText(allocates bool) string {
 	if allocates {
 		return "this node"
 	}
@@ -177,9 +177,9 @@
 	return before != nil && (!before.Limited() || organisation.Rate < before.Rate || organisation.Burst < before.Burst)
 }
 
-// partner returns the node to send requests to: the chosen allocator, but the one that holds this
-// node's lease until that has ended, unless it does not reply. One that is leaving is asked too,
-// because it releases the share.
+// partner returns the node to send requests to. While another node than the chosen allocator holds
+// this node's lease, that node is the partner as long as it is alive and replies, even if it is
+// leaving, because it then releases the share.
 func (s *System) partner(world *carobworld.World, now carobinstant.Instant, choice candidate) candidate {
 	holder := s.bound.to.node
 	if !s.bound.holds(now) || holder == choice.node || s.chooser.avoided(holder, now) {
--- a/pkg/carobquotarequest/quotarequest.go
+++ b/pkg/carobquotarequest/quotarequest.go
@@ -18,8 +18,8 @@
 	// the allocator's incarnation that sent it. Both are 0 if the node lends nothing.
 	Stamp  carobinstant.Instant         `json:"stamp,omitempty"`
 	Issuer carobincarnation.Incarnation `json:"issuer,omitempty"`
-	// Nodes is the number of nodes that the sender counts, of whose quotas it lends one share;
-	// 0 if it lends nothing.
+	// Nodes is the number of nodes that the sender divides the quotas by: it lends 1/Nodes of each.
+	// It is 0 if the sender lends nothing.
 	Nodes int `json:"nodes,omitempty"`
 	// Complete is true if Demands has all organisations of which the node holds or needs tokens.
 	// Otherwise the node still holds as many as the allocator recorded of those that are left out.
@@ -29,8 +29,8 @@
 	Demands []carobquotademand.QuotaDemand `json:"demands,omitempty"`
 }
 
-// MaxDemands is the maximum number of organisations in a request. A node holds tokens of no
-// more than that.
+// MaxDemands is the maximum number of organisations in a request, and of those that a node holds
+// tokens of.
 const MaxDemands = 4096
 
 // maxNodes is the largest number of nodes in a request.
@@ -47,7 +47,7 @@
 			return err
 		}
 		if seen[q.Demands[i].Organisation] {
-			return carobkind.New(carobkind.Invalid, "quota request: organisation %s stands twice", q.Demands[i].Organisation)
+			return carobkind.New(carobkind.Invalid, "quota request: organisation %s is listed twice", q.Demands[i].Organisation)
 		}
 		seen[q.Demands[i].Organisation] = true
 	}
--- a/pkg/carobquotasettings/quotasettings.go
+++ b/pkg/carobquotasettings/quotasettings.go
@@ -32,7 +32,7 @@
 const allocatedSlack = 0.5
 
 // MaxTokens returns how many tokens of an organisation may exist at once, at nodes and in
-// buckets. Together with the tokens that are added in a window, they keep within the bound.
+// buckets. Together with the tokens that are added in a window, they do not exceed MaxCalls.
 func (q QuotaSettings) MaxTokens(rate carobcallrate.CallRate, burst float64) float64 {
 	return burst + q.Overage*(float64(rate)*q.Window.Duration().Seconds()+burst) + allocatedSlack*q.Slack
 }
--- a/pkg/carobroutetable/routetable.go
+++ b/pkg/carobroutetable/routetable.go
@@ -29,7 +29,7 @@
 	RequiresKey bool `json:"keyed,omitempty"`
 	// Organisations are those whose calls are admitted.
 	Organisations []caroborganisation.Organisation `json:"organisations,omitempty"`
-	// ServiceRules has at most one rule that counts for a service, the first.
+	// ServiceRules are the rules of services. If a service has several, the first applies.
 	ServiceRules []carobservicerule.ServiceRule `json:"services,omitempty"`
 	// byHost has the routes of each host, in order of decreasing prefix length;
 	// nil before the table is indexed.
--- a/pkg/carobworld/evacuations.go
+++ b/pkg/carobworld/evacuations.go
@@ -42,7 +42,7 @@
 }
 
 // IsServiceEvacuated reports whether a service has targets in data centres that are evacuated,
-// and none elsewhere except such as leave.
+// and no others except targets that are leaving.
 func (w *World) IsServiceEvacuated(service carobservice.Service) bool {
 	group := w.Groups.Get(service)
 	if group == nil || w.ActiveEvacuations() == 0 {
--- a/pkg/carobworld/ticks.go
+++ b/pkg/carobworld/ticks.go
@@ -61,8 +61,9 @@
 // be known; the age of the confirmation of the route table, if the message names the table's
 // version; and the era, in heartbeats, and in all messages if the store was restored recently, so
 // that nodes learn of it that do not read the store. The size of load probes and reports is
-// limited, so they carry neither eras nor evacuations; nor the age while there are evacuations,
-// because who learns that the store had nothing newer must learn the evacuations as of then too.
+// limited, so they carry neither eras nor evacuations. While there are evacuations they do not carry
+// the age either: a node that learns how recent the route table is must also learn the evacuations
+// of that time.
 func (w *World) describeStore(message *carobmessage.Message, restored bool) {
 	limited := message.LoadProbe != nil || message.Report != nil
 	if !limited {
