Count fields behind empty lines, and stalls only while the client may send

A review of the limits on connections found four faults:

- Empty lines before a request line were taken for the end of the header, so that its fields were parsed without being reserved.
- The time for which a client waits for its previous call to end (for 100 Continue, for example) counted as a stall, so that it could be shed as soon as that call ended.
- A connection that was told to yield after its request was complete counted as memory that becomes free soon for as long as the call ran, and kept others from yielding.
- The response to a malformed first line of an incomplete header quoted the line.

Empty lines before a header are now skipped, progress starts anew when a call ends, calls under way are not counted as memory about to be free, and the response quotes nothing. Each has a test that failed before.

--- a/internal/carobconnectiontable/connectiontable.go
+++ b/internal/carobconnectiontable/connectiontable.go
@@ -159,7 +159,8 @@
 	t.update(id, func(r *row, now carobinstant.Instant) { t.config.Shedding.Receive(now, &r.Connection, size) })
 }
 
-// EndRequest records that a request is complete, and that its call is under way.
+// EndRequest records that a request is complete or refused, and that its call or refusal is
+// under way.
 func (t *ConnectionTable) EndRequest(id carobconnectionid.ID) {
 	t.update(id, func(r *row, _ carobinstant.Instant) {
 		r.Receiving = false
@@ -187,6 +188,8 @@
 		if !r.Receiving {
 			r.BeganAt = now
 		}
+		// The client may have waited for this request to end before it could send the next.
+		r.ProgressAt = now
 	})
 }
 
@@ -324,7 +327,8 @@
 // there are no such connections. The mutex is held.
 func (t *ConnectionTable) shed(now carobinstant.Instant, size carobsize.Size) bool {
 	for _, r := range t.rows {
-		if r.yielding {
+		// A request that was completed before its connection yielded runs to its end.
+		if r.yielding && r.Pending == 0 {
 			size -= r.Held
 		}
 	}
--- a/internal/carobconnectiontable/connectiontable_test.go
+++ b/internal/carobconnectiontable/connectiontable_test.go
@@ -148,3 +148,50 @@
 	require.NotEqual(t, carobconnectionid.None, id)
 	require.False(t, ok)
 }
+
+// Guards against refusing a client that could not go on with its next request before the
+// call of the one before had ended.
+func TestTimeOfTheCallBeforeIsNoStall(t *testing.T) {
+	f := newFixture(t)
+	c := f.open(t, "next request", 100*carobsize.KiB)
+	f.table.EndRequest(c.id)
+	f.table.BeginRequest(c.id)
+	require.NoError(t, f.timer.Wait(t.Context(), 2*stallTimeout))
+	f.table.Respond(c.id)
+	f.table.Finish(c.id, true)
+	f.budget.Add(int(limit))
+	_, ok := f.table.Open(1, &conn{fixture: f, name: "new"})
+	require.False(t, ok)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	require.Empty(t, f.yielded)
+}
+
+// completedConn is a connection whose request is completed although it was told to yield.
+type completedConn struct {
+	*conn
+}
+
+func (c completedConn) Yield(bool) bool { return true }
+
+// Guards against taking the memory of a call under way for memory that becomes free soon,
+// so that no other connection would yield until the call has ended.
+func TestCallsUnderWayFreeNothingSoon(t *testing.T) {
+	f := newFixture(t)
+	completed, ok := f.table.Open(0, completedConn{&conn{fixture: f}})
+	require.True(t, ok)
+	f.table.BeginRequest(completed)
+	require.NoError(t, f.table.Reserve(completed, 600*carobsize.KiB))
+	require.NoError(t, f.timer.Wait(t.Context(), stallTimeout/10))
+	f.open(t, "stalled", 100*carobsize.KiB)
+	require.NoError(t, f.timer.Wait(t.Context(), 2*stallTimeout))
+	f.budget.Add(int(limit - 700*carobsize.KiB))
+	_, ok = f.table.Open(1, &conn{fixture: f, name: "first new one"})
+	require.True(t, ok)
+	f.table.EndRequest(completed)
+	_, ok = f.table.Open(1, &conn{fixture: f, name: "second new one"})
+	require.True(t, ok)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	require.Equal(t, []string{"stalled"}, f.yielded)
+}
--- a/internal/carobserver/memory_test.go
+++ b/internal/carobserver/memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -155,3 +156,15 @@
 	const limit = 64 * carobsize.MiB
 	c.Connections = newTable(c.Timer, carobbytebudget.NewByteBudget(carobbytebudget.Config{Limit: limit}), limit)
 }
+
+// Guards against empty lines before a header, by which its fields would not be counted.
+func TestFieldsBehindEmptyLinesAreCounted(t *testing.T) {
+	f, budget := newLimitedFixture(t, 16*carobsize.MiB, func(*carobserver.Config) {})
+	f.send("\n\nGET /1 HTTP/1.1\nHost: a\n" + strings.Repeat("a:\n", 900) + "\n")
+	<-f.handler.arrived
+	release := sync.OnceFunc(func() { close(f.handler.release("/1")) })
+	defer release()
+	require.Greater(t, budget.Reserved(), 900*200)
+	release()
+	require.Equal(t, 200, f.read().StatusCode())
+}
--- a/internal/carobserver/receive.go
+++ b/internal/carobserver/receive.go
@@ -60,8 +60,9 @@
 }
 
 // Yield makes the connection give its memory back soon. A request that is being received
-// is refused, since its client sends nothing more in time; otherwise, or if a response that
-// the client does not accept comes first, the connection is closed. Yield reports false, and does nothing, if a request has begun meanwhile.
+// is refused, since its client makes no progress; otherwise, or if a response that the
+// client does not accept comes first, the connection is closed. Yield reports false, and does
+// nothing, if a request has begun meanwhile.
 func (c *conn) Yield(receiving bool) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -156,16 +157,23 @@
 	}
 }
 
-// endOfHeader returns the length of a header that is complete, or -1.
+// endOfHeader returns the length of a header that is complete, or -1. Empty lines before it
+// are counted, but do not end it, since the HTTP library skips them.
 func endOfHeader(data []byte) int {
-	if end := bytes.Index(data, []byte("\n\r\n")); end >= 0 {
-		return end
+	header := bytes.TrimLeft(data, "\r\n")
+	skipped := len(data) - len(header)
+	if end := bytes.Index(header, []byte("\n\r\n")); end >= 0 {
+		return skipped + end
 	}
-	return bytes.Index(data, []byte("\n\n"))
+	if end := bytes.Index(header, []byte("\n\n")); end >= 0 {
+		return skipped + end
+	}
+	return -1
 }
 
 // checkRequestLine returns an error if the first line of an incomplete header has arrived
-// and is malformed, so that its client does not wait for the rest of the time.
+// and is malformed, so that its client is refused before Config.HeaderTimeout. The error does
+// not quote the line, which may hold a key.
 func checkRequestLine(data []byte) error {
 	line, _, complete := bytes.Cut(data, []byte("\n"))
 	if !complete || len(bytes.TrimSpace(line)) == 0 {
@@ -174,7 +182,7 @@
 	var header fasthttp.RequestHeader
 	text := append(bytes.Clone(line), "\nHost: a\r\n\r\n"...)
 	if err := header.Read(bufio.NewReaderSize(bytes.NewReader(text), len(text))); err != nil {
-		return carobkind.Wrap(carobkind.Invalid, err, "read request")
+		return carobkind.New(carobkind.Invalid, "the request is malformed")
 	}
 	return nil
 }
--- a/internal/carobserver/server_test.go
+++ b/internal/carobserver/server_test.go
@@ -263,6 +263,7 @@
 		{"no path", "GET HTTP/1.1\nHost: a\n" + key + "\n\n", 400},
 		{"space in a name", "GET / HTTP/1.1\nHost: a\n" + key + "\nX Y: " + key + "\n\n", 400},
 		{"unknown coding", "POST / HTTP/1.1\nHost: a\nTransfer-Encoding: " + key + "\n\n", 400},
+		{"request line of an incomplete header", "s3cr3t\nHost: a\n", 400},
 		{"long header", "GET / HTTP/1.1\nHost: a\n" + key + "\nX: " + strings.Repeat("x", 8<<10) + "\n" + key + "\n\n", 431},
 		{"long key", "GET / HTTP/1.1\nHost: a\n" + key + strings.Repeat("s3cr3t", 2<<10) + "\n\n", 431},
 	} {
