Say more plainly how connections yield

Several comments used 'held', 'has' and 'gets to know' for things that have a usual name, and did not say what Yield does when it reports false. No code changes.

--- a/internal/carobadmitter/incoming_job.go
+++ b/internal/carobadmitter/incoming_job.go
@@ -27,7 +27,7 @@
 // target. Such a body is sent in one write with the header.
 const maxBufferedBody = 4 * carobsize.KiB
 
-// holder is a connection that does not yield to others while it is held.
+// holder is a connection that is not closed to make room for others while it is held.
 type holder interface {
 	// Hold holds the connection until release is called.
 	Hold() (release func())
--- a/internal/carobconnectiontable/connectiontable.go
+++ b/internal/carobconnectiontable/connectiontable.go
@@ -32,8 +32,8 @@
 // connection is an open connection.
 type connection interface {
 	// Yield makes the connection call Close soon. receiving is true if its client makes no
-	// progress with a request. It reports false if the connection has a request since, and
-	// is not to yield. It must not block.
+	// progress with a request. Yield reports false, and does nothing, if a request has begun
+	// on an idle connection meanwhile. It must not block, nor call the table.
 	Yield(receiving bool) bool
 	// BlockedSince returns the value of the field of that name.
 	BlockedSince() carobinstant.Instant
@@ -323,8 +323,8 @@
 	return carobsize.Size(t.config.Budget.Reserved()) + needed - limit
 }
 
-// shed closes connections until size bytes are about to become free. It reports false if
-// there are no such connections. The mutex is held.
+// shed tells connections to yield until size bytes are about to become free. It reports
+// false if no connection can yield. The mutex is held.
 func (t *ConnectionTable) shed(now carobinstant.Instant, size carobsize.Size) bool {
 	for _, r := range t.rows {
 		// A request that was completed before its connection yielded runs to its end.
--- a/internal/carobpool/exchange.go
+++ b/internal/carobpool/exchange.go
@@ -118,7 +118,7 @@
 
 // isBroken reports whether the peer has reset the connection, or may have, before the whole
 // request was sent. The kernel reports a reset once only. If the goroutine that sends the
-// body gets to know, reading returns io.EOF, as at the end of a complete response.
+// body receives that error, reading returns io.EOF, as at the end of a complete response.
 func (x *exchange) isBroken() bool {
 	if x.requestSent.Load() {
 		return false
@@ -282,8 +282,8 @@
 	return bytes.HasPrefix(bytes.TrimLeft(status, " "), []byte("000"))
 }
 
-// checkFraming rejects a response with the status 000, and one with both Content-Length and Transfer-Encoding.
-// The HTTP library would apply one of the two and ignore the other.
+// checkFraming rejects a response with the status 000, and one with both Content-Length and
+// Transfer-Encoding, of which the HTTP library would apply one and ignore the other.
 func (x *exchange) checkFraming() error {
 	head, err := x.peekHeader()
 	if err != nil {
--- a/pkg/carobconnection/connection.go
+++ b/pkg/carobconnection/connection.go
@@ -21,7 +21,7 @@
 	Pending int
 	// Unsent is the number of complete responses that are not sent yet.
 	Unsent int
-	// BlockedSince is since when the client accepts no bytes of a response; Never if no
+	// BlockedSince is the instant since when the client accepts no bytes of a response; Never if no
 	// response is being written.
 	BlockedSince carobinstant.Instant
 	// BeganAt is when the request that is being received began, or when the connection
@@ -29,7 +29,7 @@
 	BeganAt carobinstant.Instant
 	// ProgressAt is when the client last made progress with that request.
 	ProgressAt carobinstant.Instant
-	// WaitingSince is since when the connection waits for memory; Never if it does not.
+	// WaitingSince is the instant since when the connection waits for memory; Never if it does not.
 	WaitingSince carobinstant.Instant
 	// Needed is the number of bytes that it waits for.
 	Needed carobsize.Size
