Show requests that run with a forged X-Caller-Service or none

Cause: the entry replaces only the first field of that name, and sets it before the fields that Connection names are removed.

--- a/review/_standin-2/rig.go
+++ b/review/_standin-2/rig.go
@@ -747,7 +747,7 @@
 var trouble = os.Getenv("TROUBLE") != "0"
 
 // cases has the cases by their names.
-var cases = map[string]func(r *rig){"refused": refused, "route": route}
+var cases = map[string]func(r *rig){"refused": refused, "route": route, "caller": caller}
 
 func main() {
 	if len(os.Args) != 3 {
