Show payouts that a planned stop cuts while nobody reads the log

Cause: shutDown logs first, by the logger whose lock the goroutine of the event log holds while its write to a full pipe blocks.

--- a/review/_standin-2/rig.go
+++ b/review/_standin-2/rig.go
@@ -20,6 +20,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -121,8 +122,10 @@
 	zone    string
 	service string
 	extra   string
-	cmd     *exec.Cmd
-	done    chan struct{}
+	// logStalls makes the reader of the process's log stand still while it is true.
+	logStalls atomic.Bool
+	cmd       *exec.Cmd
+	done      chan struct{}
 }
 
 // addNode adds a machine and starts its node.
@@ -221,17 +224,39 @@
 	check(err)
 	n.cmd = exec.Command("target/carobplatform")
 	n.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CAROBKNOT_CONFIG=" + n.settingsPath()}
-	n.cmd.Stdout, n.cmd.Stderr = out, out
+	log, write, err := os.Pipe()
+	check(err)
+	n.cmd.Stdout, n.cmd.Stderr = write, write
 	check(n.cmd.Start())
+	_ = write.Close()
 	n.done = make(chan struct{})
 	cmd, done := n.cmd, n.done
+	go n.readLog(log, out)
 	go func() {
 		_ = cmd.Wait()
-		_ = out.Close()
 		close(done)
 	}()
 }
 
+// readLog copies the log of a process to a file, while it does not stand still.
+func (n *node) readLog(log, out *os.File) {
+	defer func() { _, _ = log.Close(), out.Close() }()
+	buffer := make([]byte, 64<<10)
+	for {
+		for n.logStalls.Load() {
+			if n.ended() {
+				return
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		count, err := log.Read(buffer)
+		if err != nil {
+			return
+		}
+		_, _ = out.Write(buffer[:count])
+	}
+}
+
 // ended reports whether the process has ended.
 func (n *node) ended() bool {
 	select {
@@ -747,7 +772,7 @@
 var trouble = os.Getenv("TROUBLE") != "0"
 
 // cases has the cases by their names.
-var cases = map[string]func(r *rig){"refused": refused, "route": route, "caller": caller}
+var cases = map[string]func(r *rig){"refused": refused, "route": route, "caller": caller, "log": unreadLog}
 
 func main() {
 	if len(os.Args) != 3 {
