Check the whole head of each response by the grammar of HTTP/1.1

Seen by callers: a target's response with a blank in or behind the name of a field was delivered, with that line or with a body that ends elsewhere; a status 000 behind empty lines became 200; a 503 or 421 with such a line made the node send a call again that may have run. Cause: the pool looked for the status 000 and for two framing fields only, and left the rest to the HTTP library. That trims blanks behind names, keeps blanks in them, joins continued lines, takes a line feed for the end of a line and of a head, skips empty lines before the status line, and ignores chunks of HTTP/1.0. The pool's check saw none of a head behind empty lines, and none of one that was longer than the buffer. Change: carobheader.CheckResponse checks the bytes from the status line to the empty line with the check of lines and framing that requests have. readHeader passes it each head, interim ones too, before the library parses it. Targets, other nodes and health checks are read there, so nothing else changes for them. Why it works: what passes has one reading: each line ends in CRLF, each name is a token, one field at most frames the body. Any other response counts as a lost connection, after which only a call that may run twice is sent again.

--- a/internal/carobpool/broken_test.go
+++ b/internal/carobpool/broken_test.go
@@ -124,3 +124,35 @@
 	require.Equal(t, http.StatusOK, status)
 	require.Equal(t, "whole", body)
 }
+
+// Guards against a head that is too long for the buffer and whose malformed lines are therefore not checked, and against a broken response that a later request on the connection gets.
+func TestMalformedHeadIsBroken(t *testing.T) {
+	long := strings.Repeat("x", 5000)
+	for name, head := range map[string]string{
+		"longer than the buffer":       "HTTP/1.1 200 OK\r\nX Odd: 1\r\nX-Long: " + long + "\r\nContent-Length: 2\r\n\r\nok",
+		"line feeds and a long body":   "HTTP/1.1 200 OK\nX Odd: 1\n\n" + long + "\r\n\r\n",
+		"empty lines first":            "\r\n\r\nHTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\nok",
+		"line feed alone as empty one": "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\nok\r\n\r\n",
+		"interim response":             "HTTP/1.1 100 Continue\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	} {
+		for _, expect := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s %t", name, expect), func(t *testing.T) {
+				server := startServer(t, func(conn net.Conn, _ *http.Request, connection, _ int64) bool {
+					if connection > 1 {
+						return respond(conn, "sound")
+					}
+					_, err := io.WriteString(conn, head)
+					return err == nil
+				})
+				p := newPool(t, func(c *Config) { c.AllowCloseDelimited, c.ExpectContinue = true, expect })
+				req := newRequest(fasthttp.MethodPost, "/1")
+				req.SetBody([]byte(strings.Repeat("x", 100_000)))
+				status, body, err := roundTrip(t, p, server, req)
+				require.Equal(t, carobkind.ConnectionLost, carobkind.Of(err), "status %d, body %q", status, body)
+				_, body, err = roundTrip(t, p, server, newRequest(fasthttp.MethodGet, "/2"))
+				require.NoError(t, err)
+				require.Equal(t, "sound", body)
+			})
+		}
+	}
+}
--- a/internal/carobpool/exchange.go
+++ b/internal/carobpool/exchange.go
@@ -1,9 +1,7 @@
 package carobpool
 
 import (
-	"bufio"
 	"bytes"
-	"errors"
 	"io"
 	"net/http/httputil"
 	"sync/atomic"
@@ -12,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 
+	"github.com/carobknot/carobknot/internal/carobheader"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 )
 
@@ -22,9 +21,6 @@
 	maxInterimResponses = 100
 	// tcpClose is the state of a TCP connection that was reset (TCP_CLOSE of Linux).
 	tcpClose = 7
-	// minStatus and maxStatus bound the status of a response. The HTTP library accepts any
-	// three digits, takes those below 200 for an interim response and passes on the others.
-	minStatus, maxStatus = 100, 599
 	// copyBufferSize is the size of the buffer that copies a body, in bytes. It is also
 	// the longest body that discardResponse reads.
 	copyBufferSize = 32 * 1024
@@ -249,16 +245,17 @@
 // is set, a final response with neither a length nor chunks is an error, because the
 // end of its body could not be distinguished from a broken connection.
 func (x *exchange) readHeader() (*fasthttp.Response, error) {
-	if err := x.checkFraming(); err != nil {
+	head, err := x.peekHead()
+	if err != nil {
+		return nil, err
+	}
+	if err := carobheader.CheckResponse(head); err != nil {
 		return nil, err
 	}
 	resp := &fasthttp.Response{StreamBody: true}
 	if err := resp.Header.Read(x.conn.reader); err != nil {
 		return nil, err
 	}
-	if status := resp.StatusCode(); status < minStatus || status > maxStatus {
-		return nil, carobkind.New(carobkind.ConnectionLost, "response has the status %d, which does not exist", status)
-	}
 	if resp.StatusCode() < fasthttp.StatusOK || hasNoBody(x.request, resp) {
 		return resp, nil
 	}
@@ -268,52 +265,34 @@
 	return resp, resp.ReadBody(x.conn.reader, 0)
 }
 
-var (
-	headerEnd            = []byte("\r\n\r\n")
-	contentLengthName    = []byte("\ncontent-length:")
-	transferEncodingName = []byte("\ntransfer-encoding:")
-)
-
-// hasZeroStatus reports whether the status of a response is 000, which the HTTP library
-// takes for 200.
-func hasZeroStatus(head []byte) bool {
-	line, _, _ := bytes.Cut(bytes.TrimLeft(head, "\r\n"), []byte("\n"))
-	_, status, _ := bytes.Cut(line, []byte(" "))
-	return bytes.HasPrefix(bytes.TrimLeft(status, " "), []byte("000"))
-}
-
-// checkFraming rejects a response with the status 000, and one with both Content-Length and
-// Transfer-Encoding, of which the HTTP library would apply one and ignore the other.
-func (x *exchange) checkFraming() error {
-	head, err := x.peekHeader()
-	if err != nil {
-		return err
-	}
-	if hasZeroStatus(head) {
-		return carobkind.New(carobkind.ConnectionLost, "response has the status 000, which does not exist")
-	}
-	head = bytes.ToLower(head)
-	if bytes.Contains(head, contentLengthName) && bytes.Contains(head, transferEncodingName) {
-		return carobkind.New(carobkind.ConnectionLost, "response has both a Content-Length and a Transfer-Encoding")
-	}
-	return nil
-}
-
-// peekHeader waits for the header of a response and returns it without consuming it.
-// It returns nil for a header that does not fit into the buffer; the HTTP library
-// then rejects that header.
-func (x *exchange) peekHeader() ([]byte, error) {
+// peekHead waits for the head of a response and returns it with its empty line, without
+// consuming it. The error is bufio.ErrBufferFull if it does not fit into the buffer.
+func (x *exchange) peekHead() ([]byte, error) {
 	reader := x.conn.reader
 	for needed := 1; ; needed = reader.Buffered() + 1 {
 		if _, err := reader.Peek(needed); err != nil {
-			if errors.Is(err, bufio.ErrBufferFull) {
-				return nil, nil
-			}
 			return nil, err
 		}
 		buffered, err := reader.Peek(reader.Buffered())
-		if end := bytes.Index(buffered, headerEnd); end >= 0 || err != nil {
-			return buffered[:max(end, 0)], err
+		if length := headLength(buffered); length > 0 || err != nil {
+			return buffered[:length], err
+		}
+	}
+}
+
+// headLength returns the length of the head at the beginning of data, with its empty line; 0
+// if the head is incomplete. Lines may end in a line feed alone: the head is malformed then,
+// but complete.
+func headLength(data []byte) int {
+	for length := 0; ; {
+		line := bytes.IndexByte(data[length:], '\n')
+		if line < 0 {
+			return 0
+		}
+		isEmpty := line == 0 || line == 1 && data[length] == '\r'
+		length += line + 1
+		if isEmpty {
+			return length
 		}
 	}
 }
