Check the trailers of responses, and discard them

Seen: a response in chunks with a blank in or behind a name, or a continued line, in its trailers counted as complete. Up to the size that is buffered, its trailers became fields of the head that the caller got, malformed names included. Cause: the HTTP library reads trailers as leniently as heads and adds them to the header of the response. Change: the pool reads chunks by httputil and the trailers by the method that reads heads; CheckTrailers applies the check of fields. Trailers are discarded. Why it works: the end of a body is returned only once its trailers are sound, so that a short response is a lost connection before any of it is sent, and a long one ends without its last chunk. RFC 9110 forbids adding trailers to the head unless the field allows it, and lets an intermediary discard them.

--- a/internal/carobheader/check_response.go
+++ b/internal/carobheader/check_response.go
@@ -16,26 +16,46 @@
 	if err := checkStatusLine(statusLine); err != nil {
 		return err
 	}
+	found, err := checkFields(fields)
+	if err != nil {
+		return err
+	}
+	if found.encodings > 0 && !bytes.HasPrefix(statusLine, []byte("HTTP/1.1")) {
+		return carobkind.New(carobkind.Invalid, "Transfer-Encoding needs HTTP/1.1")
+	}
+	return found.check()
+}
+
+// CheckTrailers rejects the fields behind a body in chunks, up to the empty line, if they break
+// the grammar of HTTP/1.1 or frame the body once more. The error has kind Invalid.
+func CheckTrailers(fields []byte) error {
+	found, err := checkFields(fields)
+	if err == nil && found != (framing{}) {
+		return carobkind.New(carobkind.Invalid, "trailers must not frame the body")
+	}
+	return err
+}
+
+// checkFields checks the lines of fields up to the empty line, and counts those that frame the
+// body. The error has kind Invalid.
+func checkFields(fields []byte) (framing, error) {
+	var found framing
 	fields, ended := bytes.CutSuffix(fields, []byte("\r\n"))
 	if !ended {
-		return carobkind.New(carobkind.Invalid, "a header must end with an empty line")
+		return found, carobkind.New(carobkind.Invalid, "a header must end with an empty line")
 	}
-	var found framing
 	for len(fields) > 0 {
 		var line []byte
 		line, fields, _ = bytes.Cut(fields, []byte("\n"))
 		name, value, err := parseField(line)
 		if err != nil {
-			return err
+			return found, err
 		}
 		if err := found.add(name, value); err != nil {
-			return err
+			return found, err
 		}
 	}
-	if found.encodings > 0 && !bytes.HasPrefix(statusLine, []byte("HTTP/1.1")) {
-		return carobkind.New(carobkind.Invalid, "Transfer-Encoding needs HTTP/1.1")
-	}
-	return found.check()
+	return found, nil
 }
 
 // checkStatusLine checks the first line of a response, without its line feed. The blank
--- a/internal/carobpool/exchange.go
+++ b/internal/carobpool/exchange.go
@@ -21,6 +21,8 @@
 	maxInterimResponses = 100
 	// tcpClose is the state of a TCP connection that was reset (TCP_CLOSE of Linux).
 	tcpClose = 7
+	// chunkedLength is the length of a body in chunks, as the HTTP library names it.
+	chunkedLength = -1
 	// copyBufferSize is the size of the buffer that copies a body, in bytes. It is also
 	// the longest body that discardResponse reads.
 	copyBufferSize = 32 * 1024
@@ -245,7 +247,7 @@
 // is set, a final response with neither a length nor chunks is an error, because the
 // end of its body could not be distinguished from a broken connection.
 func (x *exchange) readHeader() (*fasthttp.Response, error) {
-	head, err := x.peekHead()
+	head, err := x.peekFields()
 	if err != nil {
 		return nil, err
 	}
@@ -262,28 +264,33 @@
 	if resp.Header.ContentLength() < -1 && !x.config.AllowCloseDelimited {
 		return nil, carobkind.New(carobkind.ConnectionLost, "response has neither a Content-Length nor chunks")
 	}
+	if resp.Header.ContentLength() == chunkedLength {
+		resp.SetBodyStream(&chunkedBody{exchange: x, chunks: httputil.NewChunkedReader(x.conn.reader)}, chunkedLength)
+		return resp, nil
+	}
 	return resp, resp.ReadBody(x.conn.reader, 0)
 }
 
-// peekHead waits for the head of a response and returns it with its empty line, without
-// consuming it. The error is bufio.ErrBufferFull if it does not fit into the buffer.
-func (x *exchange) peekHead() ([]byte, error) {
+// peekFields waits for fields of a message, after the first line of a head or as trailers, and
+// returns them with that line and with their empty line, without consuming them. The error is
+// bufio.ErrBufferFull if they do not fit into the buffer.
+func (x *exchange) peekFields() ([]byte, error) {
 	reader := x.conn.reader
 	for needed := 1; ; needed = reader.Buffered() + 1 {
 		if _, err := reader.Peek(needed); err != nil {
 			return nil, err
 		}
 		buffered, err := reader.Peek(reader.Buffered())
-		if length := headLength(buffered); length > 0 || err != nil {
+		if length := fieldsLength(buffered); length > 0 || err != nil {
 			return buffered[:length], err
 		}
 	}
 }
 
-// headLength returns the length of the head at the beginning of data, with its empty line; 0
-// if the head is incomplete. Lines may end in a line feed alone: the head is malformed then,
-// but complete.
-func headLength(data []byte) int {
+// fieldsLength returns the length of the lines up to the first empty one, which is included; 0
+// if there is none yet. Lines may end in a line feed alone: they are malformed then, but
+// complete.
+func fieldsLength(data []byte) int {
 	for length := 0; ; {
 		line := bytes.IndexByte(data[length:], '\n')
 		if line < 0 {
