Reject responses of the log with blanks in names of fields

Seen: the client of the log took offsets and records from a response whose head had a blank in or behind a name, such as "Content-Length : 2". Cause: net/http, which it needs for logs behind TLS, accepts blanks in names. Change: the client passes the decoded header to carobheader.CheckNames, which has the check of names in common with the other heads. A malformed response of an append counts as AppendUncertain. Why it works: net/http rejects other bytes in names and keeps such names as they are. It still joins continued lines and accepts line feeds alone, as RFC 9112 allows a client that is no intermediary.

--- a/internal/carobheader/check_response.go
+++ b/internal/carobheader/check_response.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 
 	"github.com/carobknot/carobknot/pkg/carobkind"
 )
@@ -36,6 +37,18 @@
 	return err
 }
 
+// CheckNames rejects a header that net/http has decoded if a name is not a token. That library
+// accepts blanks in names and rejects other bytes that the grammar of HTTP/1.1 excludes. The
+// error has kind Invalid.
+func CheckNames(header http.Header) error {
+	for name := range header {
+		if !isToken([]byte(name)) {
+			return invalidNameError()
+		}
+	}
+	return nil
+}
+
 // checkFields checks the lines of fields up to the empty line, and counts those that frame the
 // body. The error has kind Invalid.
 func checkFields(fields []byte) (framing, error) {
--- a/internal/carobheader/field.go
+++ b/internal/carobheader/field.go
@@ -15,13 +15,17 @@
 	case !ended || !found:
 		return nil, nil, carobkind.New(carobkind.Invalid, "a header line is malformed")
 	case !isToken(name):
-		return nil, nil, carobkind.New(carobkind.Invalid, "a header name has invalid characters")
+		return nil, nil, invalidNameError()
 	case hasControl(value):
 		return nil, nil, carobkind.New(carobkind.Invalid, "a header value has control characters")
 	}
 	return name, bytes.Trim(value, " \t"), nil
 }
 
+func invalidNameError() error {
+	return carobkind.New(carobkind.Invalid, "a header name has invalid characters")
+}
+
 // framing counts the fields that determine where the body of a message ends.
 type framing struct {
 	lengths, encodings int
--- a/internal/caroblogclient/logclient.go
+++ b/internal/caroblogclient/logclient.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"github.com/carobknot/carobknot/internal/carobheader"
 	"github.com/carobknot/carobknot/internal/caroblogpage"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroboffset"
@@ -86,6 +87,9 @@
 		return carobkind.Wrap(kindOfFailure(err), err, "ask the log")
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := carobheader.CheckNames(resp.Header); err != nil {
+		return carobkind.Wrap(carobkind.AppendUncertain, err, "read the log's response header")
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseSize))
 	if err != nil {
 		return carobkind.Wrap(carobkind.AppendUncertain, err, "read the log's response body")
