--- a/internal/carobpool/pool_test.go
+++ b/internal/carobpool/pool_test.go
@@ -117,6 +117,10 @@
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n/1\r\n0\r\n\r\n")
 			return true
 		}, opened: 1},
+		"chunks and trailers": {first: func(conn net.Conn) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n/1\r\n0\r\nX-Late: 1\r\n\r\n")
+			return true
+		}, opened: 1},
 		"interim responses first": {first: func(conn net.Conn) bool {
 			_, _ = io.WriteString(conn, "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n")
 			return respond(conn, "/1")
@@ -145,6 +149,10 @@
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n/1\r\n")
 			return false
 		}, opened: 2, broken: true},
+		"chunks cut in their trailers": {first: func(conn net.Conn) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n/1\r\n0\r\nX-Late: 1\r\n")
+			return false
+		}, opened: 2, broken: true},
 		"no length": {first: func(conn net.Conn) bool {
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n/1")
 			return false
