Tell targets the fields of a call once, whatever the caller sends

A client that sent X-Caller-Service twice had a payout run under a service of its choice beside its own, and one that named the field in Connection had it run under none.

Cause: the entry set X-Caller-Service when it parsed the request, before CleanRequest removed what Connection names; and the library's Set replaces the first field of a name only. The same held for every field by which a node tells a target about a call: - Set at X-Deadline-Ms, X-Expect-Instance and X-Tenant (target's node) and at Traceparent (relay and target's node) left further copies. - Neither Set nor Del finds X_Caller_Service, which is the same field for servers that pass fields on as environment variables. - The library keeps fields apart that Trailer announces, and those behind a body. CleanRequest removed Trailer last, which moves them to the header, also reserved ones (Carobknot-Limit, Carobknot-Deadline). - Del swaps the last field into the place of the removed one, so that the first copy at the entry (X-Request-Id, Idempotency-Key) was not the first one at the target. - Connection took X-Request-Id away.

Ruled out: responses on the way back and control messages have no part in it (the stand-in's server read the wrong fields from the request itself); RemoveIdentity deleted all copies, though not other spellings.

Change: the dialect no longer changes the request when it parses it. Exchanges calls PrepareAttempt on the cleaned header of each attempt, so that nothing runs after it, with the service at the arrival of the call; carobheader.Replace removes all copies and spellings before it sets one. Trailers of requests are discarded, as those of responses are: the header is copied, or the body decoded, so that the library cannot add them. CleanRequest removes Trailer first. Our own front end leaves only the idempotency key that it claims. Other fields pass as before, X-Tenant and Authorization too where no keys are required.

Places read: carobheader, carobdialect, carobexchange, both front ends, carobserver, carobrelay, carobadmitter, carobpool (exchange, response), carobstoreclient and caroblogclient (they send no field of a caller).

--- a/internal/carobadmitter/admitter.go
+++ b/internal/carobadmitter/admitter.go
@@ -45,6 +45,7 @@
 // carry.
 type dialect interface {
 	// PrepareRequest sets the headers of a request that starts a job at a target.
+	// CleanRequest has cleaned the header.
 	PrepareRequest(req *fasthttp.Request, start *carobstart.Start, target carobtargetid.ID)
 	// PrepareHealthCheck fills in a health check of the target at an address.
 	PrepareHealthCheck(req *fasthttp.Request, address carobaddress.Address)
--- a/internal/carobadmitter/incoming_job.go
+++ b/internal/carobadmitter/incoming_job.go
@@ -83,6 +83,9 @@
 // call limits the wait for the header of the response, not the transfer of its body.
 func (j *incomingJob) run(ctx *fasthttp.RequestCtx) error {
 	config := j.admitter.config
+	// The library adds the trailers of a body to the header once it has read the body.
+	req := &fasthttp.Request{}
+	ctx.Request.Header.CopyTo(&req.Header)
 	body, err := carobrequestbody.NewRequestBody(carobrequestbody.Config{
 		Stream: ctx.RequestBodyStream(), Length: ctx.Request.Header.ContentLength(), MaxBuffered: maxBufferedBody,
 		Conn: ctx.Conn(), Timer: config.Timer, StallTimeout: config.StallTimeout,
@@ -91,8 +94,6 @@
 		j.admitter.postFinish(carobfinish.Finish{Job: j.offer.Job, Kind: carobkind.ConnectionLost})
 		return carobkind.Wrap(carobkind.ConnectionLost, err, "read request body from entry node")
 	}
-	req := &fasthttp.Request{}
-	ctx.Request.Header.CopyTo(&req.Header)
 	if err := body.Attach(req); err != nil {
 		return err
 	}
--- a/internal/carobadmitter/native_dialect.go
+++ b/internal/carobadmitter/native_dialect.go
@@ -23,10 +23,11 @@
 // call's ID and its trace context.
 func (nativeDialect) PrepareRequest(req *fasthttp.Request, start *carobstart.Start, _ carobtargetid.ID) {
 	const base = 10
+	// A cleaned header has none of these two, since they are reserved.
 	req.Header.Set(carobheader.Deadline, strconv.FormatInt(max(1, int64(start.TimeLeft/time.Millisecond)), base))
 	req.Header.Set(carobheader.CallID, start.Job.Call.String())
 	if start.Traceparent != "" {
-		req.Header.Set(carobheader.TraceContext, start.Traceparent)
+		carobheader.Replace(&req.Header, carobheader.TraceContext, start.Traceparent)
 	}
 }
 
--- a/internal/carobdialectfrontend/dialectfrontend.go
+++ b/internal/carobdialectfrontend/dialectfrontend.go
@@ -33,9 +33,7 @@
 
 // dialect decodes the requests and encodes the errors of a platform.
 type dialect interface {
-	// ParseArrival returns the fields of a request that the control goroutine needs. It
-	// leaves only those headers in the request that the target is to receive, and those by
-	// which the caller identifies its organisation.
+	// ParseArrival returns the fields of a request that the control goroutine needs.
 	ParseArrival(req *fasthttp.Request) (carobarrival.Arrival, error)
 	// WriteRefusal fills in the response to a call that ended with an error. req is nil
 	// if no request could be read. after is the delay after which the caller may retry,
--- a/internal/carobexchange/exchange.go
+++ b/internal/carobexchange/exchange.go
@@ -10,8 +10,8 @@
 	"github.com/carobknot/carobknot/internal/carobanswer"
 	"github.com/carobknot/carobknot/internal/carobheader"
 	"github.com/carobknot/carobknot/internal/carobrequestbody"
+	"github.com/carobknot/carobknot/pkg/carobarrival"
 	"github.com/carobknot/carobknot/pkg/carobattemptreply"
-	"github.com/carobknot/carobknot/pkg/carobcallid"
 	"github.com/carobknot/carobknot/pkg/carobconclusion"
 	"github.com/carobknot/carobknot/pkg/carobdelivery"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
@@ -26,7 +26,7 @@
 // attempt has a goroutine that sends it.
 type exchange struct {
 	exchanges *Exchanges
-	call      carobcallid.ID
+	arrival   carobarrival.Arrival
 	request   *fasthttp.Request
 	responder responder
 	// body is the body of the call, which every attempt sends.
@@ -92,9 +92,7 @@
 	req := &fasthttp.Request{}
 	x.request.Header.CopyTo(&req.Header)
 	carobheader.CleanRequest(&req.Header)
-	if send.RemoveIdentity && x.exchanges.config.Dialect != nil {
-		x.exchanges.config.Dialect.RemoveIdentity(&req.Header)
-	}
+	x.exchanges.config.Dialect.PrepareAttempt(&req.Header, &x.arrival, &send)
 	if err := x.body.Attach(req); err != nil {
 		x.postReply(carobattemptreply.AttemptReply{Job: send.Job, Target: send.Target, Kind: carobkind.Of(err)})
 		return
@@ -162,7 +160,7 @@
 	x.mutex.Lock()
 	answer := current.answer
 	x.mutex.Unlock()
-	job := carobjobid.ID{Call: x.call, Attempt: number}
+	job := carobjobid.ID{Call: x.arrival.Call, Attempt: number}
 	setTimeout := x.exchanges.config.Timer.Subscribe(current.cancel)
 	if bodyTimeout > 0 {
 		setTimeout(x.exchanges.config.Timer.Now().Add(bodyTimeout))
--- a/internal/carobexchange/exchanges.go
+++ b/internal/carobexchange/exchanges.go
@@ -35,8 +35,10 @@
 
 // dialect is the HTTP interface of the callers.
 type dialect interface {
-	// RemoveIdentity removes the headers by which a caller identifies its organisation.
-	RemoveIdentity(header *fasthttp.RequestHeader)
+	// PrepareAttempt sets in the header of an attempt what the node tells the target about
+	// the call, and removes what the caller claims in its place. CleanRequest has cleaned the
+	// header.
+	PrepareAttempt(header *fasthttp.RequestHeader, arrival *carobarrival.Arrival, send *carobsend.Send)
 }
 
 // responder sends the result of a call to its caller. Exactly one of its methods
@@ -59,8 +61,7 @@
 	Mailbox *carobmailbox.Mailbox
 	Relay   relay
 	Timer   *carobtimer.Timer
-	// Dialect is the HTTP interface of the callers; nil if they do not identify
-	// organisations.
+	// Dialect is the HTTP interface of the callers.
 	Dialect dialect
 	// MaxBufferedAnswer is the size in bytes up to which an answer is read completely
 	// before it is reported to the control goroutine. If such an answer is cut off, the
@@ -105,13 +106,14 @@
 }
 
 // Run reports a call to the control goroutine and carries it out until its result
-// was sent. Every attempt sends the header of req and the given body.
+// was sent. Every attempt sends the header of req, which must not change meanwhile, and
+// the given body.
 func (e *Exchanges) Run(arrival carobarrival.Arrival, req *fasthttp.Request, body *carobrequestbody.RequestBody, responder responder) {
 	orders := e.dispatcher.Subscribe(arrival.Call)
 	defer e.dispatcher.Unsubscribe(arrival.Call)
 	e.config.Mailbox.Post(func(in *carobinbox.Inbox) { in.Arrivals = append(in.Arrivals, arrival) })
 	x := &exchange{
-		exchanges: e, call: arrival.Call, request: req, body: body, responder: responder, attempts: map[int]*attempt{},
+		exchanges: e, arrival: arrival, request: req, body: body, responder: responder, attempts: map[int]*attempt{},
 	}
 	x.run(orders)
 }
--- a/internal/carobfrontend/frontend.go
+++ b/internal/carobfrontend/frontend.go
@@ -14,6 +14,7 @@
 	"github.com/carobknot/carobknot/internal/carobanswer"
 	"github.com/carobknot/carobknot/internal/carobdisconnectwatch"
 	"github.com/carobknot/carobknot/internal/carobexchange"
+	"github.com/carobknot/carobknot/internal/carobheader"
 	"github.com/carobknot/carobknot/internal/carobmailbox"
 	"github.com/carobknot/carobknot/internal/carobrequestbody"
 	"github.com/carobknot/carobknot/internal/carobtimer"
@@ -71,7 +72,9 @@
 
 // NewFrontEnd returns a front end that does not listen yet.
 func NewFrontEnd(c Config) *FrontEnd {
-	f := &FrontEnd{config: c, exchanges: carobexchange.NewExchanges(carobexchange.Config{Mailbox: c.Mailbox, Relay: c.Relay, Timer: c.Timer})}
+	f := &FrontEnd{config: c, exchanges: carobexchange.NewExchanges(carobexchange.Config{
+		Mailbox: c.Mailbox, Relay: c.Relay, Timer: c.Timer, Dialect: callerDialect{},
+	})}
 	f.server = &fasthttp.Server{
 		Handler:                      f.handle,
 		ExpectHandler:                f.handleExpect,
@@ -119,6 +122,7 @@
 		f.reject(ctx, call, err)
 		return
 	}
+	req := requestWithoutTrailers(&ctx.Request)
 	reserved := f.reserveBuffer(ctx, arrival.Service)
 	defer f.buffered.Add(-int64(reserved))
 	body, err := f.openBody(ctx, reserved)
@@ -133,7 +137,19 @@
 	}
 	arrival.Streamed = body.Streamed()
 	defer f.config.DisconnectWatch.Add(ctx.Conn(), func() { f.exchanges.ReportDisconnect(call) })()
-	f.exchanges.Run(arrival, &ctx.Request, body, &responder{frontEnd: f, ctx: ctx, call: call})
+	f.exchanges.Run(arrival, req, body, &responder{frontEnd: f, ctx: ctx, call: call, key: arrival.Key})
+}
+
+// requestWithoutTrailers returns a request with the header that the attempts of a call send.
+// It is called before the body is read: the library adds the trailers behind a body in chunks
+// to the header of the request whose body it reads.
+func requestWithoutTrailers(req *fasthttp.Request) *fasthttp.Request {
+	if req.Header.ContentLength() != carobheader.ChunkedLength {
+		return req
+	}
+	copied := &fasthttp.Request{}
+	req.Header.CopyTo(&copied.Header)
+	return copied
 }
 
 // newCallID returns the ID of the next call of this node.
--- a/internal/carobfrontend/responder.go
+++ b/internal/carobfrontend/responder.go
@@ -19,6 +19,8 @@
 	frontEnd *FrontEnd
 	ctx      *fasthttp.RequestCtx
 	call     carobcallid.ID
+	// key is the idempotency key of the call; empty if there is none.
+	key string
 }
 
 // SendAnswer streams an answer of a target to the caller. If the call has an
@@ -30,7 +32,7 @@
 	r.ctx.Response.Header.Set(carobheader.Outcome, string(caroboutcome.Answered))
 	r.ctx.Response.Header.Set(carobheader.CallID, r.call.String())
 	var recorder *bodyRecorder
-	if len(r.ctx.Request.Header.Peek(carobheader.IdempotencyKey)) > 0 {
+	if r.key != "" {
 		recorder = recordBody(answer)
 	}
 	config := r.frontEnd.config
--- a/internal/carobheader/check.go
+++ b/internal/carobheader/check.go
@@ -66,7 +66,7 @@
 // header that is needed, such as Host or Content-Length.
 func checkConnection(value string) error {
 	for option := range strings.SplitSeq(value, ",") {
-		if option = strings.TrimSpace(option); isProtected(option) || IsReserved(option) {
+		if option = strings.TrimSpace(option); isProtected(option) || isReserved([]byte(option)) {
 			return carobkind.New(carobkind.Invalid, "the Connection header names a header that must not be removed")
 		}
 	}
--- a/internal/carobheader/header.go
+++ b/internal/carobheader/header.go
@@ -29,5 +29,8 @@
 	RateLimit = "Carobknot-Limit"
 )
 
+// ChunkedLength is the length by which the HTTP library denotes a body in chunks.
+const ChunkedLength = -1
+
 // Prefix is the prefix of all headers that are reserved for the system.
 const Prefix = "Carobknot-"
--- a/internal/carobheader/hop.go
+++ b/internal/carobheader/hop.go
@@ -35,6 +35,9 @@
 // clean removes these headers. It runs several times for each call and therefore
 // allocates strings only for the headers that it removes.
 func clean(header headerFields) {
+	// The library keeps the fields that Trailer announces apart from the others, and
+	// moves them to the others when Trailer is removed.
+	header.Del(fasthttp.HeaderTrailer)
 	var removed []string
 	for key, value := range header.All() {
 		if !isReserved(key) && !isHopByHop(key) {
@@ -48,9 +51,8 @@
 	for _, name := range removed {
 		header.Del(name)
 	}
-	// The library stores these two separately from the other headers.
+	// The library stores "Connection: close" separately from the other headers.
 	header.Del(fasthttp.HeaderConnection)
-	header.Del(fasthttp.HeaderTrailer)
 }
 
 func isHopByHop(key []byte) bool {
@@ -91,12 +93,7 @@
 	return false
 }
 
-// IsReserved reports whether a header is reserved for the system.
-func IsReserved(key string) bool {
-	return len(key) >= len(Prefix) && strings.EqualFold(key[:len(Prefix)], Prefix)
-}
-
-// isReserved is IsReserved for a name that is given as bytes.
+// isReserved reports whether a header is reserved for the system, in any spelling.
 func isReserved(key []byte) bool {
-	return len(key) >= len(Prefix) && equalName(key[:len(Prefix)], Prefix)
+	return len(key) >= len(Prefix) && isField(key[:len(Prefix)], Prefix)
 }
--- a/internal/carobheader/hop_test.go
+++ b/internal/carobheader/hop_test.go
@@ -22,6 +22,40 @@
 		"Content-Length: 5\r\nX-Kept: 1\r\nCookie: a=b\r\n\r\n", header.String())
 }
 
+// Trailers of a caller must not become headers: it could otherwise add headers of the
+// system, which were removed from its head, behind the body.
+func TestCleanRequestChecksTrailers(t *testing.T) {
+	var header fasthttp.RequestHeader
+	require.NoError(t, header.Read(bufio.NewReader(strings.NewReader("POST /a HTTP/1.1\r\nHost: lookups\r\n"+
+		"Trailer: Carobknot-Limit\r\nTransfer-Encoding: chunked\r\n\r\n"))))
+	require.NoError(t, header.ReadTrailer(bufio.NewReader(strings.NewReader("Carobknot-Limit: 1\r\ncarobknot_call: x\r\nUpgrade: h2c\r\n\r\n"))))
+	CleanRequest(&header)
+	require.Equal(t, "POST /a HTTP/1.1\r\nHost: lookups\r\nTransfer-Encoding: chunked\r\n\r\n", header.String())
+}
+
+// A header that is set for the target must be the only one that the target can take for
+// it: the library's Set leaves further copies and other spellings.
+func TestReplace(t *testing.T) {
+	for name, fields := range map[string]string{
+		"none":        "",
+		"copies":      "X-Told: a\r\nX-Told: b\r\nx-told:\r\n",
+		"underscores": "X_Told: a\r\nX-TOLD: b\r\nx_told: c\r\nX.Told: d\r\n",
+		"announced":   "Trailer: X-Told, x_told\r\nX-Told: a\r\nX-Told: b\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var header fasthttp.RequestHeader
+			require.NoError(t, header.Read(bufio.NewReader(strings.NewReader("GET /a HTTP/1.1\r\nHost: lookups\r\n"+fields+"X-Tolds: 1\r\nTold: 2\r\n\r\n"))))
+			CleanRequest(&header)
+			Replace(&header, "X-Told", "node")
+			kept := map[string][]string{}
+			for key, value := range header.All() {
+				kept[string(key)] = append(kept[string(key)], string(value))
+			}
+			require.Equal(t, map[string][]string{"Host": {"lookups"}, "X-Told": {"node"}, "X-Tolds": {"1"}, "Told": {"2"}}, kept)
+		})
+	}
+}
+
 // Headers of the target's connection, or system headers that a target sets, must
 // not reach the caller.
 func TestCleanResponse(t *testing.T) {
--- /dev/null
+++ b/internal/carobheader/replace.go
@@ -0,0 +1,61 @@
+package carobheader
+
+import "github.com/valyala/fasthttp"
+
+// Replace gives a header exactly one field of a name. CleanRequest must have cleaned the
+// header: a field that a Trailer field announces would not be sent.
+func Replace(header *fasthttp.RequestHeader, name, value string) {
+	Remove(header, name)
+	header.Set(name, value)
+}
+
+// Remove removes all fields that a target could take for a field of one of the names. The
+// library's Set replaces one field and leaves further ones of the same name, and neither Set
+// nor Del finds other spellings.
+func Remove(header *fasthttp.RequestHeader, names ...string) {
+	var removed []string
+	for key := range header.All() {
+		if isAnyField(key, names) {
+			removed = append(removed, string(key))
+		}
+	}
+	for _, name := range removed {
+		header.Del(name)
+	}
+}
+
+func isAnyField(key []byte, names []string) bool {
+	for _, name := range names {
+		if isField(key, name) {
+			return true
+		}
+	}
+	return false
+}
+
+// isField reports whether a target could take the field key for the field name. Case does not
+// matter in HTTP. Servers that pass fields to programs as environment variables also write
+// all marks as underscores, so that X-A, X_A and X.A are one field there.
+func isField(key []byte, name string) bool {
+	if len(key) != len(name) {
+		return false
+	}
+	for i, c := range key {
+		if foldByte(c) != foldByte(name[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+// foldByte returns the same byte for both cases of a letter, and for all marks.
+func foldByte(c byte) byte {
+	switch {
+	case 'a' <= c && c <= 'z', '0' <= c && c <= '9':
+		return c
+	case 'A' <= c && c <= 'Z':
+		return c + 'a' - 'A'
+	default:
+		return '-'
+	}
+}
--- a/internal/carobnode/node.go
+++ b/internal/carobnode/node.go
@@ -23,6 +23,7 @@
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobroutetable"
+	"github.com/carobknot/carobknot/pkg/carobsend"
 	"github.com/carobknot/carobknot/pkg/carobsize"
 	"github.com/carobknot/carobknot/pkg/carobstart"
 	"github.com/carobknot/carobknot/pkg/carobtargetdirective"
@@ -49,7 +50,7 @@
 type dialect interface {
 	ParseArrival(req *fasthttp.Request) (carobarrival.Arrival, error)
 	WriteRefusal(resp *fasthttp.Response, req *fasthttp.Request, kind carobkind.Kind, after time.Duration, detail string)
-	RemoveIdentity(header *fasthttp.RequestHeader)
+	PrepareAttempt(header *fasthttp.RequestHeader, arrival *carobarrival.Arrival, send *carobsend.Send)
 	PrepareRequest(req *fasthttp.Request, start *carobstart.Start, target carobtargetid.ID)
 	PrepareHealthCheck(req *fasthttp.Request, address carobaddress.Address)
 	ParseIdentity(resp *fasthttp.Response) (carobname.Name, int)
--- a/internal/carobrelay/relay.go
+++ b/internal/carobrelay/relay.go
@@ -54,7 +54,7 @@
 // present with either; nil if there is none.
 func (r *Relay) Do(ctx context.Context, send carobsend.Send, req *fasthttp.Request) (*carobanswer.Answer, *carobreport.Report, error) {
 	if send.Traceparent != "" {
-		req.Header.Set(carobheader.TraceContext, send.Traceparent)
+		carobheader.Replace(&req.Header, carobheader.TraceContext, send.Traceparent)
 	}
 	if send.PeerAddress == "" {
 		return r.sendLocal(ctx, send, req)
--- a/internal/carobserver/receive.go
+++ b/internal/carobserver/receive.go
@@ -222,17 +222,16 @@
 		return readError(fasthttp.ErrBodyTooLarge)
 	}
 	source := io.Reader(c.reader)
-	if length < 0 {
-		// The library decodes chunks and their trailer, which has to fit into the buffer.
-		if _, err := c.growReader(); err != nil {
+	switch {
+	case length == carobheader.ChunkedLength:
+		chunks, err := c.newChunkReader()
+		if err != nil {
 			return err
 		}
-		if err := req.ContinueReadBodyStream(c.reader, int(config.MaxBody), false); err != nil {
-			return readError(err)
-		}
-		if source = req.BodyStream(); source == nil {
-			return nil
-		}
+		source = chunks
+	case length < 0:
+		setEmptyBody(&req.Header)
+		return nil
 	}
 	body := carobsegmentedbody.NewSegmentedBody(carobsegmentedbody.Config{
 		Reserve:  func(size int) error { return c.reserve(received, carobsize.Size(size)) },
@@ -244,14 +243,8 @@
 	if body.Size() > int(config.MaxBody) {
 		return readError(fasthttp.ErrBodyTooLarge)
 	}
-	req.ResetBody()
-	if length < 0 {
-		if body.Size() == 0 {
-			req.Header.SetContentLength(0)
-		}
-		if err := c.reserve(received, fieldSize*carobsize.Size(len(req.Header.PeekTrailerKeys()))); err != nil {
-			return err
-		}
+	if body.Size() == 0 {
+		req.Header.SetContentLength(0)
 	}
 	if whole, ok := body.Contiguous(); ok {
 		req.SetBodyRaw(whole)
@@ -261,6 +254,30 @@
 	return nil
 }
 
+// setEmptyBody sets the length of a request that announces neither a length nor chunks, and
+// therefore has no body.
+func setEmptyBody(header *fasthttp.RequestHeader) {
+	if !header.IsGet() && !header.IsHead() {
+		header.SetContentLength(0)
+	}
+}
+
+// newChunkReader returns a reader of a body in chunks. The library adds the trailers behind
+// them to the header of a request; here it is one that nobody reads, so that a client cannot
+// add fields to the header of its call, or have some removed, after it was checked.
+func (c *conn) newChunkReader() (io.Reader, error) {
+	// The trailers have to fit into the buffer.
+	if _, err := c.growReader(); err != nil {
+		return nil, err
+	}
+	decoder := &fasthttp.Request{}
+	decoder.Header.SetContentLength(carobheader.ChunkedLength)
+	if err := decoder.ContinueReadBodyStream(c.reader, int(c.server.config.MaxBody), false); err != nil {
+		return nil, readError(err)
+	}
+	return decoder.BodyStream(), nil
+}
+
 // bodyError adds the error kind to an error that occurred while a body was read. An error
 // of Reserve has its kind already.
 func bodyError(err error) error {
--- a/test/request_test.go
+++ b/test/request_test.go
@@ -142,6 +142,56 @@
 	}
 }
 
+// What a node tells a target about a call reaches it once, with the node's value, whatever copies, spellings
+// and lists of names the caller sends, in the header or behind the body. With two values a target may read the
+// caller's, and with two idempotency keys another one than that under which the call runs once.
+func TestForgedFieldsDoNotReachTheTarget(t *testing.T) {
+	pair := startNodePair(t)
+	received := make(chan *http.Request, 1)
+	pair.announceTarget(t, "lookups", startHTTPTarget(t, func(_ http.ResponseWriter, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body)
+		if req.URL.Path == "/told" {
+			received <- req
+		}
+	}))
+	const trace = "Traceparent: 00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01\r\n"
+	long := strings.Repeat("x", 200_000)
+	for name, c := range map[string]struct{ head, body, trailers string }{
+		"nothing":                    {"", "ab", ""},
+		"copies":                     {"Carobknot-Deadline: 5000\r\nCarobknot-Deadline: 9000\r\nCarobknot-Call: forged\r\nCarobknot-Call: forged\r\n" + trace + trace + trace, "ab", ""},
+		"spellings":                  {"Carobknot_Deadline: 9000\r\ncarobknot_call: forged\r\nCAROBKNOT.CALL: forged\r\ntraceparent: a\r\n" + trace, "ab", ""},
+		"announced":                  {"Trailer: Traceparent, Carobknot-Call, Carobknot-Deadline, Idempotency-Key, X-Kept\r\n" + trace + trace, "ab", ""},
+		"another key":                {"Idempotency-Key: forged\r\nIdempotency_Key: forged\r\n", "ab", ""},
+		"behind the body":            {trace, "ab", "Carobknot-Deadline: 9000\r\nCarobknot-Call: forged\r\nCarobknot-Limit: 1\r\nCarobknot-Offer: forged\r\n" + trace + "Idempotency-Key: forged\r\nX-Kept: forged\r\n"},
+		"behind a long body":         {trace, long, "Carobknot-Deadline: 9000\r\nCarobknot-Call: forged\r\n" + trace + "Idempotency-Key: forged\r\nX-Kept: forged\r\n"},
+		"behind the body, announced": {"Trailer: Traceparent, X-Kept\r\n", "ab", trace + "X-Kept: forged\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, node := range []*process{pair.near, pair.far} {
+				framing, body := fmt.Sprintf("Content-Length: %d\r\n", len(c.body)), c.body
+				if c.trailers != "" {
+					framing, body = "Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n%s\r\n", len(c.body), c.body, c.trailers)
+				}
+				resp := nodePair{near: node}.exchangeRaw(t, "POST /told HTTP/1.1\r\nHost: lookups\r\nTe: x\r\nIdempotency-Key: own\r\nX-Kept: 1\r\nX-Kept: 2\r\n"+
+					c.head+framing+"\r\n"+body)
+				require.Equal(t, http.StatusOK, resp.status, resp.body)
+				req := <-received
+				header := req.Header
+				require.Empty(t, req.Trailer)
+				require.Equal(t, []string{resp.header.Get("Carobknot-Call")}, header.Values("Carobknot-Call"))
+				require.Equal(t, []string{"own"}, header.Values("Idempotency-Key"))
+				require.Len(t, header.Values("Carobknot-Deadline"), 1)
+				require.Len(t, header.Values("Traceparent"), 1)
+				require.ElementsMatch(t, []string{"1", "2"}, header.Values("X-Kept"))
+				seen := strings.ToLower(fmt.Sprint(header))
+				for _, forged := range []string{"forged", "9000", "00f067aa0ba902b7", "carobknot_", "carobknot.", "idempotency_"} {
+					require.NotContains(t, seen, forged)
+				}
+			}
+		})
+	}
+}
+
 // The path reaches the target as the caller wrote it, without normalisation. Responses
 // keep their framing on a connection that is used again: a HEAD, 204 or 304 response
 // has no body, whatever its Content-Length.
