--- a/internal/carobadmitter/admitter.go
+++ b/internal/carobadmitter/admitter.go
@@ -47,6 +47,9 @@
 	// PrepareRequest sets the headers of a request that starts a job at a target.
 	// CleanRequest has cleaned the header.
 	PrepareRequest(req *fasthttp.Request, start *carobstart.Start, target carobtargetid.ID)
+	// ResponseHeaders returns the headers of a response that reach the caller even if the
+	// response names them as those of the connection.
+	ResponseHeaders() []string
 	// PrepareHealthCheck fills in a health check of the target at an address.
 	PrepareHealthCheck(req *fasthttp.Request, address carobaddress.Address)
 	// ParseIdentity returns the name and the number of slots of a target, from its
@@ -191,7 +194,7 @@
 		a.postFinish(finish)
 		return nil, carobkind.New(kind, "target's response does not answer the call")
 	}
-	carobheader.CleanResponse(&answer.Response.Header)
+	carobheader.CleanResponse(&answer.Response.Header, a.config.Dialect.ResponseHeaders()...)
 	answer.Report = a.Report(target)
 	answer.Body = carobbody.NewBody(carobbody.Config{Stream: answer.Body, Length: answer.Length, OnEnd: func(kind carobkind.Kind) {
 		finish.Kind = kind
--- a/internal/carobadmitter/native_dialect.go
+++ b/internal/carobadmitter/native_dialect.go
@@ -31,6 +31,10 @@
 	}
 }
 
+// ResponseHeaders returns nil, since these callers recognise a response by the headers that the
+// entry node adds.
+func (nativeDialect) ResponseHeaders() []string { return nil }
+
 // PrepareHealthCheck leaves the request empty: these targets have no health check that
 // reports their load or how slow their VM is.
 func (nativeDialect) PrepareHealthCheck(*fasthttp.Request, carobaddress.Address) {}
--- a/internal/carobheader/hop.go
+++ b/internal/carobheader/hop.go
@@ -27,14 +27,15 @@
 }
 
 // CleanResponse removes the headers that concern one connection and those that
-// are reserved for the system.
-func CleanResponse(header *fasthttp.ResponseHeader) {
-	clean(header)
+// are reserved for the system. The headers of the names in kept stay, even if a
+// Connection header names them.
+func CleanResponse(header *fasthttp.ResponseHeader, kept ...string) {
+	clean(header, kept...)
 }
 
 // clean removes these headers. It runs several times for each call and therefore
 // allocates strings only for the headers that it removes.
-func clean(header headerFields) {
+func clean(header headerFields, kept ...string) {
 	// The library keeps the fields that Trailer announces apart from the others, and
 	// moves them to the others when Trailer is removed.
 	header.Del(fasthttp.HeaderTrailer)
@@ -45,7 +46,7 @@
 		}
 		removed = append(removed, string(key))
 		if equalName(key, fasthttp.HeaderConnection) {
-			removed = append(removed, connectionOptions(string(value))...)
+			removed = append(removed, connectionOptions(string(value), kept)...)
 		}
 	}
 	for _, name := range removed {
@@ -69,13 +70,13 @@
 	return len(key) == len(name) && strings.EqualFold(string(key), name)
 }
 
-// connectionOptions returns the headers that a Connection header names. They
-// concern one connection too.
-func connectionOptions(value string) []string {
+// connectionOptions returns the headers that a Connection header names, except those
+// in kept. They concern one connection too.
+func connectionOptions(value string, kept []string) []string {
 	var names []string
 	for option := range strings.SplitSeq(value, ",") {
 		option = strings.TrimSpace(option)
-		if option != "" && !isProtected(option) {
+		if option != "" && !isProtected(option) && !isAnyField([]byte(option), kept) {
 			names = append(names, option)
 		}
 	}
--- a/internal/carobheader/hop_test.go
+++ b/internal/carobheader/hop_test.go
@@ -69,3 +69,14 @@
 	}
 	require.Contains(t, text, "X-Kept: 1\r\n")
 }
+
+// Headers by which callers recognise a response must reach them, even if the target names
+// them as headers of its connection.
+func TestCleanResponseKeeps(t *testing.T) {
+	var header fasthttp.ResponseHeader
+	require.NoError(t, header.Read(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"+
+		"Connection: x-stamp, X-Secret\r\nX-Stamp: 1\r\nX-Secret: 1\r\n\r\n"))))
+	CleanResponse(&header, "X-Stamp")
+	require.Equal(t, "1", string(header.Peek("X-Stamp")))
+	require.Empty(t, header.Peek("X-Secret"))
+}
--- a/internal/carobnode/node.go
+++ b/internal/carobnode/node.go
@@ -52,6 +52,7 @@
 	WriteRefusal(resp *fasthttp.Response, req *fasthttp.Request, kind carobkind.Kind, after time.Duration, detail string)
 	PrepareAttempt(header *fasthttp.RequestHeader, arrival *carobarrival.Arrival, send *carobsend.Send)
 	PrepareRequest(req *fasthttp.Request, start *carobstart.Start, target carobtargetid.ID)
+	ResponseHeaders() []string
 	PrepareHealthCheck(req *fasthttp.Request, address carobaddress.Address)
 	ParseIdentity(resp *fasthttp.Response) (carobname.Name, int)
 	MatchesRequest(req *fasthttp.Request, resp *fasthttp.Response) bool
--- a/test/request_test.go
+++ b/test/request_test.go
@@ -192,6 +192,47 @@
 	}
 }
 
+// What a node tells a caller about its call reaches it once, with the node's value, whatever copies, spellings and
+// lists of names the target sends, in the header or behind the body.
+func TestForgedFieldsDoNotReachTheCaller(t *testing.T) {
+	pair := startNodePair(t)
+	heads := make(chan string, 1)
+	pair.announceTarget(t, "lookups", startRawTarget(t, func(conn net.Conn, reader *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			head := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+			if req.URL.Path == "/told" {
+				head = <-heads
+			}
+			_, _ = io.WriteString(conn, head)
+		}
+	}))
+	const fixed, chunks = "Content-Length: 2\r\n\r\nab", "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0"
+	for name, rest := range map[string]string{
+		"copies":          "Carobknot-Outcome: forged\r\nCarobknot-Outcome: forged\r\nCarobknot-Call: forged\r\nCarobknot-Call: forged\r\n" + fixed,
+		"spellings":       "carobknot-outcome: forged\r\nCarobknot_Outcome: forged\r\nCarobknot.Call: forged\r\ncarobknot_kind: forged\r\n" + fixed,
+		"in Connection":   "Connection: Carobknot-Outcome, carobknot_call\r\nCarobknot-Outcome: forged\r\n" + fixed,
+		"announced":       "Trailer: Carobknot-Outcome, Carobknot-Call, Carobknot-Report\r\nCarobknot-Outcome: forged\r\n" + fixed,
+		"behind the body": "Trailer: Carobknot-Outcome\r\n" + chunks + "\r\nCarobknot-Outcome: forged\r\nCarobknot-Kind: forged\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, node := range []*process{pair.near, pair.far} {
+				heads <- "HTTP/1.1 200 OK\r\nX-Kept: 1\r\nX-Kept: 2\r\n" + rest
+				resp := nodePair{near: node}.exchangeRaw(t, "GET /told HTTP/1.1\r\nHost: lookups\r\n\r\n")
+				require.Equal(t, http.StatusOK, resp.status, resp.body)
+				require.Equal(t, "ab", resp.body)
+				require.Equal(t, []string{"answered"}, resp.header.Values("Carobknot-Outcome"))
+				require.Len(t, resp.header.Values("Carobknot-Call"), 1)
+				require.ElementsMatch(t, []string{"1", "2"}, resp.header.Values("X-Kept"))
+				require.NotContains(t, fmt.Sprint(resp.header), "forged")
+			}
+		})
+	}
+}
+
 // The path reaches the target as the caller wrote it, without normalisation. Responses
 // keep their framing on a connection that is used again: a HEAD, 204 or 304 response
 // has no body, whatever its Content-Length.
