Drop the idempotency key from offers, which nothing read

Cause: an offer took the key from the header of the attempt, and no system read it; claims are made at the entry, by the key of the arrival. With two keys in a call it was not even the entry's. Change: Offer.Key is gone, from relay, admitter and the fuzz test's node. A comment says why an attempt's header is copied before its body is read.

--- a/internal/carobadmitter/incoming_job.go
+++ b/internal/carobadmitter/incoming_job.go
@@ -83,7 +83,8 @@
 // call limits the wait for the header of the response, not the transfer of its body.
 func (j *incomingJob) run(ctx *fasthttp.RequestCtx) error {
 	config := j.admitter.config
-	// The library adds the trailers of a body to the header once it has read the body.
+	// The header is copied before the body is read, since the library then adds the body's
+	// trailers to it.
 	req := &fasthttp.Request{}
 	ctx.Request.Header.CopyTo(&req.Header)
 	body, err := carobrequestbody.NewRequestBody(carobrequestbody.Config{
--- a/internal/carobadmitter/serve.go
+++ b/internal/carobadmitter/serve.go
@@ -106,7 +106,7 @@
 // parseOffer reads the offer of a job from the header of an attempt.
 func parseOffer(header *fasthttp.RequestHeader) (caroboffer.Offer, error) {
 	offer, err := carobheader.ParseOffer(string(header.Peek(carobheader.Offer)))
-	offer.Key, offer.Traceparent = string(header.Peek(carobheader.IdempotencyKey)), string(header.Peek(carobheader.TraceContext))
+	offer.Traceparent = string(header.Peek(carobheader.TraceContext))
 	if limit, errLimit := carobcallrate.ParseLimit(string(header.Peek(carobheader.RateLimit))); errLimit == nil {
 		offer.RateLimit = limit
 	}
--- a/internal/carobrelay/relay.go
+++ b/internal/carobrelay/relay.go
@@ -98,8 +98,7 @@
 func (r *Relay) sendLocal(ctx context.Context, send carobsend.Send, req *fasthttp.Request) (*carobanswer.Answer, *carobreport.Report, error) {
 	offer := caroboffer.Offer{
 		Job: send.Job, Target: send.Target, Incarnation: send.Incarnation, TimeLeft: send.TimeLeft, Requirements: send.Requirements,
-		RateLimit: send.RateLimit,
-		Key:       string(req.Header.Peek(carobheader.IdempotencyKey)), Traceparent: string(req.Header.Peek(carobheader.TraceContext)),
+		RateLimit: send.RateLimit, Traceparent: string(req.Header.Peek(carobheader.TraceContext)),
 	}
 	answer, err := r.config.Local.Do(ctx, offer, req)
 	return answer, r.config.Local.Report(send.Target), err
--- a/pkg/caroboffer/offer.go
+++ b/pkg/caroboffer/offer.go
@@ -24,8 +24,6 @@
 	Requirements carobrequirements.Requirements
 	// RateLimit is the target's rate limit as the entry node knows it; 0 if it knows of none.
 	RateLimit carobcallrate.CallRate
-	// Key is the idempotency key; empty if there is none.
-	Key string
 	// Traceparent is the trace context in W3C format; empty if there is none.
 	Traceparent string
 }
--- a/test/fuzz/entry_test.go
+++ b/test/fuzz/entry_test.go
@@ -163,7 +163,7 @@
 	}
 	sent.fail = func(kind carobkind.Kind) { reply(kind, 0, nil, "") }
 	offer := caroboffer.Offer{
-		Job: send.Job, Target: send.Target, Incarnation: send.Incarnation, TimeLeft: send.TimeLeft, Key: call.arrival.Key, RateLimit: send.RateLimit,
+		Job: send.Job, Target: send.Target, Incarnation: send.Incarnation, TimeLeft: send.TimeLeft, RateLimit: send.RateLimit,
 	}
 	if n.sim.operator != nil {
 		offer.Requirements = n.sim.operator.requirements(send)
