--- a/test/request_test.go
+++ b/test/request_test.go
@@ -192,6 +192,20 @@
 	}
 }
 
+// A caller cannot set the fields that nodes send each other: with a rate limit behind the body of one call, the
+// target's node held back the calls of all callers.
+func TestCallersDoNotLimitTargets(t *testing.T) {
+	pair := startNodePair(t)
+	pair.announceTarget(t, "lookups", startHTTPTarget(t, func(_ http.ResponseWriter, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body)
+	}))
+	for range 3 {
+		resp := pair.exchangeRaw(t, "POST /a HTTP/1.1\r\nHost: lookups\r\nCarobknot-Deadline: 3000\r\nTransfer-Encoding: chunked\r\n\r\n"+
+			"2\r\nab\r\n0\r\nCarobknot-Limit: 0\r\n\r\n")
+		require.Equal(t, http.StatusOK, resp.status, resp.body)
+	}
+}
+
 // What a node tells a caller about its call reaches it once, with the node's value, whatever copies, spellings and
 // lists of names the target sends, in the header or behind the body.
 func TestForgedFieldsDoNotReachTheCaller(t *testing.T) {
