Stop the node in TestRollingRestart only once a target receives the upload

Cause: the test stopped the node once the client had written half of the body. The node asks for the body before it decides on the call, so that it could be stopped in between and refuse the call, rightly, as not run.

Change: targets for tests count calls of whose body 32 KiB have arrived; the test waits for that event. No bound is changed, and the node must still finish the upload.

--- a/internal/carobfaketarget/record.go
+++ b/internal/carobfaketarget/record.go
@@ -22,6 +22,9 @@
 	Cancelled int `json:"cancelled"`
 	// Shed counts calls refused with status 503 without a run.
 	Shed int `json:"shed"`
+	// Uploads counts calls of whose body uploadSize bytes have arrived, also those that are
+	// still being received.
+	Uploads int `json:"uploads"`
 	// Truncated counts requests with an incomplete body; they do not run.
 	Truncated int `json:"cut"`
 }
--- a/internal/carobfaketarget/serve.go
+++ b/internal/carobfaketarget/serve.go
@@ -36,6 +36,8 @@
 )
 
 const (
+	// uploadSize is the length in bytes from which a body counts as an upload.
+	uploadSize = 32 << 10
 	// maxEcho is the length in bytes of the longest body that is returned to the
 	// caller.
 	maxEcho = 1 << 20
@@ -116,7 +118,7 @@
 		t.shed(ctx, behaviour)
 		return
 	}
-	body, err := readBody(ctx)
+	body, err := t.readBody(ctx)
 	if err != nil {
 		t.count(func(totals *totals) { totals.Truncated++ })
 		ctx.SetConnectionClose()
@@ -234,9 +236,9 @@
 
 // readBody reads a request's body to its end. It holds at most maxEcho+1 bytes in
 // memory.
-func readBody(ctx *fasthttp.RequestCtx) (*body, error) {
+func (t *FakeTarget) readBody(ctx *fasthttp.RequestCtx) (*body, error) {
 	digest := xxhash.New()
-	reader := io.TeeReader(bodyOf(ctx), digest)
+	reader := io.TeeReader(&uploadReader{target: t, stream: bodyOf(ctx)}, digest)
 	kept, err := io.ReadAll(io.LimitReader(reader, maxEcho+1))
 	if err != nil {
 		return nil, err
@@ -252,6 +254,24 @@
 	return result, nil
 }
 
+// uploadReader reads a body, and counts its call among the uploads once uploadSize bytes have
+// arrived.
+type uploadReader struct {
+	target *FakeTarget
+	stream io.Reader
+	length int
+}
+
+// Read reads from the body.
+func (r *uploadReader) Read(into []byte) (int, error) {
+	n, err := r.stream.Read(into)
+	if r.length < uploadSize && r.length+n >= uploadSize {
+		r.target.count(func(totals *totals) { totals.Uploads++ })
+	}
+	r.length += n
+	return n, err
+}
+
 // bodyOf returns a reader of the request's body, whether fasthttp streams it or not.
 func bodyOf(ctx *fasthttp.RequestCtx) io.Reader {
 	if stream := ctx.RequestBodyStream(); stream != nil {
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -308,3 +308,18 @@
 	}
 	return total
 }
+
+// uploads returns the number of calls with a long body that the targets have begun to receive.
+func (c *cluster) uploads(t *testing.T) int {
+	t.Helper()
+	total := 0
+	for _, target := range c.targets {
+		resp, err := http.Get("http://" + target.addresses["target"] + "/_totals")
+		require.NoError(t, err)
+		var totals struct{ Uploads int }
+		require.NoError(t, json.NewDecoder(resp.Body).Decode(&totals))
+		require.NoError(t, resp.Body.Close())
+		total += totals.Uploads
+	}
+	return total
+}
--- a/test/failures_test.go
+++ b/test/failures_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -109,7 +110,7 @@
 	}
 }
 
-// All nodes are restarted one by one under load, each while it has an open upload.
+// All nodes are restarted one by one under load, each while a target receives an open upload from it.
 // A node that shuts down must finish its calls: no caller may lose a response, get
 // an unknown outcome, or see its upload cut.
 func TestRollingRestart(t *testing.T) {
@@ -119,6 +120,7 @@
 	traffic.waitForCalls(t, 200, isAnswered)
 	for index, node := range cluster.nodes {
 		body, bodyWriter := io.Pipe()
+		uploads := cluster.uploads(t)
 		uploaded := make(chan callResult, 1)
 		const half = 1 << 18
 		want := bytes.Repeat([]byte("deck"), half/2)
@@ -136,6 +138,8 @@
 		if _, err := bodyWriter.Write(want[:half]); err != nil {
 			require.NoError(t, err, "%+v", awaitEvent(t, uploaded, "the upload got no response"))
 		}
+		// The node asks for the body before it has decided on the call.
+		require.Eventually(t, func() bool { return cluster.uploads(t) > uploads }, time.Minute, time.Millisecond, "no target receives the upload")
 		node.signal(t, syscall.SIGTERM)
 		traffic.waitForCalls(t, 200, isAnswered)
 		if _, err := bodyWriter.Write(want[half:]); err != nil {
