Find repeated fields by sorting, since a client may send thousands

Cause: each name was compared with each other one, so that the cost of a header grew with the square of its fields. Change: names are sorted, and each is deleted once. The deletes themselves stay as they were, one search of the header for each removed name.

--- a/internal/carobheader/remove.go
+++ b/internal/carobheader/remove.go
@@ -19,12 +19,26 @@
 	for _, name := range names {
 		header.Del(name)
 	}
-	for _, f := range repeated {
-		header.Del(f.name)
+	if len(repeated) > 0 {
+		restoreFields(header, repeated, names)
 	}
-	for _, f := range repeated {
-		isRemoved := func(name string) bool { return strings.EqualFold(name, f.name) }
-		if !slices.ContainsFunc(names, isRemoved) {
+}
+
+// restoreFields replaces fields by the same ones in their order, except those of the removed
+// names.
+func restoreFields(header headerFields, fields []field, removed []string) {
+	isRemoved, isDeleted := map[string]bool{}, map[string]bool{}
+	for _, name := range removed {
+		isRemoved[strings.ToLower(name)] = true
+	}
+	for _, f := range fields {
+		if !isDeleted[f.name] {
+			header.Del(f.name)
+			isDeleted[f.name] = true
+		}
+	}
+	for _, f := range fields {
+		if !isRemoved[strings.ToLower(f.name)] {
 			header.Add(f.name, f.value)
 		}
 	}
@@ -52,21 +66,29 @@
 }
 
 // repeatedFields returns the fields whose names occur more than once, in their order; nil if
-// there are none.
+// there are none. The names are sorted, because a client may send thousands.
 func repeatedFields(header headerFields) []field {
 	keys := header.PeekKeys()
-	isRepeated := func(key []byte) bool {
-		first := slices.IndexFunc(keys, func(other []byte) bool { return bytes.Equal(key, other) })
-		return slices.ContainsFunc(keys[first+1:], func(other []byte) bool { return bytes.Equal(key, other) })
-	}
-	if !slices.ContainsFunc(keys, isRepeated) {
+	slices.SortFunc(keys, bytes.Compare)
+	if !hasRepeated(keys) {
 		return nil
 	}
 	var fields []field
 	for key, value := range header.All() {
-		if isRepeated(key) {
+		first, _ := slices.BinarySearchFunc(keys, key, bytes.Compare)
+		if first+1 < len(keys) && bytes.Equal(keys[first+1], key) {
 			fields = append(fields, field{string(key), string(value)})
 		}
 	}
 	return fields
 }
+
+// hasRepeated reports whether sorted names contain one twice.
+func hasRepeated(sorted [][]byte) bool {
+	for i := 1; i < len(sorted); i++ {
+		if bytes.Equal(sorted[i-1], sorted[i]) {
+			return true
+		}
+	}
+	return false
+}
