--- a/internal/carobexchange/exchanges.go
+++ b/internal/carobexchange/exchanges.go
@@ -35,9 +35,8 @@
 
 // dialect is the HTTP interface of the callers.
 type dialect interface {
-	// PrepareAttempt sets in the header of an attempt what the node tells the target about
-	// the call, and removes what the caller claims in its place. CleanRequest has cleaned the
-	// header.
+	// PrepareAttempt sets the headers by which the node describes the call to the target, and
+	// removes those that the caller sent in their place. CleanRequest has cleaned the header.
 	PrepareAttempt(header *fasthttp.RequestHeader, arrival *carobarrival.Arrival, send *carobsend.Send)
 }
 
--- a/internal/carobheader/hop_test.go
+++ b/internal/carobheader/hop_test.go
@@ -38,38 +38,38 @@
 func TestReplace(t *testing.T) {
 	for name, fields := range map[string]string{
 		"none":        "",
-		"copies":      "X-Told: a\r\nX-Told: b\r\nx-told:\r\n",
-		"underscores": "X_Told: a\r\nX-TOLD: b\r\nx_told: c\r\nX.Told: d\r\n",
-		"announced":   "Trailer: X-Told, x_told\r\nX-Told: a\r\nX-Told: b\r\n",
+		"copies":      "X-Set: a\r\nX-Set: b\r\nx-set:\r\n",
+		"underscores": "X_Set: a\r\nX-SET: b\r\nx_set: c\r\nX.Set: d\r\n",
+		"announced":   "Trailer: X-Set, x_set\r\nX-Set: a\r\nX-Set: b\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			var header fasthttp.RequestHeader
-			require.NoError(t, header.Read(bufio.NewReader(strings.NewReader("GET /a HTTP/1.1\r\nHost: lookups\r\n"+fields+"X-Tolds: 1\r\nTold: 2\r\n\r\n"))))
+			require.NoError(t, header.Read(bufio.NewReader(strings.NewReader("GET /a HTTP/1.1\r\nHost: lookups\r\n"+fields+"X-Sets: 1\r\nSet: 2\r\n\r\n"))))
 			CleanRequest(&header)
-			Replace(&header, "X-Told", "node")
+			Replace(&header, "X-Set", "node")
 			kept := map[string][]string{}
 			for key, value := range header.All() {
 				kept[string(key)] = append(kept[string(key)], string(value))
 			}
-			require.Equal(t, map[string][]string{"Host": {"lookups"}, "X-Told": {"node"}, "X-Tolds": {"1"}, "Told": {"2"}}, kept)
+			require.Equal(t, map[string][]string{"Host": {"lookups"}, "X-Set": {"node"}, "X-Sets": {"1"}, "Set": {"2"}}, kept)
 		})
 	}
 }
 
-// Fields of one name must keep their order when others are removed: it tells, for example, which
+// Fields of one name must keep their order when others are removed: it shows, for example, which
 // proxy added which address. The library's Del changes it.
 func TestRepeatedFieldsKeepTheirOrder(t *testing.T) {
 	const kept = "X-Via: 1\r\nAccept: a\r\nX-Via: 2\r\nAccept: b\r\nX-Via: 3\r\n"
-	const other = "Te: x\r\nX-Told: a\r\nX_Told: b\r\nCarobknot-Call: c\r\nX-Gone: d\r\nx-gone: e\r\nConnection: X-Gone\r\nConnection: close\r\n"
+	const other = "Te: x\r\nX-Set: a\r\nX_Set: b\r\nCarobknot-Call: c\r\nX-Gone: d\r\nx-gone: e\r\nConnection: X-Gone\r\nConnection: close\r\n"
 	var request fasthttp.RequestHeader
 	require.NoError(t, request.Read(bufio.NewReader(strings.NewReader("GET /a HTTP/1.1\r\nHost: lookups\r\n"+other+kept+"\r\n"))))
 	CleanRequest(&request)
 	Remove(&request, "X-None")
-	Replace(&request, "X-Told", "node")
+	Replace(&request, "X-Set", "node")
 	require.Equal(t, [][]byte{[]byte("1"), []byte("2"), []byte("3")}, request.PeekAll("X-Via"))
 	require.Equal(t, [][]byte{[]byte("a"), []byte("b")}, request.PeekAll("Accept"))
-	require.Equal(t, [][]byte{[]byte("node")}, request.PeekAll("X-Told"))
-	Remove(&request, "X-Told")
+	require.Equal(t, [][]byte{[]byte("node")}, request.PeekAll("X-Set"))
+	Remove(&request, "X-Set")
 	require.Equal(t, "GET /a HTTP/1.1\r\nHost: lookups\r\n"+kept+"\r\n", request.String())
 	request.SetContentLength(ChunkedLength)
 	request.Add("X-Via", "4")
@@ -78,7 +78,7 @@
 	var response fasthttp.ResponseHeader
 	response.SetNoDefaultContentType(true)
 	require.NoError(t, response.Read(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"+other+kept+"Set-Cookie: a=1\r\nSet-Cookie: b=2\r\n\r\n"))))
-	CleanResponse(&response, "X-Told")
+	CleanResponse(&response, "X-Set")
 	require.Equal(t, [][]byte{[]byte("1"), []byte("2"), []byte("3")}, response.PeekAll("X-Via"))
 	require.Contains(t, response.String(), "Set-Cookie: a=1\r\nSet-Cookie: b=2\r\n")
 	require.NotContains(t, response.String(), "Gone")
--- a/pkg/carobarrival/arrival.go
+++ b/pkg/carobarrival/arrival.go
@@ -17,8 +17,8 @@
 	Call carobcallid.ID
 	// Request is the caller's ID of the request; empty if it sent none.
 	Request carobrequestid.ID
-	// Caller is the service of the VM at which the call arrived, which targets learn as
-	// their caller; empty if they do not.
+	// Caller is the service of the VM at which the call arrived, which is sent to the target;
+	// empty if it is not.
 	Caller carobservice.Service
 	// Service is the service that the call is for. If it is empty, the route that
 	// matches Host and Path determines it.
--- a/test/request_test.go
+++ b/test/request_test.go
@@ -142,7 +142,7 @@
 	}
 }
 
-// What a node tells a target about a call reaches it once, with the node's value, whatever copies, spellings
+// The headers that a node sets for a target reach it once, with the node's value, whatever copies, spellings
 // and lists of names the caller sends, in the header or behind the body. With two values a target may read the
 // caller's, and with two idempotency keys another one than that under which the call runs once.
 func TestForgedFieldsDoNotReachTheTarget(t *testing.T) {
@@ -150,7 +150,7 @@
 	received := make(chan *http.Request, 1)
 	pair.announceTarget(t, "lookups", startHTTPTarget(t, func(_ http.ResponseWriter, req *http.Request) {
 		_, _ = io.Copy(io.Discard, req.Body)
-		if req.URL.Path == "/told" {
+		if req.URL.Path == "/forged" {
 			received <- req
 		}
 	}))
@@ -173,7 +173,7 @@
 					framing, body = "Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n%s\r\n", len(c.body), c.body, c.trailers)
 				}
 				// Te is removed, which must not change the order of the fields behind it.
-				resp := nodePair{near: node}.exchangeRaw(t, "POST /told HTTP/1.1\r\nHost: lookups\r\nTe: x\r\nIdempotency-Key: own\r\nX-Kept: 1\r\nX-Kept: 2\r\n"+
+				resp := nodePair{near: node}.exchangeRaw(t, "POST /forged HTTP/1.1\r\nHost: lookups\r\nTe: x\r\nIdempotency-Key: own\r\nX-Kept: 1\r\nX-Kept: 2\r\n"+
 					c.head+framing+"\r\n"+body)
 				require.Equal(t, http.StatusOK, resp.status, resp.body)
 				req := <-received
@@ -208,7 +208,7 @@
 	}
 }
 
-// What a node tells a caller about its call reaches it once, with the node's value, whatever copies, spellings and
+// The headers that a node sets for a caller reach it once, with the node's value, whatever copies, spellings and
 // lists of names the target sends, in the header or behind the body.
 func TestForgedFieldsDoNotReachTheCaller(t *testing.T) {
 	pair := startNodePair(t)
@@ -220,7 +220,7 @@
 				return
 			}
 			head := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
-			if req.URL.Path == "/told" {
+			if req.URL.Path == "/forged" {
 				head = <-heads
 			}
 			_, _ = io.WriteString(conn, head)
@@ -237,7 +237,7 @@
 		t.Run(name, func(t *testing.T) {
 			for _, node := range []*process{pair.near, pair.far} {
 				heads <- "HTTP/1.1 200 OK\r\nX-Kept: 1\r\nX-Kept: 2\r\n" + rest
-				resp := nodePair{near: node}.exchangeRaw(t, "GET /told HTTP/1.1\r\nHost: lookups\r\n\r\n")
+				resp := nodePair{near: node}.exchangeRaw(t, "GET /forged HTTP/1.1\r\nHost: lookups\r\n\r\n")
 				require.Equal(t, http.StatusOK, resp.status, resp.body)
 				require.Equal(t, "ab", resp.body)
 				require.Equal(t, []string{"answered"}, resp.header.Values("Carobknot-Outcome"))
