Log how old the confirmation of a route table was when a newer one arrives

The line 'routes: changed' now has the age of the confirmation of the older table and that of the node's last own read: a late table at a young confirmation shows a wrong one, and the two ages show whether another node sent it.

--- a/internal/carobeventlog/eventlog.go
+++ b/internal/carobeventlog/eventlog.go
@@ -121,9 +121,11 @@
 
 func (l *EventLog) write(ln line) {
 	if entry := ln.audit; entry != nil {
-		l.config.Logger.WithFields(logrus.Fields{
-			"who": entry.Who, "what": entry.What, "from": entry.From, "to": entry.To,
-		}).Info(entry.Component + ": changed")
+		fields := logrus.Fields{"who": entry.Who, "what": entry.What, "from": entry.From, "to": entry.To}
+		for _, input := range entry.Inputs {
+			fields[input.Name] = input.Value
+		}
+		l.config.Logger.WithFields(fields).Info(entry.Component + ": changed")
 		return
 	}
 	decision := ln.decision
--- a/internal/carobeventlog/eventlog_test.go
+++ b/internal/carobeventlog/eventlog_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/carobknot/carobknot/internal/carobeventlog"
 	"github.com/carobknot/carobknot/internal/carobtimer"
+	"github.com/carobknot/carobknot/pkg/carobaudit"
 	"github.com/carobknot/carobknot/pkg/carobdecision"
 	"github.com/carobknot/carobknot/pkg/carobinput"
 	"github.com/carobknot/carobknot/pkg/carobkind"
@@ -52,3 +53,18 @@
 	require.InDelta(t, 12.5, last.Data["agems"], 0.001)
 	require.Zero(t, eventLog.Dropped())
 }
+
+// Guards against changes of state that on call cannot explain, since the line lacks the values that led to them.
+func TestChangesAreLoggedWithTheirInputs(t *testing.T) {
+	logger, logged := test.NewNullLogger()
+	eventLog := carobeventlog.NewEventLog(carobeventlog.Config{
+		Logger: logger, Timer: carobtimer.NewTimer(), MaxFailureLines: 5, LogAudits: true,
+	})
+	eventLog.Execute(&caroboutbox.Outbox{Audits: []carobaudit.Audit{{
+		Component: "routes", Who: "store", What: "route table", From: "1", To: "2", Inputs: []carobinput.Input{{Name: "confirmedms", Value: 12.5}},
+	}}})
+	go eventLog.Run(t.Context())
+	require.Eventually(t, func() bool { return len(logged.AllEntries()) == 1 }, 10*time.Second, time.Millisecond)
+	require.Equal(t, "routes: changed", logged.LastEntry().Message)
+	require.InDelta(t, 12.5, logged.LastEntry().Data["confirmedms"], 0.001)
+}
--- a/pkg/carobrouteconfirmation/system.go
+++ b/pkg/carobrouteconfirmation/system.go
@@ -102,6 +102,9 @@
 		return
 	}
 	world.RoutesConfirmedAt, s.ownRead = at, ownRead
+	if ownRead {
+		world.RoutesReadAt = at
+	}
 	s.reads, s.nextRead, s.spread = 0, carobinstant.Never, world.Random.Float64()
 }
 
--- a/pkg/carobroutesync/system.go
+++ b/pkg/carobroutesync/system.go
@@ -48,13 +48,13 @@
 		world.RouteRejection = rejection
 	}
 	for _, table := range world.Inbox.RouteTables {
-		if apply(world, table, "store") {
+		if apply(world, now, table, "store") {
 			announce(world)
 		}
 	}
 	for i := range world.Inbox.Messages {
 		message := &world.Inbox.Messages[i]
-		if message.RouteTable != nil && apply(world, message.RouteTable, string(message.From)) {
+		if message.RouteTable != nil && apply(world, now, message.RouteTable, string(message.From)) {
 			s.requestDeadline = carobinstant.Never
 		}
 		if message.RouteFetch != nil && world.RouteTable != nil && world.RouteTable.Version > message.RouteFetch.Version {
@@ -67,11 +67,11 @@
 }
 
 // apply applies a table and reports true if it is newer than the one in force.
-func apply(world *carobworld.World, table *carobroutetable.RouteTable, from string) bool {
+func apply(world *carobworld.World, now carobinstant.Instant, table *carobroutetable.RouteTable, from string) bool {
 	if table.Version <= world.RoutesVersion() {
 		return false
 	}
-	world.AuditRoutes(from, table)
+	world.AuditRoutes(now, from, table)
 	world.RouteTable = table
 	if world.RouteRejection != nil && world.RouteRejection.Version <= table.Version {
 		world.RouteRejection = nil
--- a/pkg/carobroutesync/system_test.go
+++ b/pkg/carobroutesync/system_test.go
@@ -9,6 +9,7 @@
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobcentre"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobinput"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/caroblimits"
 	"github.com/carobknot/carobknot/pkg/carobmember"
@@ -151,3 +152,14 @@
 	r.world.EndTick(r.now)
 	require.False(t, r.world.Outbox.RoutesRejected)
 }
+
+// Guards against a late table whose log line does not show for how long the older one counted as the newest, and whether
+// this node had read that itself.
+func TestNewTableIsLoggedWithTheAgeOfTheConfirmation(t *testing.T) {
+	r := newRig(t)
+	r.step(0, carobinbox.Inbox{RouteTables: []*carobroutetable.RouteTable{table(t, 3)}})
+	require.EqualValues(t, []carobinput.Input{{Name: "confirmedms", Value: -1}, {Name: "readms", Value: -1}}, r.world.Outbox.Audits[0].Inputs)
+	r.world.RoutesConfirmedAt, r.world.RoutesReadAt = r.now, r.now.Add(-time.Second)
+	r.step(time.Second, carobinbox.Inbox{RouteTables: []*carobroutetable.RouteTable{table(t, 4)}})
+	require.EqualValues(t, []carobinput.Input{{Name: "confirmedms", Value: 1000}, {Name: "readms", Value: 2000}}, r.world.Outbox.Audits[0].Inputs)
+}
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -195,6 +195,9 @@
 	// RoutesConfirmedAt is an instant at which the store had no newer route table than
 	// RouteTable; Never if none is known. It never decreases.
 	RoutesConfirmedAt carobinstant.Instant
+	// RoutesReadAt is when the last read of this node began that confirmed a route table; Never
+	// if none did. It is not after RoutesConfirmedAt.
+	RoutesReadAt carobinstant.Instant
 	// StoreEra is the newest era of the store that is known; None if none is. It never decreases.
 	StoreEra carobstoreera.Era
 	// StoreRestored is true in the tick in which a restore of the store from an earlier copy
