Reproduce route tables that count as confirmed although they are not

Two nodes that send each other their confirmations: they are younger than the only read there was, at 60 ms, 300 ms and 1 s a message.

The existing case of 10 ms stays in the second test; its check is stricter now: no confirmation may be younger than the read that it comes from, at any time.

--- a/internal/carobroutepoller/cluster_test.go
+++ b/internal/carobroutepoller/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -211,6 +212,12 @@
 	byAddress map[carobaddress.Address]*clusterNode
 	// disconnected is true if no message arrives.
 	disconnected atomic.Bool
+	// delayed has the nodes whose messages, sent and received, take from minDelay to maxDelay.
+	// delayMutex guards all of it.
+	delayMutex         sync.Mutex
+	delayed            map[carobnodeid.ID]bool
+	minDelay, maxDelay time.Duration
+	random             *rand.Rand
 }
 
 // newCluster starts nodes in three data centres, whose operator has published a table
@@ -219,7 +226,7 @@
 	t.Helper()
 	timer := carobtimer.NewTimer()
 	go timer.Run(ctx)
-	c := &cluster{t: t, timer: timer, byAddress: map[carobaddress.Address]*clusterNode{}, store: &store{
+	c := &cluster{t: t, timer: timer, delayed: map[carobnodeid.ID]bool{}, random: rand.New(rand.NewPCG(1, 1)), byAddress: map[carobaddress.Address]*clusterNode{}, store: &store{
 		timer: timer, table: routesTo(t, 1, "old"), changed: make(chan struct{}),
 		readAt: map[carobnodeid.ID]carobinstant.Instant{}, silent: map[carobnodeid.ID]bool{},
 	}}
@@ -299,10 +306,32 @@
 			}
 			receiver.mailbox.Post(func(in *carobinbox.Inbox) { in.Messages = append(in.Messages, message) })
 		})
-		deliver(c.timer.Now().Add(networkDelay))
+		deliver(c.timer.Now().Add(c.transit(message.From, receiver)))
 	}
 }
 
+// transit returns how long a message takes.
+func (c *cluster) transit(from carobnodeid.ID, to *clusterNode) time.Duration {
+	c.delayMutex.Lock()
+	defer c.delayMutex.Unlock()
+	if to == nil || !c.delayed[from] && !c.delayed[to.id] {
+		return networkDelay
+	}
+	return c.minDelay + time.Duration(c.random.Int64N(int64(c.maxDelay-c.minDelay)+1))
+}
+
+// delayMessages makes the messages of some nodes take from shortest to longest, and waits
+// until the nodes have exchanged some.
+func (c *cluster) delayMessages(shortest, longest time.Duration, nodes ...int) {
+	c.delayMutex.Lock()
+	c.minDelay, c.maxDelay = shortest, longest
+	for _, i := range nodes {
+		c.delayed[c.nodes[i].id] = true
+	}
+	c.delayMutex.Unlock()
+	require.NoError(c.t, c.timer.Wait(c.t.Context(), warmup))
+}
+
 // handledBy returns the service that a node routes calls to.
 func (c *cluster) handledBy(ctx context.Context, node *clusterNode) carobservice.Service {
 	c.t.Helper()
@@ -350,6 +379,32 @@
 	}
 }
 
+// Guards against nodes that keep an old route table since others, whose messages are slow, send them confirmations of it that look newer than they are.
+func TestNodesApplyANewTableInTimeWhileMessagesAreSlow(t *testing.T) {
+	const silenced = 4
+	for _, test := range []struct {
+		name    string
+		size    int
+		disturb func(c *cluster)
+	}{
+		{"of three nodes", 12, func(c *cluster) { c.delayMessages(300*time.Millisecond, 600*time.Millisecond, 3, 4, 8) }},
+		{"of the readers", 12, func(c *cluster) { c.delayMessages(300*time.Millisecond, 300*time.Millisecond, 0, 1, 2) }},
+		{"of all nodes", 12, func(c *cluster) {
+			c.delayMessages(300*time.Millisecond, 600*time.Millisecond, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11)
+		}},
+		{"of three nodes, and the readers get no response", 12, func(c *cluster) {
+			c.delayMessages(600*time.Millisecond, 600*time.Millisecond, 3, 7, 11)
+			c.store.silenceLastReaders(silenced)
+			require.NoError(c.t, c.timer.Wait(c.t.Context(), warmup))
+		}},
+		{"of a quarter of 60 nodes", 60, func(c *cluster) {
+			c.delayMessages(300*time.Millisecond, 600*time.Millisecond, 0, 4, 8, 12, 16, 20, 24, 28, 32, 36, 40, 44, 48, 52, 56)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) { testNewTableIsAppliedInTime(t, test.size, test.disturb) })
+	}
+}
+
 // testNewTableIsAppliedInTime disturbs a cluster, publishes a new table some time later, and
 // requires that all nodes that the store answers route by it once the timeout has passed.
 func testNewTableIsAppliedInTime(t *testing.T, size int, disturb func(c *cluster)) {
--- a/pkg/carobrouteconfirmation/system_test.go
+++ b/pkg/carobrouteconfirmation/system_test.go
@@ -153,24 +153,30 @@
 	}
 }
 
-// Guards against two nodes that keep each other's confirmations young without a read.
+// Guards against two nodes that keep each other's confirmations young without a read, however long their messages take.
 func TestConfirmationsThatNodesReturnToEachOtherAge(t *testing.T) {
-	one, two := newRig(t), newRig(t)
-	one.confirm()
-	const transit = 10 * time.Millisecond
-	for range 100 {
-		for _, pair := range [][2]*rig{{one, two}, {two, one}} {
-			from, to := pair[0], pair[1]
-			from.world.BeginTick(carobinbox.Inbox{})
-			from.world.SendMessage(carobmessage.Message{To: "127.0.0.1:1"})
-			from.world.EndTick(from.now)
-			message := from.world.Outbox.Messages[0]
-			from.now, to.now = from.now.Add(transit), to.now.Add(transit)
-			to.receive(0, message)
-		}
+	for _, transit := range []time.Duration{10 * time.Millisecond, 60 * time.Millisecond, 300 * time.Millisecond, time.Second} {
+		t.Run(transit.String(), func(t *testing.T) {
+			one, two := newRig(t), newRig(t)
+			one.confirm()
+			readAt := one.now
+			for range 100 {
+				for _, pair := range [][2]*rig{{one, two}, {two, one}} {
+					from, to := pair[0], pair[1]
+					from.world.BeginTick(carobinbox.Inbox{})
+					from.world.SendMessage(carobmessage.Message{To: "127.0.0.1:1"})
+					from.world.EndTick(from.now)
+					message := from.world.Outbox.Messages[0]
+					from.now, to.now = from.now.Add(transit), to.now.Add(transit)
+					to.receive(0, message)
+				}
+				require.LessOrEqual(t, one.world.RoutesConfirmedAt, readAt)
+				require.LessOrEqual(t, two.world.RoutesConfirmedAt, readAt)
+			}
+			require.GreaterOrEqual(t, one.now.Sub(one.world.RoutesConfirmedAt), applyTimeout)
+			require.GreaterOrEqual(t, two.now.Sub(two.world.RoutesConfirmedAt), applyTimeout)
+		})
 	}
-	require.GreaterOrEqual(t, one.now.Sub(one.world.RoutesConfirmedAt), applyTimeout)
-	require.GreaterOrEqual(t, two.now.Sub(two.world.RoutesConfirmedAt), applyTimeout)
 }
 
 // Guards against nodes that all read since nobody announces that one has, and against announcements to every node everywhere.
