Send confirmations of route tables on the receiver's clock, not as ages

Cause: a confirmation was sent as an age, to which the receiver added a fixed 0.025 of the apply timeout (50 ms, on Cairo 62.5 ms) for the way. A message that took 0.3 s made it 0.25 s younger than it was, and nodes take over whichever is youngest: confirmations that went to and fro between nodes over slow ways hardly aged, and no node read the store.

Change: messages carry the reading of the sender's clock. Who knows a reading of a node's clock can convert instants to that clock; the result is a lower bound, whatever the delays were, so that a confirmation is never younger than the read it comes from. Readers request readings from the nodes that they announce to. A confirmation for the clock of an earlier incarnation is ignored, and answered with a reading. Load probes and reports no longer carry any. Nodes that know only the old field routesage read the store themselves during an upgrade; new nodes ignore that field.

The case 'after a pause' of TestConfirmationsOfOthersAreTakenOverOnlyForThisTable is replaced: a confirmation from before a pause is as old as it is, so it may be taken over; the test now requires that no instant taken over is younger than that of the message, and that those of another incarnation's clock or of the future are ignored. TestLoadMessages... in carobevacuating requires of all load messages, not only during evacuations, that they carry no confirmation.

Places where the state is read, merged, cached, sent on or taken over: carobrouteconfirmation (receive, announce, requestRead), carobworld (describeStore, the metric and the log line), carobroutesync (a table and its confirmation arrive together), carobevacuating (states of the same message).

--- a/internal/carobroutepoller/cluster_test.go
+++ b/internal/carobroutepoller/cluster_test.go
@@ -231,7 +231,7 @@
 		readAt: map[carobnodeid.ID]carobinstant.Instant{}, silent: map[carobnodeid.ID]bool{},
 	}}
 	for i := range size {
-		c.nodes = append(c.nodes, &clusterNode{id: carobnodeid.ID(fmt.Sprintf("n%02d", i)), mailbox: carobmailbox.NewMailbox()})
+		c.nodes = append(c.nodes, &clusterNode{id: carobnodeid.ID(fmt.Sprintf("n%03d", i)), mailbox: carobmailbox.NewMailbox()})
 		c.byAddress[address(i)] = c.nodes[i]
 	}
 	for i := range c.nodes {
@@ -241,7 +241,8 @@
 }
 
 func address(i int) carobaddress.Address {
-	return carobaddress.Address(fmt.Sprintf("10.0.0.%d:7002", i+1))
+	const perNetwork = 250
+	return carobaddress.Address(fmt.Sprintf("10.0.%d.%d:7002", i/perNetwork, i%perNetwork+1))
 }
 
 // start starts the goroutines of a node.
@@ -434,7 +435,7 @@
 // Guards against reads of the store, each of which has a price, that grow with the number of nodes.
 func TestConfirmationsTakeFewReads(t *testing.T) {
 	const maxReadsPerSecond = 2
-	for _, size := range []int{1, 3, 12, 60} {
+	for _, size := range []int{1, 3, 12, 60, 300} {
 		t.Run(strconv.Itoa(size), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -13,6 +13,7 @@
 	"github.com/carobknot/carobknot/pkg/carobcatchup"
 	"github.com/carobknot/carobknot/pkg/carobchange"
 	"github.com/carobknot/carobknot/pkg/carobclaiming"
+	"github.com/carobknot/carobknot/pkg/carobclocksync"
 	"github.com/carobknot/carobknot/pkg/carobcompaction"
 	"github.com/carobknot/carobknot/pkg/carobdetection"
 	"github.com/carobknot/carobknot/pkg/carobdissemination"
@@ -128,6 +129,7 @@
 				AnnouncementTimeout: cmp.Or(c.AnnouncementTimeout, announcementTimeout), ConfirmationPeriod: c.ConfirmationPeriod,
 			}),
 			carobstorerecovery.NewSystem(),
+			carobclocksync.NewSystem(),
 			carobjoining.NewSystem(carobjoining.Config{Seeds: c.Seeds}),
 			carobmembership.NewSystem(),
 			carobdetection.NewSystem(),
--- a/pkg/carobevacuating/system_test.go
+++ b/pkg/carobevacuating/system_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobcentre"
+	"github.com/carobknot/carobknot/pkg/carobclockbound"
 	"github.com/carobknot/carobknot/pkg/carobevacuating"
 	"github.com/carobknot/carobknot/pkg/carobevacuation"
 	"github.com/carobknot/carobknot/pkg/carobevacuationlist"
@@ -241,6 +242,7 @@
 			r.read(time.Second, listOf(1, 5, there))
 		}
 		r.world.RoutesConfirmedAt = r.now
+		r.world.ClockBounds.Put("near-1", carobclockbound.ClockBound{Incarnation: 1, Reading: r.now, ReceivedAt: r.now})
 		r.world.StoreEra, r.world.StoreRestoredAt = 2, r.now
 		r.world.BeginTick(carobinbox.Inbox{})
 		r.world.SendMessage(carobmessage.Message{To: "near-1", LoadProbe: &carobloadprobe.LoadProbe{}})
@@ -250,7 +252,8 @@
 		for _, message := range r.world.Outbox.Messages {
 			limited := message.LoadProbe != nil || message.Report != nil
 			require.Equal(t, evacuated && !limited, len(message.Evacuations) == 1)
-			require.Equal(t, evacuated && limited, message.RoutesAge == 0)
+			require.Equal(t, limited, message.Confirmation == nil)
+			require.Equal(t, limited, message.Clock == carobinstant.Never)
 			require.Equal(t, limited, message.StoreEra == carobstoreera.None)
 		}
 	}
--- a/pkg/carobmessage/check.go
+++ b/pkg/carobmessage/check.go
@@ -26,6 +26,14 @@
 			return err
 		}
 	}
+	if m.Clock < 0 {
+		return carobkind.New(carobkind.Invalid, "message: the clock reading is negative")
+	}
+	if m.Confirmation != nil {
+		if err := m.Confirmation.Check(); err != nil {
+			return err
+		}
+	}
 	for _, c := range m.contents() {
 		if err := c.Check(); err != nil {
 			return err
--- a/pkg/carobmessage/message.go
+++ b/pkg/carobmessage/message.go
@@ -7,13 +7,14 @@
 	"github.com/carobknot/carobknot/pkg/carobcallid"
 	"github.com/carobknot/carobknot/pkg/carobclaim"
 	"github.com/carobknot/carobknot/pkg/carobclaimreply"
+	"github.com/carobknot/carobknot/pkg/carobconfirmation"
 	"github.com/carobknot/carobknot/pkg/carobdigest"
-	"github.com/carobknot/carobknot/pkg/carobduration"
 	"github.com/carobknot/carobknot/pkg/carobevacuation"
 	"github.com/carobknot/carobknot/pkg/carobfence"
 	"github.com/carobknot/carobknot/pkg/carobfencereply"
 	"github.com/carobknot/carobknot/pkg/carobgossip"
 	"github.com/carobknot/carobknot/pkg/carobincarnation"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobloadprobe"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 	"github.com/carobknot/carobknot/pkg/carobpeerheartbeat"
@@ -44,9 +45,16 @@
 	// only announces this version.
 	RoutesVersion carobrouteversion.Version `json:"routesversion,omitempty"`
 
-	// RoutesAge is how long ago, when the message was sent, the store was known to have no
-	// newer route table than RoutesVersion; 0 if that is not known.
-	RoutesAge carobduration.Duration `json:"routesage,omitempty"`
+	// Clock is the reading of the sender's clock when the message was sent; Never if the message
+	// has none. It has no meaning for the receiver but to convert instants (carobclockbound).
+	Clock carobinstant.Instant `json:"clock,omitempty"`
+
+	// ClockRequest requests a message in return, for the reading of the receiver's clock.
+	ClockRequest bool `json:"sync,omitempty"`
+
+	// Confirmation is an instant at which the store had no newer route table than RoutesVersion;
+	// nil if the sender knows none, or cannot convert it to the receiver's clock.
+	Confirmation *carobconfirmation.Confirmation `json:"confirmed,omitempty"`
 
 	// StoreEra is the newest era of the store that the sender knows; None if none is known. Not
 	// all messages name it.
--- a/pkg/carobrouteconfirmation/system.go
+++ b/pkg/carobrouteconfirmation/system.go
@@ -2,20 +2,26 @@
 // store has acknowledged a newer one.
 //
 // A table is confirmed as of an instant if the node knows that the store had nothing newer
-// then: from a read of its own that began at the instant, or from another node. Each control
-// message carries the age of its sender's confirmation, which is how most nodes get theirs
-// without reading. A node whose confirmation is too old reads the store itself, whatever it
-// knows of other nodes. So the limit holds at each node that can reach the store, even if the
-// nodes that usually read cannot, or if nodes cannot reach each other.
+// then: from a read of its own that began at the instant, or from another node. Most nodes get
+// theirs from others without reading: control messages carry the sender's, as an instant on the
+// receiver's clock. This instant is the true one or an earlier one (carobclockbound), whatever
+// time messages take and however many nodes pass it on. It is not an age, which would be wrong by
+// the unknown time between the stamping of a message and its receipt.
+//
+// A node whose confirmation is too old reads the store itself, whatever it knows of other nodes.
+// So the limit holds at each node that can reach the store, even if the nodes that usually read
+// cannot, or if nodes cannot reach each other.
 //
 // The readers of the data centres read earlier than other nodes. They announce a newer
 // confirmation in their data centre at once, and to the readers elsewhere if it comes from a
-// read of their own.
+// read of their own. An announcement to a node whose clock they do not know requests a message
+// in return, and the confirmation follows.
 package carobrouteconfirmation
 
 import (
 	"time"
 
+	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobcentre"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobliveness"
@@ -42,12 +48,15 @@
 	// firstRetry is the time before the second read if the first brings no confirmation. It
 	// doubles with each further one, up to readerRetry or otherRetry.
 	firstRetry, readerRetry, otherRetry = 0.25, 1, 2
-	// announceInterval is the shortest time between two announcements.
-	announceInterval = 0.125
-	// transitAge is the age that a confirmation gains on its way to another node.
-	transitAge = 0.025
+	// minAdvance is by how much a confirmation must be newer than the one announced last. The
+	// same read arrives as slightly different instants if it comes from several nodes.
+	minAdvance = 0.125
 )
 
+// clockInterval is the time after which a reader requests another reading of a node's clock. It
+// bounds for how long a reading that arrived late makes confirmations look too old.
+const clockInterval = 5 * time.Second
+
 // System decides when the node reads the store to confirm its route table.
 type System struct {
 	config Config
@@ -57,9 +66,11 @@
 	// earliest instant of another one; Never if there is no such limit.
 	reads    int
 	nextRead carobinstant.Instant
-	// announced is the confirmation that was announced last, and nextAnnouncement the
-	// earliest instant of the next announcement. Both are Never before the first.
-	announced, nextAnnouncement carobinstant.Instant
+	// announced is the confirmation that was announced last; Never before the first.
+	announced carobinstant.Instant
+	// awaitingClock has the nodes that were sent the last announcement without the confirmation,
+	// because their clocks were unknown.
+	awaitingClock map[carobaddress.Address]struct{}
 	// ownRead is true if the newest confirmation comes from a read of this node.
 	ownRead bool
 }
@@ -86,13 +97,16 @@
 	s.requestRead(world, now)
 }
 
-// receive takes over the sender's confirmation, unless the sender has a newer table. The age
-// in a message was correct when it was sent, so the longest time that a message usually takes
-// is added to it. Without that, a confirmation that nodes send back and forth would not age.
-// Messages that may have waited while this node was paused are ignored.
+// receive takes over the sender's confirmation, unless the sender has a newer table. If the
+// sender's clock was unknown at the last announcement, it gets the confirmation now.
 func (s *System) receive(world *carobworld.World, now carobinstant.Instant, message *carobmessage.Message) {
-	if message.RoutesAge > 0 && message.RoutesVersion <= world.RoutesVersion() && !world.Paused {
-		s.confirm(world, now.Add(-message.RoutesAge.Duration()-s.part(transitAge)), false)
+	confirmation := message.Confirmation
+	if confirmation != nil && confirmation.Clock == world.Self.Incarnation && confirmation.At <= now && message.RoutesVersion <= world.RoutesVersion() {
+		s.confirm(world, confirmation.At, false)
+	}
+	if _, ok := s.awaitingClock[message.ReplyTo]; ok && message.Clock != carobinstant.Never {
+		delete(s.awaitingClock, message.ReplyTo)
+		world.SendMessage(carobmessage.Message{To: message.ReplyTo})
 	}
 }
 
@@ -110,17 +124,17 @@
 
 // announce sends the confirmation of a reader to the nodes that depend on it.
 func (s *System) announce(world *carobworld.World, now carobinstant.Instant) {
-	due := s.nextAnnouncement == carobinstant.Never || s.nextAnnouncement.Reached(now)
-	if !world.Outbox.ReadingStore || world.RoutesConfirmedAt <= s.announced || !due {
+	if !world.Outbox.ReadingStore || world.RoutesConfirmedAt.Sub(s.announced) < s.part(minAdvance) {
 		return
 	}
-	s.announced, s.nextAnnouncement = world.RoutesConfirmedAt, now.Add(s.part(announceInterval))
+	s.announced = world.RoutesConfirmedAt
+	s.awaitingClock = map[carobaddress.Address]struct{}{}
 	readers := map[carobcentre.Centre]*carobmember.Member{}
 	for _, peer := range world.Peers.All() {
 		switch member := &peer.Member; {
 		case member.Centre == world.Self.Centre:
 			if !member.Liveness.Down() {
-				world.SendMessage(carobmessage.Message{To: member.PeerAddress})
+				s.announceTo(world, now, member)
 			}
 		case precedes(member, readers[member.Centre]):
 			readers[member.Centre] = member
@@ -131,11 +145,22 @@
 	}
 	for _, peer := range world.Peers.All() {
 		if readers[peer.Member.Centre] == &peer.Member {
-			world.SendMessage(carobmessage.Message{To: peer.Member.PeerAddress})
+			s.announceTo(world, now, &peer.Member)
 		}
 	}
 }
 
+// announceTo sends a node a message, to which the confirmation is added if the node's clock is
+// known.
+func (s *System) announceTo(world *carobworld.World, now carobinstant.Instant, member *carobmember.Member) {
+	bound, ok := world.ClockBounds.Get(member.PeerAddress)
+	if !ok {
+		s.awaitingClock[member.PeerAddress] = struct{}{}
+	}
+	outdated := !ok || bound.ReceivedAt.Add(clockInterval).Reached(now)
+	world.SendMessage(carobmessage.Message{To: member.PeerAddress, ClockRequest: outdated})
+}
+
 // precedes reports whether a node of a data centre is preferred to another one as reader;
 // nil is preferred to none.
 func precedes(member, other *carobmember.Member) bool {
--- a/pkg/carobrouteconfirmation/system_test.go
+++ b/pkg/carobrouteconfirmation/system_test.go
@@ -8,8 +8,10 @@
 
 	"github.com/carobknot/carobknot/pkg/carobaddress"
 	"github.com/carobknot/carobknot/pkg/carobcentre"
-	"github.com/carobknot/carobknot/pkg/carobduration"
+	"github.com/carobknot/carobknot/pkg/carobclocksync"
+	"github.com/carobknot/carobknot/pkg/carobconfirmation"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobincarnation"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/caroblimits"
 	"github.com/carobknot/carobknot/pkg/carobmember"
@@ -30,6 +32,7 @@
 // rig is a node with a route table and one peer in its data centre and two in another.
 type rig struct {
 	world  *carobworld.World
+	clocks *carobclocksync.System
 	system *carobrouteconfirmation.System
 	now    carobinstant.Instant
 	// reader is true if the node reads the store for its data centre.
@@ -53,7 +56,7 @@
 	require.NoError(t, err)
 	world.RouteTable = table
 	return &rig{
-		world: world, system: carobrouteconfirmation.NewSystem(carobrouteconfirmation.Config{ApplyTimeout: applyTimeout}),
+		world: world, clocks: carobclocksync.NewSystem(), system: carobrouteconfirmation.NewSystem(carobrouteconfirmation.Config{ApplyTimeout: applyTimeout}),
 		now: carobinstant.Instant(time.Hour),
 	}
 }
@@ -63,6 +66,7 @@
 	r.now = r.now.Add(after)
 	r.world.BeginTick(in)
 	r.world.Outbox.ReadingStore = r.reader
+	r.clocks.Run(r.world, r.now)
 	r.system.Run(r.world, r.now)
 	return r.world.Outbox.ConfirmRoutes
 }
@@ -74,7 +78,7 @@
 
 // receive lets a message of a peer arrive.
 func (r *rig) receive(after time.Duration, message carobmessage.Message) bool {
-	message.From, message.Incarnation = "near", 1
+	message.From, message.Incarnation, message.ReplyTo = "near", 1, "near"
 	return r.step(after, carobinbox.Inbox{Messages: []carobmessage.Message{message}})
 }
 
@@ -126,29 +130,41 @@
 	require.Less(t, reads, int(duration/applyTimeout))
 }
 
-// Guards against a message that makes a table count as the newest although the sender has a newer one, has no confirmation, or sent it before a pause.
+// Guards against a message that makes a table count as the newest although the sender has a newer one, has no confirmation, sent it to the process before this one, or names an instant that has not come.
 func TestConfirmationsOfOthersAreTakenOverOnlyForThisTable(t *testing.T) {
-	fresh := carobduration.Duration(time.Millisecond)
+	confirmedBefore := func(r *rig, age time.Duration) *carobconfirmation.Confirmation {
+		return &carobconfirmation.Confirmation{At: r.now.Add(time.Second - age), Clock: 1}
+	}
+	const fresh = time.Millisecond
 	for _, test := range []struct {
 		name    string
-		message carobmessage.Message
-		paused  bool
+		version carobrouteversion.Version
+		age     time.Duration
+		clock   carobincarnation.Incarnation
 		taken   bool
 	}{
-		{"same version", carobmessage.Message{RoutesVersion: version, RoutesAge: fresh}, false, true},
-		{"older version", carobmessage.Message{RoutesVersion: version - 1, RoutesAge: fresh}, false, true},
-		{"newer version", carobmessage.Message{RoutesVersion: version + 1, RoutesAge: fresh}, false, false},
-		{"no confirmation", carobmessage.Message{RoutesVersion: version}, false, false},
-		{"old confirmation", carobmessage.Message{RoutesVersion: version, RoutesAge: carobduration.Duration(time.Minute)}, false, false},
-		{"after a pause", carobmessage.Message{RoutesVersion: version, RoutesAge: fresh}, true, false},
+		{"same version", version, fresh, 1, true},
+		{"older version", version - 1, fresh, 1, true},
+		{"newer version", version + 1, fresh, 1, false},
+		{"no confirmation", version, 0, 0, false},
+		{"old confirmation", version, time.Minute, 1, false},
+		{"another incarnation's clock", version, fresh, 2, false},
+		{"in the future", version, -fresh, 1, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			r := newRig(t)
 			r.confirm()
 			before := r.world.RoutesConfirmedAt
-			r.world.Paused = test.paused
-			r.receive(time.Second, test.message)
+			message := carobmessage.Message{RoutesVersion: test.version}
+			if test.clock != 0 {
+				message.Confirmation = confirmedBefore(r, test.age)
+				message.Confirmation.Clock = test.clock
+			}
+			r.receive(time.Second, message)
 			require.Equal(t, test.taken, r.world.RoutesConfirmedAt > before)
+			if test.taken {
+				require.Equal(t, message.Confirmation.At, r.world.RoutesConfirmedAt, "a pause or a delay does not make it younger")
+			}
 		})
 	}
 }
@@ -158,20 +174,23 @@
 	for _, transit := range []time.Duration{10 * time.Millisecond, 60 * time.Millisecond, 300 * time.Millisecond, time.Second} {
 		t.Run(transit.String(), func(t *testing.T) {
 			one, two := newRig(t), newRig(t)
+			send := func(from, to *rig) {
+				from.world.BeginTick(carobinbox.Inbox{})
+				from.world.SendMessage(carobmessage.Message{To: "near"})
+				from.world.EndTick(from.now)
+				message := from.world.Outbox.Messages[0]
+				from.now, to.now = from.now.Add(transit), to.now.Add(transit)
+				to.receive(0, message)
+			}
+			send(two, one)
 			one.confirm()
 			readAt := one.now
-			for range 100 {
-				for _, pair := range [][2]*rig{{one, two}, {two, one}} {
-					from, to := pair[0], pair[1]
-					from.world.BeginTick(carobinbox.Inbox{})
-					from.world.SendMessage(carobmessage.Message{To: "127.0.0.1:1"})
-					from.world.EndTick(from.now)
-					message := from.world.Outbox.Messages[0]
-					from.now, to.now = from.now.Add(transit), to.now.Add(transit)
-					to.receive(0, message)
-				}
+			for i := range 100 {
+				send(one, two)
+				send(two, one)
 				require.LessOrEqual(t, one.world.RoutesConfirmedAt, readAt)
 				require.LessOrEqual(t, two.world.RoutesConfirmedAt, readAt)
+				require.NotEqual(t, carobinstant.Never, two.world.RoutesConfirmedAt, "after %d messages it has none", i)
 			}
 			require.GreaterOrEqual(t, one.now.Sub(one.world.RoutesConfirmedAt), applyTimeout)
 			require.GreaterOrEqual(t, two.now.Sub(two.world.RoutesConfirmedAt), applyTimeout)
@@ -195,6 +214,31 @@
 	r.now = r.now.Add(time.Second)
 	r.confirm()
 	require.Equal(t, []carobaddress.Address{"near", "far-a"}, recipients(r), "its own data centre and the reader of the other one")
-	r.receive(time.Second, carobmessage.Message{RoutesVersion: version, RoutesAge: 1})
+	r.receive(time.Second, carobmessage.Message{
+		RoutesVersion: version, Confirmation: &carobconfirmation.Confirmation{At: r.now.Add(time.Second), Clock: 1},
+	})
 	require.Equal(t, []carobaddress.Address{"near"}, recipients(r), "another node's confirmation stays in the data centre")
 }
+
+// Guards against a node that reads itself because the reader does not know its clock and does not request it, and against requests with each announcement.
+func TestReadersRequestClocksThatTheyDoNotKnow(t *testing.T) {
+	r := newRig(t)
+	r.reader = true
+	announce := func(after time.Duration) carobmessage.Message {
+		r.now = r.now.Add(after)
+		r.confirm()
+		r.world.EndTick(r.now)
+		return r.world.Outbox.Messages[0]
+	}
+	first := announce(time.Second)
+	require.True(t, first.ClockRequest)
+	require.Nil(t, first.Confirmation)
+	r.receive(time.Millisecond, carobmessage.Message{RoutesVersion: version, Clock: r.now})
+	r.world.EndTick(r.now)
+	require.Len(t, r.world.Outbox.Messages, 1, "the confirmation follows")
+	require.NotNil(t, r.world.Outbox.Messages[0].Confirmation)
+	second := announce(time.Second)
+	require.False(t, second.ClockRequest)
+	require.NotNil(t, second.Confirmation)
+	require.True(t, announce(time.Minute).ClockRequest, "the reading is old")
+}
--- a/pkg/carobroutesync/system_test.go
+++ b/pkg/carobroutesync/system_test.go
@@ -158,8 +158,8 @@
 func TestNewTableIsLoggedWithTheAgeOfTheConfirmation(t *testing.T) {
 	r := newRig(t)
 	r.step(0, carobinbox.Inbox{RouteTables: []*carobroutetable.RouteTable{table(t, 3)}})
-	require.EqualValues(t, []carobinput.Input{{Name: "confirmedms", Value: -1}, {Name: "readms", Value: -1}}, r.world.Outbox.Audits[0].Inputs)
+	require.Equal(t, []carobinput.Input{{Name: "confirmedms", Value: -1}, {Name: "readms", Value: -1}}, r.world.Outbox.Audits[0].Inputs)
 	r.world.RoutesConfirmedAt, r.world.RoutesReadAt = r.now, r.now.Add(-time.Second)
 	r.step(time.Second, carobinbox.Inbox{RouteTables: []*carobroutetable.RouteTable{table(t, 4)}})
-	require.EqualValues(t, []carobinput.Input{{Name: "confirmedms", Value: 1000}, {Name: "readms", Value: 2000}}, r.world.Outbox.Audits[0].Inputs)
+	require.Equal(t, []carobinput.Input{{Name: "confirmedms", Value: 1000}, {Name: "readms", Value: 2000}}, r.world.Outbox.Audits[0].Inputs)
 }
--- a/pkg/carobworld/ticks.go
+++ b/pkg/carobworld/ticks.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/carobknot/carobknot/pkg/carobduration"
+	"github.com/carobknot/carobknot/pkg/carobconfirmation"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobmessage"
@@ -49,7 +49,7 @@
 	}
 	restored := w.StoreRestoredAt != carobinstant.Never && !w.StoreRestoredAt.Add(restoreNoticePeriod).Reached(now)
 	for i := range w.Outbox.Messages {
-		w.describeStore(&w.Outbox.Messages[i], restored)
+		w.describeStore(now, &w.Outbox.Messages[i], restored)
 	}
 }
 
@@ -58,21 +58,33 @@
 const restoreNoticePeriod = time.Minute
 
 // describeStore adds to a message what the node knows of the store: the evacuations that are to
-// be known; the age of the confirmation of the route table, if the message names the table's
-// version; and the era, in heartbeats, and in all messages if the store was restored recently, so
-// that nodes learn of it that do not read the store. The size of load probes and reports is
-// limited, so they carry neither eras nor evacuations. While there are evacuations they do not carry
-// the age either: a node that learns how recent the route table is must also learn the evacuations
-// of that time.
-func (w *World) describeStore(message *carobmessage.Message, restored bool) {
-	limited := message.LoadProbe != nil || message.Report != nil
-	if !limited {
-		message.Evacuations = w.EvacuationNotices
+// be known; the confirmation of the route table; and the era, in heartbeats, and in all messages
+// if the store was restored recently, so that nodes learn of it that do not read the store. The
+// size of load probes and reports is limited, so they carry nothing of it: a node that learns how
+// recent the route table is must also learn the evacuations of that time.
+func (w *World) describeStore(now carobinstant.Instant, message *carobmessage.Message, restored bool) {
+	if message.LoadProbe != nil || message.Report != nil {
+		return
 	}
-	if !limited && (restored || message.Heartbeat != nil) {
+	message.Evacuations = w.EvacuationNotices
+	if restored || message.Heartbeat != nil {
 		message.StoreEra = w.StoreEra
 	}
-	if message.RoutesVersion == w.RoutesVersion() && (!limited || len(w.EvacuationNotices) == 0) {
-		message.RoutesAge = carobduration.Duration(w.Outbox.RoutesAge)
+	message.Clock = now
+	message.Confirmation = w.confirmationFor(message)
+}
+
+// confirmationFor returns the confirmation of the route table on the clock of the receiver of a
+// message. It returns nil if there is none, if the clock is unknown, or if the message names another
+// version.
+func (w *World) confirmationFor(message *carobmessage.Message) *carobconfirmation.Confirmation {
+	bound, ok := w.ClockBounds.Get(message.To)
+	if !ok || message.RoutesVersion != w.RoutesVersion() {
+		return nil
+	}
+	at := bound.Convert(w.RoutesConfirmedAt)
+	if at == carobinstant.Never {
+		return nil
 	}
+	return &carobconfirmation.Confirmation{At: at, Clock: bound.Incarnation}
 }
--- a/pkg/carobworld/world.go
+++ b/pkg/carobworld/world.go
@@ -13,6 +13,7 @@
 	"github.com/carobknot/carobknot/pkg/carobcallrate"
 	"github.com/carobknot/carobknot/pkg/carobcapacity"
 	"github.com/carobknot/carobknot/pkg/carobcentre"
+	"github.com/carobknot/carobknot/pkg/carobclockbound"
 	"github.com/carobknot/carobknot/pkg/carobcountednode"
 	"github.com/carobknot/carobknot/pkg/carobdemand"
 	"github.com/carobknot/carobknot/pkg/carobevacuation"
@@ -198,6 +199,8 @@
 	// RoutesReadAt is when the last read of this node began that confirmed a route table; Never
 	// if none did. It is not after RoutesConfirmedAt.
 	RoutesReadAt carobinstant.Instant
+	// ClockBounds has bounds of the clocks of other nodes, by peer address.
+	ClockBounds *carobevictingmap.EvictingMap[carobaddress.Address, carobclockbound.ClockBound]
 	// StoreEra is the newest era of the store that is known; None if none is. It never decreases.
 	StoreEra carobstoreera.Era
 	// StoreRestored is true in the tick in which a restore of the store from an earlier copy
@@ -321,6 +324,7 @@
 		PendingGossip:     carobtable.NewTable[carobnodeid.ID, struct{}](carobtable.Config{Limit: c.Limits.Peers}),
 		LoggedMembers:     carobtable.NewTable[carobnodeid.ID, carobmember.Member](carobtable.Config{Limit: c.Limits.Peers}),
 		PendingHeartbeats: carobtable.NewTable[uint64, carobpendingheartbeat.PendingHeartbeat](carobtable.Config{Limit: maxPendingHeartbeats}),
+		ClockBounds:       carobevictingmap.NewEvictingMap[carobaddress.Address, carobclockbound.ClockBound](carobevictingmap.Config{Limit: c.Limits.Peers}),
 		Peers:             carobtable.NewTable[carobnodeid.ID, carobpeer.Peer](carobtable.Config{Limit: c.Limits.Peers}),
 		Evacuations:       carobtable.NewTable[carobcentre.Centre, carobevacuation.Evacuation](carobtable.Config{Limit: carobevacuation.MaxRows}),
 		OpenCallHops:      carobtable.NewTable[carobcallid.ID, carobopenhop.OpenHop](carobtable.Config{Limit: 2 * c.Limits.Calls}),
