Count the age of a list of evacuations from when its read began

Cause: a node that finds the record of an evacuation missing for 5 s ends the evacuation if its newest read is at most 2 s old. That age was counted from when the result reached the control goroutine, so a read that took long, or a result that waited, counted as recent, and the operator may have written the record again meanwhile.

Change: the list carries the instant at which its read began, as confirmations of route tables do.

Test: TestMissingRecordCountsByWhenItsReadBegan fails with the instant of arrival (checked by putting it back) and passes now.

--- a/internal/carobroutepoller/routepoller.go
+++ b/internal/carobroutepoller/routepoller.go
@@ -220,11 +220,11 @@
 		return err
 	}
 	rejection, changed := p.newRejection()
-	evacuations, ok := p.config.Source.(evacuationSource)
+	evacuations, ok := p.listEvacuations(startedAt)
 	p.config.Mailbox.Post(func(in *carobinbox.Inbox) {
 		in.StoreReads = append(in.StoreReads, startedAt)
 		if ok {
-			in.EvacuationLists = append(in.EvacuationLists, evacuations.Evacuations())
+			in.EvacuationLists = append(in.EvacuationLists, evacuations)
 		}
 		if changed {
 			in.RouteRejections = append(in.RouteRejections, rejection)
@@ -236,6 +236,18 @@
 	return nil
 }
 
+// listEvacuations returns what a read that began at an instant found of evacuations, and
+// whether the source has records of them.
+func (p *RoutePoller) listEvacuations(startedAt carobinstant.Instant) (carobevacuationlist.EvacuationList, bool) {
+	source, ok := p.config.Source.(evacuationSource)
+	if !ok {
+		return carobevacuationlist.EvacuationList{}, false
+	}
+	list := source.Evacuations()
+	list.ReadAt = startedAt
+	return list, true
+}
+
 // postEra posts the era of the store if it has risen. Failed reads may name one too.
 func (p *RoutePoller) postEra() {
 	source, ok := p.config.Source.(eraSource)
--- a/pkg/carobevacuating/system.go
+++ b/pkg/carobevacuating/system.go
@@ -38,10 +38,8 @@
 
 // System applies changes of evacuations and announces them.
 type System struct {
-	// newest is the newest list that this node has read, and readAt when the last read that was
-	// not older arrived; Never before the first.
+	// newest is the newest list that this node has read, by the last read that found it.
 	newest carobevacuationlist.EvacuationList
-	readAt carobinstant.Instant
 	// nextRead is when a read may be requested again; Never if none was.
 	nextRead carobinstant.Instant
 }
@@ -80,7 +78,7 @@
 func (s *System) applyList(world *carobworld.World, now carobinstant.Instant, list *carobevacuationlist.EvacuationList) bool {
 	changed := false
 	if list.Era > s.newest.Era || list.Era == s.newest.Era && list.End >= s.newest.End {
-		s.newest, s.readAt = *list, now
+		s.newest = *list
 	}
 	for _, centre := range list.Removed {
 		changed = merge(world, now, stateOf(list, centre, false), "store") || changed
@@ -128,7 +126,7 @@
 			world.WakeAt(end)
 			continue
 		}
-		if now.Sub(s.readAt) > maxListAge {
+		if now.Sub(s.newest.ReadAt) > maxListAge {
 			s.requestRead(world, now)
 			continue
 		}
--- a/pkg/carobevacuating/system_test.go
+++ b/pkg/carobevacuating/system_test.go
@@ -66,8 +66,14 @@
 	return addresses
 }
 
-// read runs a tick with what the node has read from the store.
+// read runs a tick with what the node has read from the store at once.
 func (r *rig) read(d time.Duration, list carobevacuationlist.EvacuationList) []carobaddress.Address {
+	return r.readSlowly(d, 0, list)
+}
+
+// readSlowly runs a tick with what a read found that took some time.
+func (r *rig) readSlowly(d, took time.Duration, list carobevacuationlist.EvacuationList) []carobaddress.Address {
+	list.ReadAt = r.now.Add(d - took)
 	return r.step(d, carobinbox.Inbox{EvacuationLists: []carobevacuationlist.EvacuationList{list}})
 }
 
@@ -185,6 +191,18 @@
 	require.False(t, r.world.IsEvacuated(there))
 }
 
+// Guards against a read that took long and counts as recent, so that an evacuation ends which the operator has written again meanwhile.
+func TestMissingRecordCountsByWhenItsReadBegan(t *testing.T) {
+	r := newRig()
+	r.read(0, listOf(1, 5, there))
+	r.read(time.Second, listOf(2, 3))
+	r.readSlowly(hold+time.Millisecond, 3*time.Second, listOf(2, 3))
+	require.True(t, r.world.IsEvacuated(there))
+	require.True(t, r.world.Outbox.ConfirmRoutes, "another read is requested")
+	r.read(time.Second, listOf(2, 3))
+	require.False(t, r.world.IsEvacuated(there))
+}
+
 // Guards against an evacuation that lapses although the operator has written it again after a restore, which this node hears from another one, or reads.
 func TestEvacuationWrittenAgainNeverLapses(t *testing.T) {
 	for name, again := range map[string]func(r *rig){
--- a/pkg/carobevacuationlist/evacuationlist.go
+++ b/pkg/carobevacuationlist/evacuationlist.go
@@ -3,13 +3,16 @@
 
 import (
 	"github.com/carobknot/carobknot/pkg/carobcentre"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/caroboffset"
 	"github.com/carobknot/carobknot/pkg/carobstoreera"
 )
 
 // EvacuationList is the state of all records of evacuations as of a position in the store.
 type EvacuationList struct {
-	Era carobstoreera.Era
+	// ReadAt is when the read began that found it.
+	ReadAt carobinstant.Instant
+	Era    carobstoreera.Era
 	// End is the offset after the last record that was taken into account.
 	End caroboffset.Offset
 	// Active has the data centres whose record was read.
--- a/test/fuzz/evacuation_test.go
+++ b/test/fuzz/evacuation_test.go
@@ -186,7 +186,7 @@
 		}
 		list, era := store.list(), store.era
 		n.after(n.sim.jitter(networkDelay), func() {
-			n.readingStore = false
+			n.readingStore, list.ReadAt = false, began
 			n.enqueue(func(in *carobinbox.Inbox) {
 				in.StoreReads, in.StoreEras = append(in.StoreReads, began), append(in.StoreEras, era)
 				in.EvacuationLists, in.RouteTables = append(in.EvacuationLists, list), append(in.RouteTables, store.table)
