--- a/internal/carobtimer/timer.go
+++ b/internal/carobtimer/timer.go
@@ -16,11 +16,11 @@
 type Timer struct {
 	// start is when the timer was made. Its monotonic clock reading is the base of Now.
 	start time.Time
-	// timeSuspended returns for how long the VM has been suspended, and suspendedAtStart is its
-	// first result. suspended is the largest one, in nanoseconds; it never decreases.
+	// timeSuspended returns for how long the VM has been suspended. suspendedAtStart is its first
+	// result, and longestSuspended the largest one in nanoseconds, which never decreases.
 	timeSuspended    func() time.Duration
 	suspendedAtStart time.Duration
-	suspended        atomic.Int64
+	longestSuspended atomic.Int64
 	mu               sync.Mutex
 	// schedule has the subscriptions for which an instant is set.
 	schedule *carobschedule.Schedule[*subscription]
@@ -46,7 +46,7 @@
 		start: time.Now(), timeSuspended: timeSuspended, suspendedAtStart: timeSuspended(),
 		schedule: carobschedule.NewSchedule[*subscription](), rescheduled: make(chan struct{}, 1),
 	}
-	t.suspended.Store(int64(t.suspendedAtStart))
+	t.longestSuspended.Store(int64(t.suspendedAtStart))
 	return t
 }
 
@@ -54,17 +54,21 @@
 // the time for which the VM is suspended: leases that others hold go on meanwhile, and what this
 // node knows grows older.
 func (t *Timer) Now() carobinstant.Instant {
-	suspended := t.countSuspended() - t.suspendedAtStart
+	suspended := t.readSuspended() - t.suspendedAtStart
 	return carobinstant.Instant(t.start.UnixNano()).Add(time.Since(t.start) + suspended)
 }
 
-// countSuspended returns the longest time of suspension that has been read.
-func (t *Timer) countSuspended() time.Duration {
+// readSuspended reads the time of suspension and returns the longest one read so far. It is
+// called by several goroutines.
+func (t *Timer) readSuspended() time.Duration {
 	current := int64(t.timeSuspended())
 	for {
-		longest := t.suspended.Load()
-		if current <= longest || t.suspended.CompareAndSwap(longest, current) {
-			return time.Duration(max(current, longest))
+		longest := t.longestSuspended.Load()
+		if current <= longest {
+			return time.Duration(longest)
+		}
+		if t.longestSuspended.CompareAndSwap(longest, current) {
+			return time.Duration(current)
 		}
 	}
 }
--- a/pkg/carobmessage/message.go
+++ b/pkg/carobmessage/message.go
@@ -49,7 +49,8 @@
 	// has none. It has no meaning for the receiver but to convert instants (carobclockbound).
 	Clock carobinstant.Instant `json:"clock,omitempty"`
 
-	// ClockRequest requests a message in return, for the reading of the receiver's clock.
+	// ClockRequest requests a message in return, for the reading of the receiver's clock. Its name
+	// on the wire is sync.
 	ClockRequest bool `json:"sync,omitempty"`
 
 	// Confirmation is an instant at which the store had no newer route table than RoutesVersion;
--- a/pkg/carobrouteconfirmation/system.go
+++ b/pkg/carobrouteconfirmation/system.go
@@ -97,11 +97,13 @@
 	s.requestRead(world, now)
 }
 
-// receive takes over the sender's confirmation, unless the sender has a newer table. If the
-// sender's clock was unknown at the last announcement, it gets the confirmation now.
+// receive takes over the sender's confirmation, unless the sender has a newer table. An instant
+// on another clock, or one that has not come yet, is ignored. If the sender's clock was unknown at
+// the last announcement, it gets the confirmation now.
 func (s *System) receive(world *carobworld.World, now carobinstant.Instant, message *carobmessage.Message) {
 	confirmation := message.Confirmation
-	if confirmation != nil && confirmation.Clock == world.Self.Incarnation && confirmation.At <= now && message.RoutesVersion <= world.RoutesVersion() {
+	valid := confirmation != nil && confirmation.Clock == world.Self.Incarnation && confirmation.At <= now
+	if valid && message.RoutesVersion <= world.RoutesVersion() {
 		s.confirm(world, confirmation.At, false)
 	}
 	if _, ok := s.awaitingClock[message.ReplyTo]; ok && message.Clock != carobinstant.Never {
