--- a/internal/carobroutepoller/cluster_test.go
+++ b/internal/carobroutepoller/cluster_test.go
@@ -4,11 +4,9 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -23,14 +21,12 @@
 	"github.com/carobknot/carobknot/pkg/carobcentre"
 	"github.com/carobknot/carobknot/pkg/carobcore"
 	"github.com/carobknot/carobknot/pkg/carobduration"
-	"github.com/carobknot/carobknot/pkg/carobevacuationlist"
 	"github.com/carobknot/carobknot/pkg/carobguarantee"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/caroblimits"
 	"github.com/carobknot/carobknot/pkg/carobmember"
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
-	"github.com/carobknot/carobknot/pkg/caroboffset"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobroute"
 	"github.com/carobknot/carobknot/pkg/carobroutetable"
@@ -54,144 +50,6 @@
 	warmup = 5 * time.Second
 )
 
-// store holds the operator's newest route table.
-type store struct {
-	timer *carobtimer.Timer
-	mutex sync.Mutex
-	table *carobroutetable.RouteTable
-	// changed is closed and replaced whenever the table changes.
-	changed chan struct{}
-	// readAt has when each node began its last read, and reads is the number of all reads.
-	readAt map[carobnodeid.ID]carobinstant.Instant
-	reads  int
-	// missingHeld is true if a change does not end the reads that the store holds.
-	missingHeld bool
-	// evacuated has the data centres that the operator has evacuated, as of the position end.
-	evacuated []carobcentre.Centre
-	end       caroboffset.Offset
-	// silent has the nodes that get no response.
-	silent map[carobnodeid.ID]bool
-}
-
-// publish replaces the route table and wakes the reads that are held.
-func (s *store) publish(table *carobroutetable.RouteTable) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.table = table
-	if !s.missingHeld {
-		close(s.changed)
-		s.changed = make(chan struct{})
-	}
-}
-
-// missHeld makes the store end the reads that it holds only when their time is over.
-func (s *store) missHeld() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.missingHeld = true
-}
-
-func (s *store) readCount() int {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.reads
-}
-
-// begin records a read of a node.
-func (s *store) begin(node carobnodeid.ID) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.readAt[node] = s.timer.Now()
-	s.reads++
-}
-
-// silenceLastReaders makes the store give no response to the n nodes that read last.
-func (s *store) silenceLastReaders(n int) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for range n {
-		var last carobnodeid.ID
-		for node, at := range s.readAt {
-			if !s.silent[node] && (last == "" || s.readAt[last].Before(at)) {
-				last = node
-			}
-		}
-		s.silent[last] = true
-	}
-}
-
-// state returns the table, the channel that is closed when it changes, and whether a node
-// gets responses.
-func (s *store) state(node carobnodeid.ID) (*carobroutetable.RouteTable, chan struct{}, bool) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.table, s.changed, !s.silent[node]
-}
-
-// storeReader reads the store for one node.
-type storeReader struct {
-	store *store
-	node  carobnodeid.ID
-	mutex sync.Mutex
-	// returned is the version of the newest table that was returned.
-	returned carobrouteversion.Version
-	// evacuations are what the last response had of them.
-	evacuations carobevacuationlist.EvacuationList
-}
-
-// Evacuations returns what the last successful read found.
-func (r *storeReader) Evacuations() carobevacuationlist.EvacuationList {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return r.evacuations
-}
-
-// AwaitRoutes returns the store's table once it is newer than the last one returned, or
-// nil after wait. A node that the store gives no response gets an error after the timeout.
-func (r *storeReader) AwaitRoutes(ctx context.Context, wait time.Duration) (*carobroutetable.RouteTable, error) {
-	r.store.begin(r.node)
-	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
-	defer cancel()
-	held, release := context.WithTimeout(ctx, wait)
-	defer release()
-	for {
-		table, changed, answers := r.store.state(r.node)
-		if !answers {
-			<-ctx.Done()
-			return nil, ctx.Err()
-		}
-		if table.Version > r.version() || held.Err() != nil {
-			return r.respond(ctx, table)
-		}
-		select {
-		case <-held.Done():
-		case <-changed:
-		}
-	}
-}
-
-// respond returns the table if it is newer than the last one returned, or else nil.
-func (r *storeReader) respond(ctx context.Context, table *carobroutetable.RouteTable) (*carobroutetable.RouteTable, error) {
-	evacuations := r.store.listEvacuations()
-	if err := r.store.timer.Wait(ctx, storeDelay); err != nil {
-		return nil, err
-	}
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.evacuations = evacuations
-	if table.Version <= r.returned {
-		return nil, nil
-	}
-	r.returned = table.Version
-	return table, nil
-}
-
-func (r *storeReader) version() carobrouteversion.Version {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return r.returned
-}
-
 // clusterNode is a node without targets: its core, its control goroutine and its poller.
 type clusterNode struct {
 	id      carobnodeid.ID
@@ -278,9 +136,6 @@
 	}
 }
 
-// lastVersion is the version of the table that testNewTableIsAppliedInTime publishes.
-const lastVersion = 1000
-
 // publishOften publishes a table five times a second until lastVersion is there.
 func (c *cluster) publishOften() {
 	const interval = 200 * time.Millisecond
@@ -355,99 +210,3 @@
 	require.NoError(t, err)
 	return table
 }
-
-// Guards against calls that are handled by an old route table because the nodes that read the store get no response from it.
-func TestNodesApplyANewTableInTimeWhileTheReadersGetNoResponse(t *testing.T) {
-	const silenced = 4
-	testNewTableIsAppliedInTime(t, 12, func(c *cluster) { c.store.silenceLastReaders(silenced) })
-}
-
-// Guards against nodes that rely on others, or on a read that the store holds, to learn of a new route table.
-func TestNodesApplyANewTableInTime(t *testing.T) {
-	for _, test := range []struct {
-		name    string
-		size    int
-		disturb func(c *cluster)
-	}{
-		{"nothing fails", 12, func(*cluster) {}},
-		{"one node", 1, func(*cluster) {}},
-		{"no node receives messages of others", 12, func(c *cluster) { c.disconnected.Store(true) }},
-		{"held reads miss the new table", 12, func(c *cluster) { c.store.missHeld() }},
-		{"the readers are gone", 12, func(c *cluster) { c.stop(0, 1, 2) }},
-		{"tables change several times a second", 12, func(c *cluster) { c.publishOften() }},
-	} {
-		t.Run(test.name, func(t *testing.T) { testNewTableIsAppliedInTime(t, test.size, test.disturb) })
-	}
-}
-
-// Guards against nodes that keep an old route table since others, whose messages are slow, send them confirmations of it that look newer than they are.
-func TestNodesApplyANewTableInTimeWhileMessagesAreSlow(t *testing.T) {
-	const silenced = 4
-	for _, test := range []struct {
-		name    string
-		size    int
-		disturb func(c *cluster)
-	}{
-		{"of three nodes", 12, func(c *cluster) { c.delayMessages(300*time.Millisecond, 600*time.Millisecond, 3, 4, 8) }},
-		{"of the readers", 12, func(c *cluster) { c.delayMessages(300*time.Millisecond, 300*time.Millisecond, 0, 1, 2) }},
-		{"of all nodes", 12, func(c *cluster) {
-			c.delayMessages(300*time.Millisecond, 600*time.Millisecond, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11)
-		}},
-		{"of three nodes, and the readers get no response", 12, func(c *cluster) {
-			c.delayMessages(600*time.Millisecond, 600*time.Millisecond, 3, 7, 11)
-			c.store.silenceLastReaders(silenced)
-			require.NoError(c.t, c.timer.Wait(c.t.Context(), warmup))
-		}},
-		{"of a quarter of 60 nodes", 60, func(c *cluster) {
-			c.delayMessages(300*time.Millisecond, 600*time.Millisecond, 0, 4, 8, 12, 16, 20, 24, 28, 32, 36, 40, 44, 48, 52, 56)
-		}},
-	} {
-		t.Run(test.name, func(t *testing.T) { testNewTableIsAppliedInTime(t, test.size, test.disturb) })
-	}
-}
-
-// testNewTableIsAppliedInTime disturbs a cluster, publishes a new table some time later, and
-// requires that all nodes that the store answers route by it once the timeout has passed.
-func testNewTableIsAppliedInTime(t *testing.T, size int, disturb func(c *cluster)) {
-	t.Helper()
-	const step = 300 * time.Millisecond
-	for delay := time.Duration(0); delay < 3*time.Second; delay += step {
-		t.Run(delay.String(), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				c := newCluster(ctx, t, size)
-				require.NoError(t, c.timer.Wait(ctx, warmup))
-				disturb(c)
-				require.NoError(t, c.timer.Wait(ctx, delay))
-				c.store.publish(routesTo(t, lastVersion, "new"))
-				require.NoError(t, c.timer.Wait(ctx, applyTimeout))
-				for _, node := range c.nodes {
-					if _, _, answers := c.store.state(node.id); answers && !node.stopped {
-						require.EqualValues(t, "new", c.handledBy(ctx, node), "node %s", node.id)
-					}
-				}
-			})
-		})
-	}
-}
-
-// Guards against reads of the store, each of which has a price, that grow with the number of nodes.
-func TestConfirmationsTakeFewReads(t *testing.T) {
-	const maxReadsPerSecond = 2
-	for _, size := range []int{1, 3, 12, 60, 300} {
-		t.Run(strconv.Itoa(size), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				c := newCluster(ctx, t, size)
-				require.NoError(t, c.timer.Wait(ctx, warmup))
-				before := c.store.readCount()
-				const seconds = 20
-				require.NoError(t, c.timer.Wait(ctx, seconds*time.Second))
-				t.Logf("%d nodes: %.1f reads a second", size, float64(c.store.readCount()-before)/seconds)
-				require.LessOrEqual(t, c.store.readCount()-before, maxReadsPerSecond*seconds)
-			})
-		})
-	}
-}
--- /dev/null
+++ b/internal/carobroutepoller/store_test.go
@@ -0,0 +1,154 @@
+package carobroutepoller_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/carobknot/carobknot/internal/carobtimer"
+	"github.com/carobknot/carobknot/pkg/carobcentre"
+	"github.com/carobknot/carobknot/pkg/carobevacuationlist"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/carobnodeid"
+	"github.com/carobknot/carobknot/pkg/caroboffset"
+	"github.com/carobknot/carobknot/pkg/carobroutetable"
+	"github.com/carobknot/carobknot/pkg/carobrouteversion"
+)
+
+// store holds the operator's newest route table.
+type store struct {
+	timer *carobtimer.Timer
+	mutex sync.Mutex
+	table *carobroutetable.RouteTable
+	// changed is closed and replaced whenever the table changes.
+	changed chan struct{}
+	// readAt has when each node began its last read, and reads is the number of all reads.
+	readAt map[carobnodeid.ID]carobinstant.Instant
+	reads  int
+	// missingHeld is true if a change does not end the reads that the store holds.
+	missingHeld bool
+	// evacuated has the data centres that the operator has evacuated, as of the position end.
+	evacuated []carobcentre.Centre
+	end       caroboffset.Offset
+	// silent has the nodes that get no response.
+	silent map[carobnodeid.ID]bool
+}
+
+// publish replaces the route table and wakes the reads that are held.
+func (s *store) publish(table *carobroutetable.RouteTable) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.table = table
+	if !s.missingHeld {
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+}
+
+// missHeld makes the store end the reads that it holds only when their time is over.
+func (s *store) missHeld() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.missingHeld = true
+}
+
+func (s *store) readCount() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.reads
+}
+
+// begin records a read of a node.
+func (s *store) begin(node carobnodeid.ID) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.readAt[node] = s.timer.Now()
+	s.reads++
+}
+
+// silenceLastReaders makes the store give no response to the n nodes that read last.
+func (s *store) silenceLastReaders(n int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for range n {
+		var last carobnodeid.ID
+		for node, at := range s.readAt {
+			if !s.silent[node] && (last == "" || s.readAt[last].Before(at)) {
+				last = node
+			}
+		}
+		s.silent[last] = true
+	}
+}
+
+// state returns the table, the channel that is closed when it changes, and whether a node
+// gets responses.
+func (s *store) state(node carobnodeid.ID) (*carobroutetable.RouteTable, chan struct{}, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.table, s.changed, !s.silent[node]
+}
+
+// storeReader reads the store for one node.
+type storeReader struct {
+	store *store
+	node  carobnodeid.ID
+	mutex sync.Mutex
+	// returned is the version of the newest table that was returned.
+	returned carobrouteversion.Version
+	// evacuations are what the last response had of them.
+	evacuations carobevacuationlist.EvacuationList
+}
+
+// Evacuations returns what the last successful read found.
+func (r *storeReader) Evacuations() carobevacuationlist.EvacuationList {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.evacuations
+}
+
+// AwaitRoutes returns the store's table once it is newer than the last one returned, or
+// nil after wait. A node that the store gives no response gets an error after the timeout.
+func (r *storeReader) AwaitRoutes(ctx context.Context, wait time.Duration) (*carobroutetable.RouteTable, error) {
+	r.store.begin(r.node)
+	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
+	defer cancel()
+	held, release := context.WithTimeout(ctx, wait)
+	defer release()
+	for {
+		table, changed, answers := r.store.state(r.node)
+		if !answers {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		if table.Version > r.version() || held.Err() != nil {
+			return r.respond(ctx, table)
+		}
+		select {
+		case <-held.Done():
+		case <-changed:
+		}
+	}
+}
+
+// respond returns the table if it is newer than the last one returned, or else nil.
+func (r *storeReader) respond(ctx context.Context, table *carobroutetable.RouteTable) (*carobroutetable.RouteTable, error) {
+	evacuations := r.store.listEvacuations()
+	if err := r.store.timer.Wait(ctx, storeDelay); err != nil {
+		return nil, err
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.evacuations = evacuations
+	if table.Version <= r.returned {
+		return nil, nil
+	}
+	r.returned = table.Version
+	return table, nil
+}
+
+func (r *storeReader) version() carobrouteversion.Version {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.returned
+}
