--- a/pkg/carobconfirmation/confirmation.go
+++ b/pkg/carobconfirmation/confirmation.go
@@ -1,4 +1,4 @@
-// Package carobconfirmation holds what a node tells another one of how recent its route table is.
+// Package carobconfirmation holds the statement of a node to another one of how recent its route table is.
 package carobconfirmation
 
 import (
