--- a/pkg/carobrouteconfirmation/hops_test.go
+++ b/pkg/carobrouteconfirmation/network_test.go
@@ -16,8 +16,8 @@
 	"github.com/carobknot/carobknot/pkg/carobnodeid"
 )
 
-// hopNode is a node whose clock has an offset and a drift.
-type hopNode struct {
+// networkNode is a node whose clock has an offset and a drift.
+type networkNode struct {
 	*rig
 	offset time.Duration
 	drift  float64
@@ -26,7 +26,7 @@
 }
 
 // clock returns the node's clock at a time of the test.
-func (n *hopNode) clock(elapsed time.Duration) carobinstant.Instant {
+func (n *networkNode) clock(elapsed time.Duration) carobinstant.Instant {
 	return carobinstant.Instant(time.Hour).Add(n.offset + elapsed + time.Duration(n.drift*float64(elapsed)))
 }
 
@@ -36,11 +36,11 @@
 	arrivesAt time.Duration
 }
 
-// hops is a set of nodes that exchange messages of random length of way.
-type hops struct {
+// network is a set of nodes whose messages take random times.
+type network struct {
 	t       *testing.T
 	random  *rand.Rand
-	nodes   []*hopNode
+	nodes   []*networkNode
 	transit []transfer
 	elapsed time.Duration
 	// readAt is when the newest read of any node began.
@@ -50,65 +50,65 @@
 }
 
 // start starts a process at a place, with a clock of its own.
-func (h *hops) start(place int) *hopNode {
+func (n *network) start(place int) *networkNode {
 	const maxDrift = 0.0005
-	h.incarnation++
-	node := &hopNode{
-		rig: newRig(h.t), offset: time.Duration(h.random.Int64N(int64(time.Minute))), drift: (2*h.random.Float64() - 1) * maxDrift,
+	n.incarnation++
+	node := &networkNode{
+		rig: newRig(n.t), offset: time.Duration(n.random.Int64N(int64(time.Minute))), drift: (2*n.random.Float64() - 1) * maxDrift,
 	}
 	name := fmt.Sprintf("n%d", place)
-	node.world.Self.Node, node.world.Self.PeerAddress, node.world.Self.Incarnation = carobnodeid.ID(name), carobaddress.Address(name), h.incarnation
-	node.now = node.clock(h.elapsed)
+	node.world.Self.Node, node.world.Self.PeerAddress, node.world.Self.Incarnation = carobnodeid.ID(name), carobaddress.Address(name), n.incarnation
+	node.now = node.clock(n.elapsed)
 	return node
 }
 
 // send sends a message from a node to another one. It takes up to 3 s, or is lost.
-func (h *hops) send(from, to int) {
-	node := h.nodes[from]
+func (n *network) send(from, to int) {
+	node := n.nodes[from]
 	node.world.BeginTick(carobinbox.Inbox{})
-	node.world.SendMessage(carobmessage.Message{To: h.nodes[to].world.Self.PeerAddress})
-	node.world.EndTick(node.clock(h.elapsed))
-	if h.random.IntN(10) == 0 {
+	node.world.SendMessage(carobmessage.Message{To: n.nodes[to].world.Self.PeerAddress})
+	node.world.EndTick(node.clock(n.elapsed))
+	if n.random.IntN(10) == 0 {
 		return
 	}
-	longest := []time.Duration{5 * time.Millisecond, 300 * time.Millisecond, 3 * time.Second}[h.random.IntN(3)]
-	h.transit = append(h.transit, transfer{node.world.Outbox.Messages[0], h.elapsed + time.Duration(h.random.Int64N(int64(longest)))})
+	longest := []time.Duration{5 * time.Millisecond, 300 * time.Millisecond, 3 * time.Second}[n.random.IntN(3)]
+	n.transit = append(n.transit, transfer{node.world.Outbox.Messages[0], n.elapsed + time.Duration(n.random.Int64N(int64(longest)))})
 }
 
 // deliver passes the messages that have arrived to their nodes.
-func (h *hops) deliver() {
-	rest := h.transit[:0]
-	for _, moved := range h.transit {
-		var receiver *hopNode
-		for _, node := range h.nodes {
-			if node.world.Self.PeerAddress == moved.message.To {
+func (n *network) deliver() {
+	rest := n.transit[:0]
+	for _, sent := range n.transit {
+		var receiver *networkNode
+		for _, node := range n.nodes {
+			if node.world.Self.PeerAddress == sent.message.To {
 				receiver = node
 			}
 		}
-		if moved.arrivesAt > h.elapsed || receiver.pausedUntil > h.elapsed {
-			rest = append(rest, moved)
+		if sent.arrivesAt > n.elapsed || receiver.pausedUntil > n.elapsed {
+			rest = append(rest, sent)
 			continue
 		}
-		receiver.now = receiver.clock(h.elapsed)
-		receiver.step(0, carobinbox.Inbox{Messages: []carobmessage.Message{moved.message}})
+		receiver.now = receiver.clock(n.elapsed)
+		receiver.step(0, carobinbox.Inbox{Messages: []carobmessage.Message{sent.message}})
 	}
-	h.transit = rest
+	n.transit = rest
 }
 
 // act sends a message, and at times pauses or restarts a node, or lets one read.
-func (h *hops) act() {
-	place := h.random.IntN(len(h.nodes))
-	node := h.nodes[place]
-	switch h.random.IntN(60) {
+func (n *network) act() {
+	place := n.random.IntN(len(n.nodes))
+	node := n.nodes[place]
+	switch n.random.IntN(60) {
 	case 0:
-		node.pausedUntil = h.elapsed + time.Duration(h.random.Int64N(int64(5*time.Second)))
+		node.pausedUntil = n.elapsed + time.Duration(n.random.Int64N(int64(5*time.Second)))
 	case 1:
-		h.nodes[place] = h.start(place)
+		n.nodes[place] = n.start(place)
 	case 2:
-		node.now, h.readAt = node.clock(h.elapsed), h.elapsed
+		node.now, n.readAt = node.clock(n.elapsed), n.elapsed
 		node.confirm()
 	default:
-		h.send(place, (place+1+h.random.IntN(len(h.nodes)-1))%len(h.nodes))
+		n.send(place, (place+1+n.random.IntN(len(n.nodes)-1))%len(n.nodes))
 	}
 }
 
@@ -116,19 +116,19 @@
 func TestNoConfirmationIsYoungerThanItsRead(t *testing.T) {
 	taken := 0
 	for seed := range uint64(60) {
-		h := &hops{t: t, random: rand.New(rand.NewPCG(seed, 1))}
+		n := &network{t: t, random: rand.New(rand.NewPCG(seed, 1))}
 		for place := range 2 + int(seed%6) {
-			h.nodes = append(h.nodes, h.start(place))
+			n.nodes = append(n.nodes, n.start(place))
 		}
 		for range 600 {
-			h.elapsed += time.Duration(h.random.Int64N(int64(100 * time.Millisecond)))
-			h.act()
-			h.deliver()
-			for _, node := range h.nodes {
+			n.elapsed += time.Duration(n.random.Int64N(int64(100 * time.Millisecond)))
+			n.act()
+			n.deliver()
+			for _, node := range n.nodes {
 				if node.world.RoutesConfirmedAt != carobinstant.Never {
 					taken++
 				}
-				require.LessOrEqual(t, node.world.RoutesConfirmedAt, node.clock(h.readAt), "seed %d, node %s", seed, node.world.Self.Node)
+				require.LessOrEqual(t, node.world.RoutesConfirmedAt, node.clock(n.readAt), "seed %d, node %s", seed, node.world.Self.Node)
 			}
 		}
 	}
