Play slow messages at 1 and 80 nodes too, and start test clusters in one place

Cause: the test of slow messages had 12 and 60 nodes, and the incident was seen on 80; one node alone was played only without slow messages.

Change: the case of a quarter of 60 nodes is now one of 80, there is a case of one node, and reads are counted at 80 nodes too. The lines that start a cluster stood in four tests; runCluster has them. No check, bound or delay has changed, and each test still begins after the same warm-up.

--- a/internal/carobroutepoller/apply_test.go
+++ b/internal/carobroutepoller/apply_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"strconv"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -55,8 +54,9 @@
 			c.store.silenceLastReaders(silenced)
 			require.NoError(c.t, c.timer.Wait(c.t.Context(), warmup))
 		}},
-		{"of a quarter of 60 nodes", 60, func(c *cluster) {
-			c.delayMessages(300*time.Millisecond, 600*time.Millisecond, 0, 4, 8, 12, 16, 20, 24, 28, 32, 36, 40, 44, 48, 52, 56)
+		{"of a node that is alone", 1, func(c *cluster) { c.delayMessages(300*time.Millisecond, 600*time.Millisecond, 0) }},
+		{"of a quarter of 80 nodes", 80, func(c *cluster) {
+			c.delayMessages(300*time.Millisecond, 600*time.Millisecond, 0, 4, 8, 12, 16, 20, 24, 28, 32, 36, 40, 44, 48, 52, 56, 60, 64, 68, 72, 76)
 		}},
 	} {
 		t.Run(test.name, func(t *testing.T) { testNewTableIsAppliedInTime(t, test.size, test.disturb) })
@@ -70,18 +70,14 @@
 	const step = 300 * time.Millisecond
 	for delay := time.Duration(0); delay < 3*time.Second; delay += step {
 		t.Run(delay.String(), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				c := newCluster(ctx, t, size)
-				require.NoError(t, c.timer.Wait(ctx, warmup))
+			runCluster(t, size, func(ctx context.Context, c *cluster) {
 				disturb(c)
-				require.NoError(t, c.timer.Wait(ctx, delay))
-				c.store.publish(routesTo(t, lastVersion, "new"))
-				require.NoError(t, c.timer.Wait(ctx, applyTimeout))
+				require.NoError(c.t, c.timer.Wait(ctx, delay))
+				c.store.publish(routesTo(c.t, lastVersion, "new"))
+				require.NoError(c.t, c.timer.Wait(ctx, applyTimeout))
 				for _, node := range c.nodes {
 					if _, _, answers := c.store.state(node.id); answers && !node.stopped {
-						require.EqualValues(t, "new", c.handledBy(ctx, node), "node %s", node.id)
+						require.EqualValues(c.t, "new", c.handledBy(ctx, node), "node %s", node.id)
 					}
 				}
 			})
@@ -92,18 +88,14 @@
 // Guards against reads of the store, each of which has a price, that grow with the number of nodes.
 func TestConfirmationsTakeFewReads(t *testing.T) {
 	const maxReadsPerSecond = 2
-	for _, size := range []int{1, 3, 12, 60, 300} {
+	for _, size := range []int{1, 3, 12, 60, 80, 300} {
 		t.Run(strconv.Itoa(size), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				c := newCluster(ctx, t, size)
-				require.NoError(t, c.timer.Wait(ctx, warmup))
+			runCluster(t, size, func(ctx context.Context, c *cluster) {
 				before := c.store.readCount()
 				const seconds = 20
-				require.NoError(t, c.timer.Wait(ctx, seconds*time.Second))
-				t.Logf("%d nodes: %.1f reads a second", size, float64(c.store.readCount()-before)/seconds)
-				require.LessOrEqual(t, c.store.readCount()-before, maxReadsPerSecond*seconds)
+				require.NoError(c.t, c.timer.Wait(ctx, seconds*time.Second))
+				c.t.Logf("%d nodes: %.1f reads a second", size, float64(c.store.readCount()-before)/seconds)
+				require.LessOrEqual(c.t, c.store.readCount()-before, maxReadsPerSecond*seconds)
 			})
 		})
 	}
--- a/internal/carobroutepoller/cluster_test.go
+++ b/internal/carobroutepoller/cluster_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -98,6 +99,18 @@
 	return c
 }
 
+// runCluster runs a test in virtual time, with a cluster whose nodes know each other.
+func runCluster(t *testing.T, size int, run func(ctx context.Context, c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		c := newCluster(ctx, t, size)
+		require.NoError(t, c.timer.Wait(ctx, warmup))
+		run(ctx, c)
+	})
+}
+
 func address(i int) carobaddress.Address {
 	const perNetwork = 250
 	return carobaddress.Address(fmt.Sprintf("10.0.%d.%d:7002", i/perNetwork, i%perNetwork+1))
--- a/internal/carobroutepoller/evacuation_test.go
+++ b/internal/carobroutepoller/evacuation_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -71,18 +70,14 @@
 			const step = 700 * time.Millisecond
 			for delay := time.Duration(0); delay < 3*time.Second; delay += step {
 				t.Run(delay.String(), func(t *testing.T) {
-					synctest.Test(t, func(t *testing.T) {
-						ctx, cancel := context.WithCancel(t.Context())
-						defer cancel()
-						c := newCluster(ctx, t, nodes)
-						require.NoError(t, c.timer.Wait(ctx, warmup))
+					runCluster(t, nodes, func(ctx context.Context, c *cluster) {
 						test.disturb(c)
-						require.NoError(t, c.timer.Wait(ctx, delay))
+						require.NoError(c.t, c.timer.Wait(ctx, delay))
 						c.store.evacuate("c1")
-						require.NoError(t, c.timer.Wait(ctx, evacuationTimeout))
+						require.NoError(c.t, c.timer.Wait(ctx, evacuationTimeout))
 						for _, node := range c.nodes {
 							if !node.stopped {
-								require.True(t, c.evacuated(ctx, node, "c1"), "node %s", node.id)
+								require.True(c.t, c.evacuated(ctx, node, "c1"), "node %s", node.id)
 							}
 						}
 					})
@@ -94,19 +89,15 @@
 
 // Guards against an evacuation that some nodes keep after the operator has taken it back.
 func TestEvacuationEndsEverywhere(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		c := newCluster(ctx, t, 12)
-		require.NoError(t, c.timer.Wait(ctx, warmup))
+	runCluster(t, 12, func(ctx context.Context, c *cluster) {
 		c.store.evacuate("c1", "c2")
-		require.NoError(t, c.timer.Wait(ctx, evacuationTimeout))
+		require.NoError(c.t, c.timer.Wait(ctx, evacuationTimeout))
 		c.store.silenceLastReaders(4)
 		c.store.evacuate("c2")
-		require.NoError(t, c.timer.Wait(ctx, 2*evacuationTimeout))
+		require.NoError(c.t, c.timer.Wait(ctx, 2*evacuationTimeout))
 		for _, node := range c.nodes {
-			require.False(t, c.evacuated(ctx, node, "c1"), "node %s", node.id)
-			require.True(t, c.evacuated(ctx, node, "c2"), "node %s", node.id)
+			require.False(c.t, c.evacuated(ctx, node, "c1"), "node %s", node.id)
+			require.True(c.t, c.evacuated(ctx, node, "c2"), "node %s", node.id)
 		}
 	})
 }
