Let the latency of a node's own target decay while it has no calls

What callers saw: after an evacuation, or any time in which a target got no calls, its own node could go on to send all calls to other targets. In TestEvacuatedZoneGetsNoCalls target 1 got none of the calls through its own node for 20 s, while it was idle, ready and healthy; with the policy "local" no other node sends to it either before it is the better choice there.

Cause: a latency that is not measured any more decays towards the lowest one of the candidates, since "a target that was slow once would never be picked again". That was done for the reports of other nodes' targets only. For the node's own target the choice took the latency of the admission state as if it were current, and that one changes only with calls. One slow first call is enough: the estimate begins with it.

A trace of one of the failures has the candidates of each choice of node 1: target 1 with 11.667 ms, unchanged for all 20 s and with no call in flight, the others with 0.77 to 0.88 ms. Ruled out by the same trace: that the evacuation was still in force at some node, that the target was ejected, not ready or cold (it was a candidate with all 8 slots).

The fix: the admission state says how old its latency is (0 while jobs run), and the choice uses that age as it uses the age of a report. Load probes, which had this rule in a function of their own, use the same one.

TestOldReportsLoseWeight sets the age of the latency beside the age of the report, as the choice does now.

--- a/pkg/carobadmissionstate/admissionstate.go
+++ b/pkg/carobadmissionstate/admissionstate.go
@@ -94,6 +94,15 @@
 	return min(a.RateLimit, a.ColdLimit)
 }
 
+// LatencyAge returns how long ago Latency was up to date: 0 while jobs run, and otherwise the time
+// since the start of the newest call that contributed to it.
+func (a *AdmissionState) LatencyAge(now carobinstant.Instant) time.Duration {
+	if a.Running > 0 || a.LatencyStart == carobinstant.Never {
+		return 0
+	}
+	return now.Sub(a.LatencyStart)
+}
+
 // SetWarmupLeft records how much longer the target has said that it is cold; 0 if it is warm.
 func (a *AdmissionState) SetWarmupLeft(now carobinstant.Instant, left time.Duration) {
 	a.Warm, a.ColdEnd = left <= 0, carobinstant.Never
--- a/pkg/carobprobing/system.go
+++ b/pkg/carobprobing/system.go
@@ -106,10 +106,7 @@
 // decayedLatency returns a target's latency. It decays while the target has no
 // calls; otherwise a target that was slow once would never be picked again.
 func decayedLatency(state *carobadmissionstate.AdmissionState, now carobinstant.Instant) time.Duration {
-	if state.Running > 0 || state.LatencyStart == carobinstant.Never {
-		return state.Latency
-	}
-	return time.Duration(float64(state.Latency) * math.Exp(-float64(now.Sub(state.LatencyStart))/float64(latencyDecay)))
+	return time.Duration(float64(state.Latency) * math.Exp(-float64(state.LatencyAge(now))/float64(latencyDecay)))
 }
 
 // storeReport replaces the report of a target whose load is tracked.
--- a/pkg/carobrouting/candidate.go
+++ b/pkg/carobrouting/candidate.go
@@ -40,6 +40,9 @@
 	reportedAt carobinstant.Instant
 	// reportAge is the time since the report was received; 0 for this node's own target.
 	reportAge time.Duration
+	// latencyAge is the time since latency was up to date: reportAge, and for this node's own
+	// target the time for which it has had no calls.
+	latencyAge time.Duration
 	// load is the target's row in World.Loads.
 	load *carobload.Load
 }
--- a/pkg/carobrouting/estimate.go
+++ b/pkg/carobrouting/estimate.go
@@ -5,14 +5,14 @@
 	"time"
 )
 
-// latencyDecay is the time constant of the exponential decay of a reported
-// latency towards the lowest latency of all candidates. A target that receives
-// no calls sends no new reports, so without the decay a target that was slow
-// once would never be picked again.
+// latencyDecay is the time constant of the exponential decay of a latency
+// towards the lowest latency of all candidates. The latency of a target that
+// receives no calls does not change, so without the decay a target that was
+// slow once would never be picked again.
 const latencyDecay = 1500 * time.Millisecond
 
-// estimateLoads sets inFlight of all candidates, and lowers high latencies of
-// old reports.
+// estimateLoads sets inFlight of all candidates, and lowers high latencies that
+// are old.
 //
 // A report of the calls in flight is out of date once those calls have ended,
 // so its weight decays with the target's own latency as time constant. The rest
@@ -37,7 +37,7 @@
 		fallback := meanReported + float64(cd.load.OpenAttempts) - meanOpen
 		cd.inFlight = max(0, reportWeight*cd.reportedCalls+(1-reportWeight)*fallback)
 		if cd.latency > lowest {
-			cd.latency = lowest + time.Duration(float64(cd.latency-lowest)*math.Exp(-float64(cd.reportAge)/float64(latencyDecay)))
+			cd.latency = lowest + time.Duration(float64(cd.latency-lowest)*math.Exp(-float64(cd.latencyAge)/float64(latencyDecay)))
 		}
 	}
 }
--- a/pkg/carobrouting/estimate_test.go
+++ b/pkg/carobrouting/estimate_test.go
@@ -15,7 +15,7 @@
 	withReportAge := func(age time.Duration) []candidate {
 		candidates := newCandidates([]float64{12, 2, 4}, []time.Duration{200 * ms, 20 * ms, 20 * ms})
 		for i := range candidates {
-			candidates[i].reportAge = age
+			candidates[i].reportAge, candidates[i].latencyAge = age, age
 			candidates[i].load.OpenAttempts = i
 		}
 		return candidates
--- a/pkg/carobrouting/system.go
+++ b/pkg/carobrouting/system.go
@@ -191,13 +191,14 @@
 func setReportedLoad(world *carobworld.World, now carobinstant.Instant, target *carobtarget.Target, added *candidate) {
 	if state := world.AdmissionStates.Get(target.ID); state != nil && world.Owns(target) {
 		added.reportedCalls, added.latency, added.reportedAt = float64(state.Running+state.Queued), state.Latency, now
+		added.latencyAge = state.LatencyAge(now)
 		added.limitSlots(state.CallLimit())
 		return
 	}
 	report := &added.load.Report
 	added.reportedCalls = float64(report.Running + report.Queued + added.load.SentSinceReport)
 	added.reportAge = now.Sub(added.load.ReportedAt)
-	added.latency = report.Latency.Duration()
+	added.latency, added.latencyAge = report.Latency.Duration(), added.reportAge
 	if !isColdLimit(world, target.ID, report.RateLimit) || added.reportAge <= maxColdReportAge {
 		added.limitSlots(report.RateLimit)
 	}
