--- a/review/_standin-3/main.go
+++ b/review/_standin-3/main.go
@@ -7,8 +7,9 @@
 
 // cases has the cases by the name that run.sh passes.
 var cases = map[string]func(*rig) (broken bool, err error){
-	"refused": refused,
-	"slots":   slots,
+	"pipeline": pipeline,
+	"refused":  refused,
+	"slots":    slots,
 }
 
 func main() {
