--- a/review/_standin-3/server.go
+++ b/review/_standin-3/server.go
@@ -46,6 +46,8 @@
 	fails func() string
 	// mute returns whether a request is never answered.
 	mute func() bool
+	// onRun is called with the ID of each request that the server begins to work on.
+	onRun func(id string)
 	// bodyBytes is the length of the body of a success; 0 for a short one.
 	bodyBytes int
 }
@@ -56,6 +58,7 @@
 		born: time.Now().UnixMilli(), places: make(chan struct{}, slots), stopped: make(chan struct{}), conns: map[net.Conn]struct{}{},
 		healthy: func() bool { return true }, late: func(bool) bool { return false },
 		fails: func() string { return "" }, mute: func() bool { return false },
+		onRun: func(string) {},
 	}
 	s.state.Store("ready")
 	return s
@@ -168,6 +171,7 @@
 	s.running.Add(1)
 	defer s.running.Add(-1)
 	s.rig.ran(s, request, body)
+	s.onRun(id)
 	if s.mute() {
 		s.rig.note("mute", s.id, id)
 		time.Sleep(time.Until(deadline.Add(time.Second)))
