--- a/review/_standin-3/main.go
+++ b/review/_standin-3/main.go
@@ -8,6 +8,7 @@
 // cases has the cases by the name that run.sh passes.
 var cases = map[string]func(*rig) (broken bool, err error){
 	"closing":  closing,
+	"drained":  drained,
 	"pipeline": pipeline,
 	"refused":  refused,
 	"slots":    slots,
