Replace case 11 of the third review: no recovery among old names

Change: review/11 and the stand-ins; hooks that only the dropped case used are gone. None to the program.

--- a/review/_standin-3/client.go
+++ b/review/_standin-3/client.go
@@ -72,12 +72,3 @@
 	a.body = string(data)
 	return err
 }
-
-// isPromise reports whether a status promises that the request has not run and never will.
-func isPromise(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
--- a/review/_standin-3/drained.go
+++ b/review/_standin-3/drained.go
@@ -8,6 +8,11 @@
 	"time"
 )
 
+// deskConfig has a route for declarations, which may run once.
+const deskConfig = `{"version":"00000007","services":[{"name":"desk","health-path":"/health","max-connections":220,"protocol":"h1","tls":false}],
+"limits":{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout-s":3,"idle-timeout-s":15},"virtual-hosts":[{"host":"desk.example","paths":[
+{"name":"r-declare","path-prefix":"/declare/","kind":"unsafe","timeout-s":1.5,"target-latency-s":0.5,"priority":1,"service":"desk","max-attempts":2}]}]}`
+
 const (
 	// clockStep is by how much the time of day of a machine is ahead, at first.
 	clockStep = 3570 * time.Millisecond
--- a/review/_standin-3/main.go
+++ b/review/_standin-3/main.go
@@ -9,8 +9,8 @@
 var cases = map[string]func(*rig) (broken bool, err error){
 	"closing":  closing,
 	"drained":  drained,
+	"names":    names,
 	"pipeline": pipeline,
-	"refused":  refused,
 	"slots":    slots,
 }
 
--- a/review/_standin-3/server.go
+++ b/review/_standin-3/server.go
@@ -37,11 +37,6 @@
 	once     sync.Once
 	mutex    sync.Mutex
 	conns    map[net.Conn]struct{}
-	// healthy returns whether the server answers its health check with 200.
-	healthy func() bool
-	// late returns whether a response that was just sent is to be sent once more, at the point
-	// where the next response on the connection is expected.
-	late func(health bool) bool
 	// fails returns the body of an error with which a request is to be answered; empty if it is not.
 	fails func() string
 	// mute returns whether a request is never answered.
@@ -56,7 +51,6 @@
 	s := &server{
 		rig: r, id: id, service: service, address: n.ip + ":8301", zone: n.zone, control: n.ip + ":8306", slots: slots, work: work,
 		born: time.Now().UnixMilli(), places: make(chan struct{}, slots), stopped: make(chan struct{}), conns: map[net.Conn]struct{}{},
-		healthy: func() bool { return true }, late: func(bool) bool { return false },
 		fails: func() string { return "" }, mute: func() bool { return false },
 		onRun: func(string) {},
 	}
@@ -108,7 +102,6 @@
 		s.mutex.Unlock()
 	}()
 	reader := bufio.NewReader(conn)
-	var extra []byte
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
 		request, err := http.ReadRequest(reader)
@@ -119,31 +112,21 @@
 		if err != nil {
 			return
 		}
-		if extra != nil {
-			s.rig.note("extra", s.id, request.Header.Get("X-Request-Id"), firstLine(extra))
-			if _, err := conn.Write(extra); err != nil {
-				return
-			}
-			extra = nil
-		}
 		health := request.Method == http.MethodGet && request.URL.Path == "/health"
-		response := s.respond(conn, request, body, health)
+		response := s.respond(request, body, health)
 		if response == nil {
 			return
 		}
 		if _, err := conn.Write(response); err != nil {
 			return
 		}
-		if s.late(health) {
-			extra = response
-		}
 	}
 }
 
-func (s *server) respond(conn net.Conn, request *http.Request, body []byte, health bool) []byte {
+func (s *server) respond(request *http.Request, body []byte, health bool) []byte {
 	id := request.Header.Get("X-Request-Id")
 	switch {
-	case health && s.state.Load() == "ready" && s.healthy():
+	case health && s.state.Load() == "ready":
 		return s.response(200, "", "X-Instance-Id: "+s.id+"\r\n", "")
 	case health:
 		return s.response(503, "", "X-Instance-Id: "+s.id+"\r\n", "")
@@ -236,8 +219,3 @@
 	defer func() { _ = response.Body.Close() }()
 	return response.StatusCode/100 == 2
 }
-
-func firstLine(text []byte) string {
-	line, _, _ := strings.Cut(string(text), "\r\n")
-	return line
-}
--- a/review/_standin-3/store.go
+++ b/review/_standin-3/store.go
@@ -5,8 +5,10 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -102,22 +104,37 @@
 	_, _ = w.Write(data)
 }
 
+// pageItems is the largest number of records in a page of the newest ones.
+const pageItems = 500
+
 func (s *store) newest(w http.ResponseWriter, r *http.Request) {
-	topic := r.URL.Query().Get("topic")
+	topic, after := r.URL.Query().Get("topic"), r.URL.Query().Get("after")
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	items := []item{}
-	at := map[string]int{}
+	newest := map[string]item{}
 	for offset, record := range s.topics[topic] {
-		next := item{record.key, base64.StdEncoding.EncodeToString(record.value), offset}
-		if i, ok := at[record.key]; ok {
-			items[i] = next
-			continue
+		newest[record.key] = item{record.key, base64.StdEncoding.EncodeToString(record.value), offset}
+	}
+	items := []item{}
+	for _, key := range slices.Sorted(maps.Keys(newest)) {
+		if key > after {
+			items = append(items, newest[key])
+		}
+	}
+	more := len(items) > pageItems
+	writeJSON(w, map[string]any{"items": items[:min(len(items), pageItems)], "has-more": more, "end": len(s.topics[topic])})
+}
+
+// newestOf returns the value of the newest record of a key.
+func (s *store) newestOf(topic, key string) []byte {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, record := range slices.Backward(s.topics[topic]) {
+		if record.key == key {
+			return record.value
 		}
-		at[record.key] = len(items)
-		items = append(items, next)
 	}
-	writeJSON(w, map[string]any{"items": items, "has-more": false, "end": len(s.topics[topic])})
+	return nil
 }
 
 func (s *store) length(topic string) int {
