Say that a connection closes with its last response only

Cause: ClosesAfter of internal/carobserver returned "closing" for any response. That is set for all connections 2.5 s after SIGTERM, when the server stops listening, while responses are pending. Ruled out: draining before that moment (the stop "drain" of the test was green before), and a reset (all responses arrive, with the wrong head).

Change: a response says so only if no other one is pending. What is sent behind it is not read, so that clients can send it again. "Connection: close" of a request and refusals are unaffected: nothing is read behind them.

Places read: shutdown, Drain, Close called twice, Yield, closeIfIdle, makeRoom, reject, Remove, discard, linger; the front end of our own headers; the server for attempts of other nodes and the pools, which have one request at a time on a connection; reload of the settings, which closes nothing.

--- a/internal/carobserver/conn.go
+++ b/internal/carobserver/conn.go
@@ -253,18 +253,19 @@
 	pipelined.SendResponse(resp)
 }
 
-// ClosesAfter reports whether the connection closes after the answer to pipelined. If
-// it does, no further request is accepted. A draining server closes a connection with
-// the last pending answer.
+// ClosesAfter reports whether the answer to pipelined is to say that the connection
+// closes. Only the last answer may say so, because a caller discards what follows it and
+// sends the other requests again, although targets run them. A draining server closes a
+// connection once an answer is the last one.
 func (c *conn) ClosesAfter(pipelined *carobpipelinedrequest.PipelinedRequest) bool {
 	draining := c.server.isDraining()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	alone := len(c.pending) == 1 && !c.reading
-	if pipelined.ClosesAfter() || draining && alone {
+	last := len(c.pending) == 1
+	if pipelined.ClosesAfter() || draining && last && !c.reading {
 		c.closing = true
 	}
-	return c.closing
+	return c.closing && last
 }
 
 // ExtendDeadline extends the write deadline by Config.StallTimeout.
