Refuse requests that are read while their connection closes

Callers saw: a connection ends at a planned stop without a response that says so, though a request on it had begun to arrive, or had arrived and waited for its turn behind a long response whose head was sent before the stop. They cannot tell whether the request was run.

Cause: "closing" of internal/carobserver also kept refusals from being sent, so that reject and serveNext ended without a response. Ruled out by the test: the request was passed on (it never was).

Change: a new field, final, is true once no response may follow: one has said that the connection closes, or the connection is broken. A request that is read, in part or whole, while closing is true and final is not, is refused with "leaving" (503, not run), which closes. If another response is still to come, that one closes instead, and the request counts as not read, which is better for its caller. The read deadline that ends such a read can no longer be replaced by a later one (setReadTimeout). A connection that closes already is left alone by shutdown, which cut its reading short.

--- a/internal/carobserver/close_test.go
+++ b/internal/carobserver/close_test.go
@@ -144,6 +144,28 @@
 	require.Equal(t, answersTo("/2", "/3"), f.readToEnd())
 }
 
+// Guards against a request that has begun to arrive when the server stops, and gets no response that says that it was not run.
+func TestRequestsThatAStopInterruptsAreRefused(t *testing.T) {
+	for name, text := range map[string]string{
+		"half a header": "GET /1 HTTP/1.1\nHost:",
+		"half a body":   "POST /1 HTTP/1.1\nHost: a\nContent-Length: 2\n\nh",
+		"half a chunk":  "POST /1 HTTP/1.1\nHost: a\nTransfer-Encoding: chunked\n\n2\nh",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			awaitRead := f.dialRead()
+			f.send(text)
+			awaitRead()
+			f.closeServer()
+			resp := f.read()
+			require.Equal(t, carobkind.Leaving.Status(), resp.StatusCode())
+			require.True(t, resp.ConnectionClose())
+			f.requireClosed()
+			require.Empty(t, f.handler.arrived)
+		})
+	}
+}
+
 // streamHandler answers /stream with a body that the test writes, and leaves other
 // requests to handler.
 type streamHandler struct {
@@ -183,6 +205,39 @@
 	return f, rest, awaitRead
 }
 
+// Guards against a connection that ends, without a response that says so, behind a long response that had begun before the stop: the client cannot know whether what it sent meanwhile was run.
+func TestRequestBehindAResponseThatHadBegunIsRefused(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		// late is true if the request begins to arrive after the stop.
+		late bool
+	}{
+		{"half a body", "POST /2 HTTP/1.1\nHost: a\nContent-Length: 2\n\nh", false},
+		{"half a header", "GET /2 HTTP/1.1\nHost:", false},
+		{"half a header, after the stop", "GET /2 HTTP/1.1\nHost:", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f, rest, awaitRead := newStreamFixture(t)
+			if c.late {
+				f.closeServer()
+			}
+			f.send(c.text)
+			awaitRead()
+			if !c.late {
+				f.closeServer()
+			}
+			_, err := rest.Write([]byte("last"))
+			require.NoError(t, err)
+			require.NoError(t, rest.Close())
+			bodies := f.readToEnd()
+			require.Len(t, bodies, 2)
+			require.Equal(t, "first last", bodies[0])
+			require.Equal(t, "the connection is closing", bodies[1])
+			require.Empty(t, f.handler.arrived)
+		})
+	}
+}
+
 // Guards against a request of a kind that runs beside others, passed on behind a response that has begun, whose answer is lost at a stop.
 func TestRequestsBehindALongResponseAreAnswered(t *testing.T) {
 	f, rest, _ := newStreamFixture(t)
--- a/internal/carobserver/conn.go
+++ b/internal/carobserver/conn.go
@@ -37,14 +37,17 @@
 	writer *bufio.Writer
 	mutex  sync.Mutex
 	// pending holds the requests without an answer, in the order of their arrival.
-	// It is guarded by mutex, as are reading and closing.
+	// It is guarded by mutex, as are reading, closing and final.
 	pending []*carobpipelinedrequest.PipelinedRequest
 	// lastDone is closed when the newest request is done.
 	lastDone <-chan struct{}
 	// reading is true while a request is being read.
 	reading bool
-	// closing is true once no further request is accepted.
+	// closing is true once no further request is passed on.
 	closing bool
+	// final is true once no further response may be sent: one says that the connection
+	// closes, or the connection is broken. It implies closing.
+	final bool
 	// idleSince is when the connection last had no request left, or was accepted. It is
 	// guarded by mutex.
 	idleSince carobinstant.Instant
@@ -101,19 +104,18 @@
 		return false
 	}
 	config := &c.server.config
-	_ = c.SetReadDeadline(config.Timer.WallTime().Add(config.HeaderTimeout))
+	c.limitRead(config.HeaderTimeout)
 	config.Connections.BeginRequest(c.id)
 	received := &receivedRequest{request: &fasthttp.Request{}}
 	received.request.Header.SetNoDefaultContentType(true)
-	if err := c.readRequest(received); err != nil {
-		c.reject(received, err)
-		return false
-	}
-	if !c.awaitSlot(received) {
-		return false
+	err := c.receive(received)
+	config.Connections.EndRequest(c.id)
+	var pipelined *carobpipelinedrequest.PipelinedRequest
+	if err == nil {
+		pipelined, err = c.addRequest(received)
 	}
-	pipelined := c.addRequest(received)
-	if pipelined == nil {
+	if err != nil {
+		c.reject(received, err)
 		return false
 	}
 	go c.handle(pipelined, received.reserved)
@@ -126,7 +128,7 @@
 }
 
 // awaitRequest waits for the first byte of a request. It returns false if the
-// connection failed or is closing.
+// connection failed, or if no response may follow.
 func (c *conn) awaitRequest() bool {
 	if c.reader.Buffered() == 0 {
 		c.mutex.Lock()
@@ -137,7 +139,19 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.reading = err == nil
-	return c.reading && !c.closing
+	return c.reading && !c.final
+}
+
+// receive reads a request and waits until it may run. The error has the kind of the refusal.
+func (c *conn) receive(received *receivedRequest) error {
+	err := c.readRequest(received)
+	if err == nil {
+		err = c.awaitSlot(received)
+	}
+	if carobkind.Of(err) == carobkind.RequestTimeout && c.isClosing() {
+		return errClosing()
+	}
+	return err
 }
 
 // discard reads until the caller disconnects or the last answer was sent. What the caller
@@ -158,12 +172,28 @@
 // request is pending, and removes the read deadline otherwise. The mutex must be
 // held.
 func (c *conn) setIdleDeadline() {
-	if len(c.pending) == 0 {
-		c.idleSince = c.server.config.Timer.Now()
-		_ = c.SetReadDeadline(c.server.config.Timer.WallTime().Add(c.server.config.IdleTimeout))
+	if len(c.pending) > 0 {
+		_ = c.SetReadDeadline(time.Time{})
 		return
 	}
-	_ = c.SetReadDeadline(time.Time{})
+	c.idleSince = c.server.config.Timer.Now()
+	c.setReadTimeout(c.server.config.IdleTimeout)
+}
+
+// limitRead limits the time of the next reads of a request.
+func (c *conn) limitRead(timeout time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.setReadTimeout(timeout)
+}
+
+// setReadTimeout sets the read deadline. It has passed already if the request that is being
+// read is to be refused. The mutex must be held.
+func (c *conn) setReadTimeout(timeout time.Duration) {
+	if c.yielding.Load() || c.closing && len(c.pending) == 0 {
+		timeout = 0
+	}
+	_ = c.SetReadDeadline(c.server.config.Timer.WallTime().Add(timeout))
 }
 
 // readBody reads the whole body of a request. If the caller waits for "100
@@ -171,8 +201,8 @@
 func (c *conn) readBody(received *receivedRequest) error {
 	req := received.request
 	if req.MayContinue() {
-		if !c.awaitSlot(received) {
-			return io.ErrClosedPipe
+		if err := c.awaitSlot(received); err != nil {
+			return err
 		}
 		if _, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return err
@@ -184,12 +214,12 @@
 	return c.receiveBody(received)
 }
 
-// awaitSlot waits until a request may run beside the pending ones. It returns
-// false if the connection is closing. Only GET and HEAD run beside others: if the
-// connection closes after an earlier answer, the caller assumes that later
+// awaitSlot waits until a request may run beside the pending ones. It returns an
+// error if the connection is closing. Only GET and HEAD run beside others: if the
+// connection breaks after an earlier answer, the caller assumes that later
 // requests were not read and sends them again. Such requests have to be
 // idempotent. Together they hold at most maxPendingSize, or are a single one.
-func (c *conn) awaitSlot(received *receivedRequest) bool {
+func (c *conn) awaitSlot(received *receivedRequest) error {
 	limit := 1
 	if header := &received.request.Header; header.IsGet() || header.IsHead() {
 		limit = c.server.config.MaxPipelined
@@ -199,31 +229,54 @@
 		free, closing := len(c.pending) == 0 || len(c.pending) < limit && c.pendingSize+received.reserved <= maxPendingSize, c.closing
 		c.mutex.Unlock()
 		if closing {
-			return false
+			return errClosing()
 		}
 		if free {
-			return true
+			return nil
 		}
 		<-c.slotFreed
 	}
 }
 
-// addRequest appends a request to the pending ones. It returns nil if the
+// addRequest appends a request to the pending ones. It returns an error if the
 // connection is closing.
-func (c *conn) addRequest(received *receivedRequest) *carobpipelinedrequest.PipelinedRequest {
-	c.server.config.Connections.EndRequest(c.id)
+func (c *conn) addRequest(received *receivedRequest) (*carobpipelinedrequest.PipelinedRequest, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.closing {
-		return nil
+		return nil, errClosing()
 	}
-	pipelined := carobpipelinedrequest.NewPipelinedRequest(carobpipelinedrequest.Config{
-		Request: received.request, Body: received.body, Connection: c, Writer: c.writer, PreviousDone: c.lastDone,
-	})
+	pipelined := c.append(received)
 	if c.yielding.Load() {
 		// The request was complete before its client could be told that it stalls.
 		pipelined.SetCloseAfter()
 	}
+	return pipelined, nil
+}
+
+// addRefusal appends a request that is refused, after which the connection closes. It
+// returns nil if no response may follow. If the connection is closing already, it waits for
+// the last answer, which then says so: the caller takes the request for one that was not
+// read, and need not be refused.
+func (c *conn) addRefusal(received *receivedRequest) *carobpipelinedrequest.PipelinedRequest {
+	if c.isClosing() {
+		<-c.lastDone
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.final {
+		return nil
+	}
+	pipelined := c.append(received)
+	pipelined.SetCloseAfter()
+	return pipelined
+}
+
+// append appends a request to the pending ones. The mutex must be held.
+func (c *conn) append(received *receivedRequest) *carobpipelinedrequest.PipelinedRequest {
+	pipelined := carobpipelinedrequest.NewPipelinedRequest(carobpipelinedrequest.Config{
+		Request: received.request, Body: received.body, Connection: c, Writer: c.writer, PreviousDone: c.lastDone,
+	})
 	c.reading = false
 	c.pendingSize += received.reserved
 	c.lastDone = pipelined.Done()
@@ -231,9 +284,9 @@
 	return pipelined
 }
 
-// reject answers a malformed request after the pending answers, and closes the
-// connection. An error of kind Internal means that the connection is broken, so
-// that there is no answer.
+// reject refuses a request after the pending answers, and closes the connection. An
+// error of kind Internal means that the connection is broken, so that there is no
+// answer.
 func (c *conn) reject(received *receivedRequest, err error) {
 	if carobkind.Of(err) == carobkind.Internal {
 		return
@@ -242,17 +295,27 @@
 	empty := &fasthttp.Request{}
 	empty.Header.SetMethodBytes(received.request.Header.Method())
 	received.request, received.body = empty, nil
-	pipelined := c.addRequest(received)
+	pipelined := c.addRefusal(received)
 	if pipelined == nil {
 		return
 	}
 	c.release(received.reserved)
 	resp := &fasthttp.Response{}
 	c.server.config.Handler.Reject(resp, err)
-	pipelined.SetCloseAfter()
 	pipelined.SendResponse(resp)
 }
 
+// errClosing returns the error for a request that is read while its connection closes.
+func errClosing() error {
+	return carobkind.New(carobkind.Leaving, "the connection is closing")
+}
+
+func (c *conn) isClosing() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.closing
+}
+
 // ClosesAfter reports whether the answer to pipelined is to say that the connection
 // closes. Only the last answer may say so, because a caller discards what follows it and
 // sends the other requests again, although targets run them. A draining server closes a
@@ -265,7 +328,10 @@
 	if pipelined.ClosesAfter() || draining && last && !c.reading {
 		c.closing = true
 	}
-	return c.closing && last
+	if c.closing && last {
+		c.final = true
+	}
+	return c.final
 }
 
 // ExtendDeadline extends the write deadline by Config.StallTimeout.
@@ -284,9 +350,9 @@
 			break
 		}
 	}
-	c.closing = c.closing || !complete
 	switch {
 	case !complete:
+		c.closing, c.final = true, true
 		_ = c.Close()
 	case c.closing && len(c.pending) == 0:
 		_ = c.SetReadDeadline(c.server.config.Timer.WallTime())
@@ -300,10 +366,14 @@
 	}
 }
 
-// shutdown closes the connection after the pending answers.
+// shutdown closes the connection after the pending answers. It does nothing if the
+// connection is closing already.
 func (c *conn) shutdown() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.closing {
+		return
+	}
 	c.closing = true
 	if len(c.pending) == 0 {
 		_ = c.SetReadDeadline(c.server.config.Timer.WallTime())
--- a/internal/carobserver/receive.go
+++ b/internal/carobserver/receive.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net"
-	"os"
 
 	"github.com/valyala/fasthttp"
 
@@ -74,7 +73,7 @@
 	case c.reading && !receiving:
 		return false
 	default:
-		c.closing = true
+		c.closing, c.final = true, true
 		_ = c.Close()
 		return true
 	}
@@ -125,6 +124,9 @@
 	if err := carobheader.Check(header); err != nil {
 		return err
 	}
+	if c.isClosing() {
+		return errClosing()
+	}
 	if c.refused {
 		return carobkind.New(carobkind.Busy, "the limit of connections, which is %d, or that of their memory is reached", c.server.config.MaxConnections)
 	}
@@ -296,11 +298,7 @@
 // Read reads from the body.
 func (r stallingReader) Read(into []byte) (int, error) {
 	if r.conn.reader.Buffered() == 0 {
-		config := &r.conn.server.config
-		_ = r.conn.SetReadDeadline(config.Timer.WallTime().Add(config.StallTimeout))
-		if r.conn.yielding.Load() {
-			return 0, os.ErrDeadlineExceeded
-		}
+		r.conn.limitRead(r.conn.server.config.StallTimeout)
 	}
 	return r.source.Read(into)
 }
--- a/internal/carobserver/room.go
+++ b/internal/carobserver/room.go
@@ -80,7 +80,7 @@
 	if len(c.pending) > 0 || c.reading || c.closing {
 		return false
 	}
-	c.closing = true
+	c.closing, c.final = true, true
 	_ = c.Close()
 	return true
 }
