--- a/internal/carobserver/close_test.go
+++ b/internal/carobserver/close_test.go
@@ -171,8 +171,6 @@
 type streamHandler struct {
 	*handler
 	body io.ReadCloser
-	// began is closed when the response to /stream is about to be sent.
-	began chan struct{}
 }
 
 func (h streamHandler) Handle(pipelined *carobpipelinedrequest.PipelinedRequest) {
@@ -181,7 +179,7 @@
 		return
 	}
 	h.arrived <- "/stream"
-	pipelined.SendAnswer(&carobanswer.Answer{Response: &fasthttp.Response{}, Length: -1, Body: h.body})
+	_ = pipelined.SendAnswer(&carobanswer.Answer{Response: &fasthttp.Response{}, Length: -1, Body: h.body})
 }
 
 // newStreamFixture returns a fixture whose client has got the beginning of a response to
