Let only newer route tables replace others in the tests' store

Cause: the fault is the test's. publishOften looks at the table and then publishes the next one in two steps, and the test publishes the last table on a goroutine of its own. Five publications a second meet the test's steps of 300 ms at 600 ms, 1.2 s, 1.8 s and 2.4 s; if the last table comes between the two steps, an older one replaces it in the store, and the nodes are right to route by that.

Change: the stand-in of the store ignores a table that is not newer, as one step under its mutex. What the test requires is unchanged. Ruled out: a node that keeps the old table, as then other delays would fail too.

--- a/internal/carobroutepoller/store_test.go
+++ b/internal/carobroutepoller/store_test.go
@@ -34,10 +34,14 @@
 	silent map[carobnodeid.ID]bool
 }
 
-// publish replaces the route table and wakes the reads that are held.
+// publish replaces the route table by a newer one and wakes the reads that are held. A table
+// that is not newer is ignored, since two publishers may act at the same instant.
 func (s *store) publish(table *carobroutetable.RouteTable) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if table.Version <= s.table.Version {
+		return
+	}
 	s.table = table
 	if !s.missingHeld {
 		close(s.changed)
