Send "100 Continue" with a write deadline of its own

Callers saw: a connection ends without a response if its last response was sent more than the stall time-out (30 s by default) before they ask for "100 Continue". They cannot know whether the request was read, and send it again on another connection, or fail it.

Cause: the write deadline of the response before still held, so that the write of "100 Continue" failed at once; a failed write counts as a broken connection, which ends without a word.

Change: the write gets a deadline of its own, as each response does. Related places read: responses and their chunks extend the deadline already, and nothing else is written on a connection.

Result: TestContinueIsSentLongAfterAResponse failed before (EOF), and passes now.

--- a/internal/carobserver/close_test.go
+++ b/internal/carobserver/close_test.go
@@ -249,6 +249,30 @@
 	require.Equal(t, append([]string{"first "}, answersTo("/2", "/3")...), f.readToEnd())
 }
 
+// requireContinue requires that the next thing on the connection is a response with the status 100.
+func (f *fixture) requireContinue() {
+	f.t.Helper()
+	const response = "HTTP/1.1 100 Continue\r\n\r\n"
+	got := make([]byte, len(response))
+	n, err := io.ReadFull(f.reader, got)
+	require.NoError(f.t, err, "the connection ends after %q", got[:n])
+	require.Equal(f.t, response, string(got))
+}
+
+// Guards against a connection that ends because "100 Continue" is written with the write deadline of a response that was sent long before.
+func TestContinueIsSentLongAfterAResponse(t *testing.T) {
+	const stallTimeout = 50 * time.Millisecond
+	f := newFixtureWith(t, func(c *carobserver.Config) { c.StallTimeout = stallTimeout })
+	close(f.handler.release("/1"))
+	f.get("/1")
+	require.Equal(t, "answer to /1 ", string(f.read().Body()))
+	pause(t, 2*stallTimeout)
+	f.send("POST /1 HTTP/1.1\nHost: a\nExpect: 100-continue\nContent-Length: 2\n\n")
+	f.requireContinue()
+	f.send("hi")
+	require.Equal(t, "answer to /1 hi", string(f.read().Body()))
+}
+
 // Guards against a malformed or incomplete request, or one for which there is no memory, that ends the connection before the requests ahead of it are answered.
 func TestRefusalsComeBehindTheAnswers(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/carobserver/conn.go
+++ b/internal/carobserver/conn.go
@@ -204,6 +204,7 @@
 		if err := c.awaitSlot(received); err != nil {
 			return err
 		}
+		c.ExtendDeadline()
 		if _, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return err
 		}
