Send "100 Continue" only between responses

Callers saw: within the body of a response that is being sent, "HTTP/1.1 100 Continue" begins, so that they can read neither that response nor those behind it, although the calls run.

Cause: a GET or HEAD runs beside the requests before it, also one whose caller waits for "100 Continue", and that line is written at once, not in the order of the responses.

Change: a request whose caller waits for "100 Continue" waits until no other is pending, as a POST does.

Result: TestContinueIsSentBetweenResponses failed before for a GET ("empty hex number" where the next chunk of the response should begin), not for a POST; both pass five times in a row now.

--- a/internal/carobserver/close_test.go
+++ b/internal/carobserver/close_test.go
@@ -273,6 +273,25 @@
 	require.Equal(t, "answer to /1 hi", string(f.read().Body()))
 }
 
+// Guards against "100 Continue" within a response that is being sent.
+func TestContinueIsSentBetweenResponses(t *testing.T) {
+	for name, method := range map[string]string{"that runs beside others": "GET", "that does not": "POST"} {
+		t.Run(name, func(t *testing.T) {
+			f, rest, _ := newStreamFixture(t)
+			f.send(method + " /2 HTTP/1.1\nHost: a\nExpect: 100-continue\nContent-Length: 2\n\n")
+			pause(t, 50*time.Millisecond)
+			_, err := rest.Write([]byte("last"))
+			require.NoError(t, err)
+			require.NoError(t, rest.Close())
+			require.Equal(t, "first last", string(f.read().Body()))
+			f.requireContinue()
+			f.send("hi")
+			close(f.handler.release("/2"))
+			require.Equal(t, "answer to /2 hi", string(f.read().Body()))
+		})
+	}
+}
+
 // Guards against a malformed or incomplete request, or one for which there is no memory, that ends the connection before the requests ahead of it are answered.
 func TestRefusalsComeBehindTheAnswers(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/carobserver/conn.go
+++ b/internal/carobserver/conn.go
@@ -219,10 +219,11 @@
 // error if the connection is closing. Only GET and HEAD run beside others: if the
 // connection breaks after an earlier answer, the caller assumes that later
 // requests were not read and sends them again. Such requests have to be
-// idempotent. Together they hold at most maxPendingSize, or are a single one.
+// idempotent. Together they hold at most maxPendingSize, or are a single one. A request whose
+// caller waits for "100 Continue" runs beside none, since that must not come within a response.
 func (c *conn) awaitSlot(received *receivedRequest) error {
-	limit := 1
-	if header := &received.request.Header; header.IsGet() || header.IsHead() {
+	limit, req := 1, received.request
+	if (req.Header.IsGet() || req.Header.IsHead()) && !req.MayContinue() {
 		limit = c.server.config.MaxPipelined
 	}
 	for {
