Send "100 Continue" with a deadline of its own at our front end and between nodes

Callers saw, at the front end of our own headers: the connection ends without a response if its last one is older than the stall time-out when they ask for "100 Continue". Between nodes: the target's node admits an attempt whose body is longer than 4 KiB, the connection ends before its "100 Continue", and the call takes a retry or, where none is left, fails with "cut".

The HTTP library sets a write deadline for a response and leaves it there; its "100 Continue" does not set one.

Change: the two functions that agree to a body set a new deadline first, after the attempt was admitted.

--- a/internal/carobadmitter/serve.go
+++ b/internal/carobadmitter/serve.go
@@ -54,6 +54,8 @@
 	}
 	context.AfterFunc(job.context, job.abandon)
 	ctx.SetUserValue(incomingJobKey{}, job)
+	// The deadline of the response before may have passed.
+	_ = ctx.Conn().SetWriteDeadline(a.config.Timer.WallTime().Add(a.config.StallTimeout))
 	return fasthttp.StatusContinue
 }
 
--- a/internal/carobfrontend/frontend.go
+++ b/internal/carobfrontend/frontend.go
@@ -9,6 +9,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -236,5 +237,12 @@
 		f.reject(ctx, call, err)
 		return ctx.Response.StatusCode()
 	}
+	// The deadline of the response before may have passed.
+	_ = ctx.Conn().SetWriteDeadline(f.writeDeadline())
 	return fasthttp.StatusContinue
 }
+
+// writeDeadline returns until when the caller has to accept bytes that are sent now.
+func (f *FrontEnd) writeDeadline() time.Time {
+	return f.config.Timer.WallTime().Add(f.config.Limits.StallTimeout.Duration())
+}
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -85,8 +85,14 @@
 	for _, seed := range seeds {
 		quoted += `"` + seed + `",`
 	}
+	return startNodeWith(t, name, log, `"seeds": [`+quoted+`]`)
+}
+
+// startNodeWith starts a node with more settings than those that every node needs.
+func startNodeWith(t *testing.T, name, log, more string) *process {
+	t.Helper()
 	settings := `{"name": "` + name + `", "region": "bavaria", "centre": "west", "log": "` + log + `",
-		"call": "127.0.0.1:0", "peer": "127.0.0.1:0", "admin": "127.0.0.1:0", "seeds": [` + quoted + `]}`
+		"call": "127.0.0.1:0", "peer": "127.0.0.1:0", "admin": "127.0.0.1:0", ` + more + `}`
 	file := filepath.Join(t.TempDir(), name+".json")
 	require.NoError(t, os.WriteFile(file, []byte(settings), 0o600))
 	return start(t, "node", "-settings", file)
--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -2,11 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
+	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -14,48 +15,64 @@
 	"github.com/stretchr/testify/require"
 )
 
-// stopTest is a node whose calls a target holds, with a client that has sent one call.
+// stopTest is a node with a client that has one connection, and a target. The target answers
+// calls of /fast at once, sends the first half of its answer to /stream at once, and holds
+// everything else.
 type stopTest struct {
 	node   *process
 	conn   net.Conn
 	reader *bufio.Reader
-	// arrived receives the path of each call that the target has got, and release lets all of
+	// arrived receives the path of each call that the target holds, and release lets all of
 	// them end once it is closed.
 	arrived chan string
 	release chan struct{}
 }
 
-// newStopTest starts a node whose shutdown may take the given time, and returns once the
-// target has the call of /1.
-func newStopTest(t *testing.T, shutdownTimeout string) *stopTest {
+// newStopTest starts a node with the given settings, and returns once it has the target.
+func newStopTest(t *testing.T, settings string) *stopTest {
 	t.Helper()
 	log := start(t, "log", "-listen", "127.0.0.1:0").addresses["log"]
-	file := filepath.Join(t.TempDir(), "node.json")
-	require.NoError(t, os.WriteFile(file, []byte(`{"name": "one", "region": "bavaria", "centre": "west", "log": "`+log+`", "grace": "`+shutdownTimeout+`",
-		"call": "127.0.0.1:0", "peer": "127.0.0.1:0", "admin": "127.0.0.1:0"}`), 0o600))
-	s := &stopTest{node: start(t, "node", "-settings", file), arrived: make(chan string, 8), release: make(chan struct{})}
+	s := &stopTest{node: startNodeWith(t, "one", log, settings), arrived: make(chan string, 8), release: make(chan struct{})}
 	output, code := run("publish", "-log", log, "../examples/profiles/lookups.json")
 	require.Equal(t, 0, code, output)
-	address := startHTTPTarget(t, func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != "/ready" {
-			s.arrived <- r.URL.Path
-			<-s.release
-		}
-		_, _ = io.WriteString(w, "answer to "+r.URL.Path)
-	})
-	announce(t, s.node, "lookups/stand", address, 8)
+	announce(t, s.node, "lookups/stand", startHTTPTarget(t, s.serve), 8)
 	pair := nodePair{near: s.node}
 	pair.waitForService(t, "lookups")
 	s.conn, s.reader = pair.dial(t)
-	s.get(t, "/1")
-	require.Equal(t, "/1", awaitEvent(t, s.arrived, "the call did not reach the target"))
 	return s
 }
 
+// serve handles a request at the target.
+func (s *stopTest) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/stream" {
+		// Longer than what a node buffers before it sends the header.
+		_, _ = io.WriteString(w, strings.Repeat("x", 64<<10))
+		_ = http.NewResponseController(w).Flush()
+	}
+	if r.URL.Path != "/ready" && r.URL.Path != "/fast" {
+		s.arrived <- r.URL.Path
+		<-s.release
+	}
+	body, _ := io.ReadAll(r.Body)
+	_, _ = io.WriteString(w, "answer to "+r.URL.Path+string(body))
+}
+
+// await waits until the target has got a call.
+func (s *stopTest) await(t *testing.T, path string) {
+	t.Helper()
+	require.Equal(t, path, awaitEvent(t, s.arrived, "the call did not reach the target"))
+}
+
 // get sends a call.
 func (s *stopTest) get(t *testing.T, path string) {
 	t.Helper()
-	_, err := io.WriteString(s.conn, "GET "+path+" HTTP/1.1\r\nHost: lookups\r\nCarobknot-Deadline: 20000\r\n\r\n")
+	s.send(t, "GET "+path+" HTTP/1.1\r\nHost: lookups\r\nCarobknot-Deadline: 20000\r\n\r\n")
+}
+
+// send sends bytes of calls.
+func (s *stopTest) send(t *testing.T, text string) {
+	t.Helper()
+	_, err := io.WriteString(s.conn, text)
 	require.NoError(t, err)
 }
 
@@ -72,6 +89,19 @@
 	}, 20*time.Second, time.Millisecond, "the node listens no more")
 }
 
+// read reads a response that does not say that the connection closes.
+func (s *stopTest) read(t *testing.T) (body string) {
+	t.Helper()
+	resp, err := http.ReadResponse(s.reader, nil)
+	require.NoError(t, err)
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, http.StatusOK, resp.StatusCode, string(data))
+	require.False(t, resp.Close)
+	return string(data)
+}
+
 // readLast reads a response, requires that it is the last one and says so, and that the
 // connection ends without a reset. It returns the status.
 func (s *stopTest) readLast(t *testing.T) int {
@@ -89,7 +119,9 @@
 
 // Guards against a stop that resets the connection behind the last response, because the client has sent more calls, so that the client loses the response or takes it for lost.
 func TestStopEndsConnectionsBehindTheLastResponse(t *testing.T) {
-	s := newStopTest(t, "20s")
+	s := newStopTest(t, `"grace": "20s"`)
+	s.get(t, "/1")
+	s.await(t, "/1")
 	s.get(t, "/2")
 	s.stop(t)
 	s.get(t, "/3")
@@ -102,10 +134,49 @@
 
 // Guards against a process that exits at the end of its grace period before the calls under way get their last response.
 func TestLastResponsesAreSentAtTheEndOfTheGracePeriod(t *testing.T) {
-	s := newStopTest(t, "1s")
+	s := newStopTest(t, `"grace": "1s"`)
 	defer close(s.release)
+	s.get(t, "/1")
+	s.await(t, "/1")
 	s.node.signal(t, syscall.SIGTERM)
 	require.Equal(t, http.StatusBadGateway, s.readLast(t))
 	require.NoError(t, s.conn.Close())
 	require.NoError(t, s.node.command.Wait())
 }
+
+// Guards against a connection that ends because "100 Continue" is written with the write deadline of a response that was sent long before.
+func TestNodeSendsContinueLongAfterAResponse(t *testing.T) {
+	s := newStopTest(t, `"limits": {"stall": "1s"}`)
+	s.get(t, "/fast")
+	require.Equal(t, "answer to /fast", s.read(t))
+	require.NoError(t, clock.Wait(t.Context(), 1500*time.Millisecond))
+	s.send(t, "POST /fast HTTP/1.1\r\nHost: lookups\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+	line, err := s.reader.ReadString('\n')
+	require.NoError(t, err)
+	require.Equal(t, "HTTP/1.1 100 Continue\r\n", line)
+	_, err = s.reader.Discard(len("\r\n"))
+	require.NoError(t, err)
+	s.send(t, "hi")
+	require.Equal(t, "answer to /fasthi", s.read(t))
+}
+
+// Guards against an attempt that another node has admitted and that takes a retry, or fails, because its "100 Continue" is written with the write deadline of a response that was sent long before.
+func TestPeerSendsContinueLongAfterAResponse(t *testing.T) {
+	log := start(t, "log", "-listen", "127.0.0.1:0").addresses["log"]
+	pair := nodePair{near: startNodeWith(t, "near", log, `"retries": {"slack": 0, "save": 0}`), far: startNodeWith(t, "far", log, `"limits": {"stall": "1s"}`), log: log}
+	output, code := run("publish", "-log", log, "../examples/profiles/lookups.json")
+	require.Equal(t, 0, code, output)
+	pair.announceTarget(t, "lookups", startHTTPTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		_, _ = fmt.Fprint(w, n)
+	}))
+	// Longer than what a node sends together with the header.
+	const size = 64 << 10
+	for range 2 {
+		require.NoError(t, clock.Wait(t.Context(), 1500*time.Millisecond))
+		resp, err := sendCall(pair.near, "lookups", strings.Repeat("x", size))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, resp.status, resp.body)
+		require.Equal(t, strconv.Itoa(size), resp.body)
+	}
+}
