Send each response of our own front end when it is ready

Callers saw: a client sends two calls at once on a connection of the front end of our own headers; the first is answered at once, but its response arrives only when the second call has ended, so after its deadline or, at a stop, not at all if the process ends first.

Cause: the HTTP library holds a response back while it has read another request, to send both in one packet.

Change: the handler sets the write deadline itself, with which the library sends a response before it takes the next request. The library's other way (ReduceMemoryUsage) would read the first byte of each request by itself.

Result: TestResponseIsSentWhileTheNextCallRuns failed before (no response within 5 s while the second call runs), and passes.

--- a/internal/carobfrontend/frontend.go
+++ b/internal/carobfrontend/frontend.go
@@ -133,8 +133,16 @@
 	f.exchanges.Execute(out)
 }
 
-// handle runs a call from the received header to the end of its answer.
+// handle handles a call, and makes the HTTP library send its response at once. Without a
+// deadline that the handler has set, the library holds a response back until the next
+// request that it has read already is handled as well.
 func (f *FrontEnd) handle(ctx *fasthttp.RequestCtx) {
+	f.run(ctx)
+	_ = ctx.SetWriteDeadline(f.writeDeadline())
+}
+
+// run runs a call from the received header to the end of its answer.
+func (f *FrontEnd) run(ctx *fasthttp.RequestCtx) {
 	call := f.newCallID()
 	arrivedAt := f.config.Timer.Now()
 	arrival, err := parseArrival(call, &ctx.Request.Header)
--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -144,6 +144,16 @@
 	require.NoError(t, s.node.command.Wait())
 }
 
+// Guards against a response that is held back until the next call of its connection ends.
+func TestResponseIsSentWhileTheNextCallRuns(t *testing.T) {
+	s := newStopTest(t, `"grace": "20s"`)
+	defer close(s.release)
+	s.send(t, "GET /fast HTTP/1.1\r\nHost: lookups\r\n\r\nGET /1 HTTP/1.1\r\nHost: lookups\r\nCarobknot-Deadline: 20000\r\n\r\n")
+	s.await(t, "/1")
+	require.NoError(t, s.conn.SetReadDeadline(clock.WallTime().Add(5*time.Second)))
+	require.Equal(t, "answer to /fast", s.read(t))
+}
+
 // Guards against a connection that ends because "100 Continue" is written with the write deadline of a response that was sent long before.
 func TestNodeSendsContinueLongAfterAResponse(t *testing.T) {
 	s := newStopTest(t, `"limits": {"stall": "1s"}`)
