Answer what was sent behind a response that had begun before a stop

Callers saw, at the front end of our own headers: the head of a long response is sent, then the node is stopped; the connection ends behind that response, which does not say so, without an answer to a call that was sent behind it. Mostly the kernel resets the connection because of the unread call, and the client loses the long response as well.

Cause: the HTTP library adds "Connection: close" to responses from its shutdown on, but ends the connection also behind one whose head was sent before; and it does not count a connection as one with a call once the response is sent, so that nothing waited for the client to read it.

Evidence: TestCallsBehindAResponseThatHadBegunGetAResponse, played on the code before: all four cases ended by "connection reset by peer" in place of the first response or the second.

Change: the front end stops by itself; the library is not told. Each response from then on says that the connection closes. Behind one that did not, the connection is read for 10 ms more, and a call that has begun to arrive is served. A connection without a call closes at once, or 5 s after its opening if it had none yet, as before. Each connection that has had a call is read on for at most 2 s when it closes, so that nothing is lost by a reset.

--- a/internal/carobfrontend/frontend.go
+++ b/internal/carobfrontend/frontend.go
@@ -7,7 +7,6 @@
 	"context"
 	"math"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -66,11 +65,8 @@
 	// buffered is the size in bytes that is reserved for the buffered bodies of all
 	// calls.
 	buffered atomic.Int64
-	shutdown sync.Once
-	// closed is closed when all connections are closed after Shutdown. shutdownErr is set
-	// before.
-	closed      chan struct{}
-	shutdownErr error
+	// conns are the open connections. The HTTP library's server does not know of a stop.
+	conns *callerConns
 }
 
 // unlimitedBody is the library's limit of a body. It is larger than any body, so
@@ -79,9 +75,12 @@
 
 // NewFrontEnd returns a front end that does not listen yet.
 func NewFrontEnd(c Config) *FrontEnd {
-	f := &FrontEnd{config: c, closed: make(chan struct{}), exchanges: carobexchange.NewExchanges(carobexchange.Config{
+	f := &FrontEnd{config: c, exchanges: carobexchange.NewExchanges(carobexchange.Config{
 		Mailbox: c.Mailbox, Relay: c.Relay, Timer: c.Timer, Dialect: callerDialect{},
-	})}
+	}), conns: &callerConns{
+		timer: c.Timer, limit: c.Limits.Connections, headerTimeout: c.Limits.HeaderTimeout.Duration(),
+		open: map[*callerConn]struct{}{}, ended: make(chan struct{}),
+	}}
 	f.server = &fasthttp.Server{
 		Handler:                      f.handle,
 		ExpectHandler:                f.handleExpect,
@@ -95,7 +94,6 @@
 		DisablePreParseMultipartForm: true,
 		NoDefaultServerHeader:        true,
 		NoDefaultContentType:         true,
-		CloseOnShutdown:              true,
 		ConnState:                    trackState,
 		Logger:                       noLogger{},
 	}
@@ -104,25 +102,24 @@
 
 // Serve accepts and serves connections until Shutdown.
 func (f *FrontEnd) Serve(listener net.Listener) error {
-	return f.server.Serve(&boundedListener{Listener: listener, timer: f.config.Timer, limit: int64(f.config.Limits.Connections)})
+	if !f.conns.listen(listener) {
+		return listener.Close()
+	}
+	return f.server.Serve(&boundedListener{Listener: listener, conns: f.conns})
 }
 
 // Drain does nothing: Shutdown closes each connection after its answer.
 func (f *FrontEnd) Drain() {}
 
-// Shutdown stops listening, makes each connection close after its response, and returns
-// when all connections are closed or ctx ends. It may be called again to wait for longer:
-// the HTTP library's server would take up its connections again when ctx ends.
+// Shutdown stops listening, makes each connection close behind its last response, and returns
+// when all connections are closed or ctx ends. It may be called again to wait for longer. The
+// HTTP library's own shutdown would end a connection without a word if the stop comes after
+// the head of its response was sent.
 func (f *FrontEnd) Shutdown(ctx context.Context) error {
-	f.shutdown.Do(func() {
-		go func() {
-			f.shutdownErr = f.server.Shutdown()
-			close(f.closed)
-		}()
-	})
+	f.conns.stop()
 	select {
-	case <-f.closed:
-		return f.shutdownErr
+	case <-f.conns.ended:
+		return nil
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -133,11 +130,15 @@
 	f.exchanges.Execute(out)
 }
 
-// handle handles a call, and makes the HTTP library send its response at once. Without a
-// deadline that the handler has set, the library holds a response back until the next
-// request that it has read already is handled as well.
+// handle handles a call. Its response says that the connection closes if the front end stops,
+// since nothing behind it has been read. It is sent at once: without a deadline that the handler
+// has set, the HTTP library holds a response back until the next request that it has read
+// already is handled as well.
 func (f *FrontEnd) handle(ctx *fasthttp.RequestCtx) {
 	f.run(ctx)
+	if f.conns.isStopping() {
+		ctx.SetConnectionClose()
+	}
 	_ = ctx.SetWriteDeadline(f.writeDeadline())
 }
 
--- a/internal/carobfrontend/listener.go
+++ b/internal/carobfrontend/listener.go
@@ -6,14 +6,12 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/carobknot/carobknot/internal/carobheader"
-	"github.com/carobknot/carobknot/internal/carobtimer"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 )
 
@@ -26,10 +24,7 @@
 // limit.
 type boundedListener struct {
 	net.Listener
-	timer *carobtimer.Timer
-	// limit is the maximum number of open connections, and open their number.
-	limit int64
-	open  atomic.Int64
+	conns *callerConns
 }
 
 // Accept waits for the next connection below the limit.
@@ -39,8 +34,8 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &callerConn{Conn: conn, listener: l}
-		if l.open.Add(1) <= l.limit {
+		c := &callerConn{Conn: conn, conns: l.conns, openedAt: l.conns.timer.WallTime()}
+		if l.conns.add(c) {
 			return c, nil
 		}
 		c.refuse()
@@ -50,11 +45,71 @@
 // callerConn is a connection of a caller.
 type callerConn struct {
 	net.Conn
-	listener *boundedListener
-	// linger is true from the first byte of a call until its response has been sent: if the
-	// connection closes then, the caller may still be sending.
-	linger atomic.Bool
-	once   sync.Once
+	conns    *callerConns
+	openedAt time.Time
+	once     sync.Once
+	mutex    sync.Mutex
+	// active is true from the first byte of a call until its response has been sent: if the
+	// connection closes then, the caller may still be sending. It and the fields below are
+	// guarded by mutex.
+	active bool
+	// used is true once the connection has had a call.
+	used bool
+	// stopping is true once the connection is to close as soon as it has no call.
+	stopping bool
+}
+
+// stop makes the connection close as soon as it has no call.
+func (c *callerConn) stop() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.stopping = true
+	if !c.active {
+		_ = c.Conn.SetReadDeadline(c.closesAt())
+	}
+}
+
+// closesAt returns until when the connection waits for a call at a stop. The mutex is held.
+func (c *callerConn) closesAt() time.Time {
+	if !c.used {
+		return c.openedAt.Add(firstCallTimeout)
+	}
+	return c.conns.timer.WallTime().Add(behindTimeout)
+}
+
+// SetReadDeadline sets the read deadline. At a stop, a connection waits no longer for a call
+// than closesAt says.
+func (c *callerConn) SetReadDeadline(deadline time.Time) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.stopping && !c.active {
+		deadline = c.closesAt()
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// begin records that the first byte of a call has arrived.
+func (c *callerConn) begin() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.active, c.used = true, true
+	if c.stopping {
+		_ = c.Conn.SetReadDeadline(c.conns.timer.WallTime().Add(c.conns.headerTimeout))
+	}
+}
+
+// finish records that the response to a call has been sent.
+func (c *callerConn) finish() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.active = false
+}
+
+// lingers reports whether the caller may be sending while the connection closes.
+func (c *callerConn) lingers() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.active || c.stopping && c.used
 }
 
 // SyscallConn gives access to the file descriptor, which carobdisconnectwatch needs. It
@@ -67,11 +122,11 @@
 	return syscallConn.SyscallConn()
 }
 
-// Close closes the connection. If linger is set, it does so in the background,
+// Close closes the connection. If the caller may be sending, it does so in the background,
 // once the caller has had time to read the response.
 func (c *callerConn) Close() error {
 	c.once.Do(func() {
-		if c.linger.Load() {
+		if c.lingers() {
 			go c.drainAndClose()
 			return
 		}
@@ -83,7 +138,7 @@
 // closeNow closes the connection and frees its place below the limit.
 func (c *callerConn) closeNow() {
 	_ = c.Conn.Close()
-	c.listener.open.Add(-1)
+	c.conns.remove(c)
 }
 
 // drainAndClose closes the sending side, discards what the caller still sends,
@@ -95,21 +150,21 @@
 	if !ok || tcpConn.CloseWrite() != nil {
 		return
 	}
-	_ = tcpConn.SetReadDeadline(c.listener.timer.WallTime().Add(lingerTimeout))
+	_ = tcpConn.SetReadDeadline(c.conns.timer.WallTime().Add(lingerTimeout))
 	_, _ = io.Copy(io.Discard, tcpConn)
 }
 
 // refuse answers a connection above the limit with an error and closes it.
 func (c *callerConn) refuse() {
 	kind := carobkind.Busy
-	body := fmt.Sprintf("%s: the limit of %d connections is reached\n", kind, c.listener.limit)
+	body := fmt.Sprintf("%s: the limit of %d connections is reached\n", kind, c.conns.limit)
 	response := fmt.Sprintf("HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Type: text/plain; charset=utf-8\r\n"+
 		"%s: %s\r\n%s: %s\r\nRetry-After: %d\r\nContent-Length: %d\r\n\r\n%s",
 		kind.Status(), http.StatusText(kind.Status()), carobheader.Outcome, kind.Outcome(), carobheader.ErrorKind, kind,
 		int(kind.RetryAfter()/time.Second), len(body), body)
-	_ = c.SetWriteDeadline(c.listener.timer.WallTime().Add(lingerTimeout))
+	_ = c.SetWriteDeadline(c.conns.timer.WallTime().Add(lingerTimeout))
 	_, _ = io.WriteString(c.Conn, response)
-	c.linger.Store(true)
+	c.begin()
 	_ = c.Close()
 }
 
@@ -121,8 +176,8 @@
 	}
 	switch state {
 	case fasthttp.StateActive:
-		c.linger.Store(true)
+		c.begin()
 	case fasthttp.StateIdle:
-		c.linger.Store(false)
+		c.finish()
 	}
 }
--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -144,6 +144,49 @@
 	require.NoError(t, s.node.command.Wait())
 }
 
+// Guards against a stop while a response is sent whose head says nothing of it, after which the connection ends without a response that says so: the client cannot know whether what it sent behind was run.
+func TestCallsBehindAResponseThatHadBegunGetAResponse(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// before and after are sent before and after the stop.
+		before, after string
+	}{
+		{"sent before the stop", "GET /2 HTTP/1.1\r\nHost: lookups\r\n\r\n", ""},
+		{"sent after the stop", "", "GET /2 HTTP/1.1\r\nHost: lookups\r\n\r\n"},
+		{"half before and half after", "GET /2 HTTP/1.1\r\nHost:", " lookups\r\n\r\n"},
+		{"a body after the stop", "POST /2 HTTP/1.1\r\nHost: lookups\r\nContent-Length: 2\r\n\r\nh", "i"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newStopTest(t, `"grace": "20s"`)
+			s.get(t, "/stream")
+			s.await(t, "/stream")
+			_, err := s.reader.Peek(1)
+			require.NoError(t, err, "the head of the response was sent")
+			s.send(t, c.before)
+			s.stop(t)
+			s.send(t, c.after)
+			close(s.release)
+			require.Contains(t, s.read(t), "answer to /stream")
+			s.readLast(t)
+			require.NoError(t, s.conn.Close())
+			require.NoError(t, s.node.command.Wait())
+		})
+	}
+}
+
+// Guards against a stop that waits for connections without a call.
+func TestStopClosesIdleConnections(t *testing.T) {
+	s := newStopTest(t, `"grace": "20s"`)
+	s.get(t, "/fast")
+	require.Equal(t, "answer to /fast", s.read(t))
+	stopped := clock.Now()
+	s.node.signal(t, syscall.SIGTERM)
+	_, err := s.reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.NoError(t, s.node.command.Wait())
+	require.Less(t, clock.Now().Sub(stopped), 10*time.Second)
+}
+
 // Guards against a response that is held back until the next call of its connection ends.
 func TestResponseIsSentWhileTheNextCallRuns(t *testing.T) {
 	s := newStopTest(t, `"grace": "20s"`)
