Stop a node in order at a hang-up

Callers saw: a SIGHUP to carobknot ends the process at once, in the middle of its calls, whether or not it is stopping: connections end without a word. Found by a soak of our own front end that sends one.

Cause: no handler; the default action of the signal is to end the process. The platform's node has one and reloads its settings; carobknot has no settings to reload while it runs.

Change: a hang-up is a planned stop, like SIGTERM, unless the process was started to ignore it, as by nohup. A later one during a stop changes nothing.

--- a/internal/carobcommand/command.go
+++ b/internal/carobcommand/command.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"strings"
 	"syscall"
@@ -103,7 +104,7 @@
 		_, _ = fmt.Fprintf(std.err, "carobknot %s: %s; see 'carobknot %s -help'\n", command.name, err, command.name)
 		return exitUsage
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := signal.NotifyContext(context.Background(), endSignals()...)
 	defer stop()
 	if err := runCommand(ctx, std, flags.Args()); err != nil {
 		_, _ = fmt.Fprintf(std.err, "carobknot %s: %s\n", command.name, err)
@@ -112,6 +113,17 @@
 	return exitSuccess
 }
 
+// endSignals returns the signals that end a subcommand. A hang-up is one unless the process
+// was started to outlive it, as by nohup; without a handler it would end a node in the
+// middle of its calls.
+func endSignals() []os.Signal {
+	signals := []os.Signal{syscall.SIGTERM, syscall.SIGINT}
+	if !signal.Ignored(syscall.SIGHUP) {
+		signals = append(signals, syscall.SIGHUP)
+	}
+	return signals
+}
+
 // usageError is an error in the arguments of a command.
 type usageError string
 
--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -4,6 +4,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"os/signal"
 	"syscall"
 	"testing"
 	"time"
@@ -93,3 +95,37 @@
 	require.NoError(t, s.node.command.Wait())
 	require.Less(t, clock.Now().Sub(stopped), 10*time.Second)
 }
+
+// deliverHangUps makes the processes that a test starts get hang-ups even if the test itself
+// was started to ignore them, as by nohup.
+func deliverHangUps(t *testing.T) {
+	t.Helper()
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	t.Cleanup(func() { signal.Stop(hangUps) })
+}
+
+// Guards against a hang-up that ends the process in the middle of its calls, before or during a stop.
+func TestHangUpIsAPlannedStop(t *testing.T) {
+	deliverHangUps(t)
+	for name, signals := range map[string][]syscall.Signal{
+		"alone":       {syscall.SIGHUP},
+		"twice":       {syscall.SIGHUP, syscall.SIGHUP},
+		"in a stop":   {syscall.SIGTERM, syscall.SIGHUP},
+		"before stop": {syscall.SIGHUP, syscall.SIGTERM},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newConnectionTest(t, `"grace": "20s"`)
+			s.get(t, "/1")
+			s.await(t, "/1")
+			for _, sent := range signals {
+				s.node.signal(t, sent)
+				require.NoError(t, clock.Wait(t.Context(), 100*time.Millisecond))
+			}
+			close(s.release)
+			require.Equal(t, http.StatusOK, s.readLast(t))
+			require.NoError(t, s.conn.Close())
+			require.NoError(t, s.node.command.Wait())
+		})
+	}
+}
