--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -1,12 +1,11 @@
 package test
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
+	"os/signal"
 	"syscall"
 	"testing"
 	"time"
@@ -14,53 +13,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// stopTest is a node whose calls a target holds, with a client that has sent one call.
-type stopTest struct {
-	node   *process
-	conn   net.Conn
-	reader *bufio.Reader
-	// arrived receives the path of each call that the target has got, and release lets all of
-	// them end once it is closed.
-	arrived chan string
-	release chan struct{}
-}
-
-// newStopTest starts a node whose shutdown may take the given time, and returns once the
-// target has the call of /1.
-func newStopTest(t *testing.T, shutdownTimeout string) *stopTest {
-	t.Helper()
-	log := start(t, "log", "-listen", "127.0.0.1:0").addresses["log"]
-	file := filepath.Join(t.TempDir(), "node.json")
-	require.NoError(t, os.WriteFile(file, []byte(`{"name": "one", "region": "bavaria", "centre": "west", "log": "`+log+`", "grace": "`+shutdownTimeout+`",
-		"call": "127.0.0.1:0", "peer": "127.0.0.1:0", "admin": "127.0.0.1:0"}`), 0o600))
-	s := &stopTest{node: start(t, "node", "-settings", file), arrived: make(chan string, 8), release: make(chan struct{})}
-	output, code := run("publish", "-log", log, "../examples/profiles/lookups.json")
-	require.Equal(t, 0, code, output)
-	address := startHTTPTarget(t, func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != "/ready" {
-			s.arrived <- r.URL.Path
-			<-s.release
-		}
-		_, _ = io.WriteString(w, "answer to "+r.URL.Path)
-	})
-	announce(t, s.node, "lookups/stand", address, 8)
-	pair := nodePair{near: s.node}
-	pair.waitForService(t, "lookups")
-	s.conn, s.reader = pair.dial(t)
-	s.get(t, "/1")
-	require.Equal(t, "/1", awaitEvent(t, s.arrived, "the call did not reach the target"))
-	return s
-}
-
-// get sends a call.
-func (s *stopTest) get(t *testing.T, path string) {
-	t.Helper()
-	_, err := io.WriteString(s.conn, "GET "+path+" HTTP/1.1\r\nHost: lookups\r\nCarobknot-Deadline: 20000\r\n\r\n")
-	require.NoError(t, err)
-}
-
 // stop sends SIGTERM, and returns once the node accepts no more connections.
-func (s *stopTest) stop(t *testing.T) {
+func (s *connectionTest) stop(t *testing.T) {
 	t.Helper()
 	s.node.signal(t, syscall.SIGTERM)
 	require.Eventually(t, func() bool {
@@ -72,24 +26,11 @@
 	}, 20*time.Second, time.Millisecond, "the node listens no more")
 }
 
-// readLast reads a response, requires that it is the last one and says so, and that the
-// connection ends without a reset. It returns the status.
-func (s *stopTest) readLast(t *testing.T) int {
-	t.Helper()
-	resp, err := http.ReadResponse(s.reader, nil)
-	require.NoError(t, err)
-	_, err = io.Copy(io.Discard, resp.Body)
-	require.NoError(t, err)
-	require.NoError(t, resp.Body.Close())
-	require.True(t, resp.Close, "the response says that the connection closes")
-	_, err = s.reader.ReadByte()
-	require.ErrorIs(t, err, io.EOF, "nothing follows, and the connection is not reset")
-	return resp.StatusCode
-}
-
 // Guards against a stop that resets the connection behind the last response, because the client has sent more calls, so that the client loses the response or takes it for lost.
 func TestStopEndsConnectionsBehindTheLastResponse(t *testing.T) {
-	s := newStopTest(t, "20s")
+	s := newConnectionTest(t, `"grace": "20s"`)
+	s.get(t, "/1")
+	s.await(t, "/1")
 	s.get(t, "/2")
 	s.stop(t)
 	s.get(t, "/3")
@@ -102,10 +43,89 @@
 
 // Guards against a process that exits at the end of its grace period before the calls under way get their last response.
 func TestLastResponsesAreSentAtTheEndOfTheGracePeriod(t *testing.T) {
-	s := newStopTest(t, "1s")
+	s := newConnectionTest(t, `"grace": "1s"`)
 	defer close(s.release)
+	s.get(t, "/1")
+	s.await(t, "/1")
 	s.node.signal(t, syscall.SIGTERM)
 	require.Equal(t, http.StatusBadGateway, s.readLast(t))
 	require.NoError(t, s.conn.Close())
 	require.NoError(t, s.node.command.Wait())
 }
+
+// Guards against a stop while a response is sent whose head says nothing of it, after which the connection ends without a response that says so: the client cannot know whether what it sent behind was run.
+func TestCallsBehindAResponseThatHadBegunGetAResponse(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// before and after are sent before and after the stop.
+		before, after string
+	}{
+		{"sent before the stop", "GET /2 HTTP/1.1\r\nHost: lookups\r\n\r\n", ""},
+		{"sent after the stop", "", "GET /2 HTTP/1.1\r\nHost: lookups\r\n\r\n"},
+		{"half before and half after", "GET /2 HTTP/1.1\r\nHost:", " lookups\r\n\r\n"},
+		{"a body after the stop", "POST /2 HTTP/1.1\r\nHost: lookups\r\nContent-Length: 2\r\n\r\nh", "i"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newConnectionTest(t, `"grace": "20s"`)
+			s.get(t, "/stream")
+			s.await(t, "/stream")
+			_, err := s.reader.Peek(1)
+			require.NoError(t, err, "the head of the response was sent")
+			s.send(t, c.before)
+			s.stop(t)
+			s.send(t, c.after)
+			close(s.release)
+			require.Contains(t, s.read(t), "answer to /stream")
+			s.readLast(t)
+			require.NoError(t, s.conn.Close())
+			require.NoError(t, s.node.command.Wait())
+		})
+	}
+}
+
+// Guards against a stop that waits for connections without a call.
+func TestStopClosesIdleConnections(t *testing.T) {
+	s := newConnectionTest(t, `"grace": "20s"`)
+	s.get(t, "/fast")
+	require.Equal(t, "answer to /fast", s.read(t))
+	stopped := clock.Now()
+	s.node.signal(t, syscall.SIGTERM)
+	_, err := s.reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.NoError(t, s.node.command.Wait())
+	require.Less(t, clock.Now().Sub(stopped), 10*time.Second)
+}
+
+// deliverHangUps makes the processes that a test starts get hang-ups even if the test itself
+// was started to ignore them, as by nohup.
+func deliverHangUps(t *testing.T) {
+	t.Helper()
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	t.Cleanup(func() { signal.Stop(hangUps) })
+}
+
+// Guards against a hang-up that ends the process in the middle of its calls, before or during a stop.
+func TestHangUpIsAPlannedStop(t *testing.T) {
+	deliverHangUps(t)
+	for name, signals := range map[string][]syscall.Signal{
+		"alone":       {syscall.SIGHUP},
+		"twice":       {syscall.SIGHUP, syscall.SIGHUP},
+		"in a stop":   {syscall.SIGTERM, syscall.SIGHUP},
+		"before stop": {syscall.SIGHUP, syscall.SIGTERM},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newConnectionTest(t, `"grace": "20s"`)
+			s.get(t, "/1")
+			s.await(t, "/1")
+			for _, sent := range signals {
+				s.node.signal(t, sent)
+				require.NoError(t, clock.Wait(t.Context(), 100*time.Millisecond))
+			}
+			close(s.release)
+			require.Equal(t, http.StatusOK, s.readLast(t))
+			require.NoError(t, s.conn.Close())
+			require.NoError(t, s.node.command.Wait())
+		})
+	}
+}
