--- a/internal/carobpipeliningclient/pipeliningclient.go
+++ b/internal/carobpipeliningclient/pipeliningclient.go
@@ -60,18 +60,18 @@
 // request had no response.
 func (c *PipeliningClient) Problems() []string { return c.problems }
 
-// Run sends requests until no connection can be opened. The answer to a request begins with
+// Run sends requests until no connection can be opened, or ctx ends. The answer to a request begins with
 // AnswerTo its path.
-func (c *PipeliningClient) Run() {
+func (c *PipeliningClient) Run(ctx context.Context) {
 	const maxPause = 5 * time.Millisecond
 	for {
-		conn, err := net.Dial("tcp", c.config.Address)
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", c.config.Address)
 		if err != nil {
 			return
 		}
 		reader := bufio.NewReader(conn)
 		for c.exchange(conn, reader) {
-			_ = c.config.Timer.Wait(context.Background(), time.Duration(c.config.Random.Int64N(int64(maxPause))))
+			_ = c.config.Timer.Wait(ctx, time.Duration(c.config.Random.Int64N(int64(maxPause))))
 		}
 		_ = conn.Close()
 	}
--- a/internal/carobserver/soak_test.go
+++ b/internal/carobserver/soak_test.go
@@ -100,7 +100,7 @@
 			Timer: h.timer, Address: f.address, Header: "Host: a\r\n", Name: strconv.FormatUint(i, 10), Random: newRandom(i),
 		})
 		all = append(all, client)
-		running.Go(client.Run)
+		running.Go(func() { client.Run(t.Context()) })
 	}
 	pause := func() { _ = h.timer.Wait(t.Context(), maxPause/4+time.Duration(random.Int64N(int64(maxPause)))) }
 	pause()
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -20,7 +20,8 @@
 // soakSeeds is the number of seeds of TestSoak.
 var soakSeeds = flag.Int("soak", 3, "number of seeds of the soak")
 
-// soakTarget answers requests after random times, some of them in pieces.
+// soakTarget answers requests after random times, some of them in pieces, and closes some
+// connections, which concerns none of a client.
 type soakTarget struct {
 	mutex sync.Mutex
 	// random and passedOn are guarded by mutex. passedOn has the paths of the requests that
@@ -29,17 +30,21 @@
 	passedOn map[string]bool
 }
 
-// begin records a request and returns how long it takes.
-func (s *soakTarget) begin(path string) time.Duration {
-	const maxDelay = 20 * time.Millisecond
+// begin records a request. It returns how long the request takes, and whether its connection
+// closes afterwards.
+func (s *soakTarget) begin(path string) (delay time.Duration, closes bool) {
+	const maxDelay, closesOneIn = 20 * time.Millisecond, 4
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.passedOn[path] = true
-	return time.Duration(s.random.Int64N(int64(maxDelay)))
+	return time.Duration(s.random.Int64N(int64(maxDelay))), s.random.IntN(closesOneIn) == 0
 }
 
 func (s *soakTarget) serve(w http.ResponseWriter, r *http.Request) {
-	delay := s.begin(r.URL.Path)
+	delay, closes := s.begin(r.URL.Path)
+	if closes {
+		w.Header().Set("Connection", "close")
+	}
 	body, _ := io.ReadAll(r.Body)
 	text := "answer to " + r.URL.Path + " " + string(body)
 	if !strings.HasPrefix(r.URL.Path, "/pieces") {
@@ -80,7 +85,7 @@
 			Name: strconv.FormatUint(i, 10), Random: newRandom(i),
 		})
 		all = append(all, client)
-		running.Go(client.Run)
+		running.Go(func() { client.Run(t.Context()) })
 	}
 	pause()
 	pair.near.signal(t, syscall.SIGHUP)
