Count the time for the body of an answer from when it is read

When its 504 is due, answers of more than 256 KiB behind it, whose targets have run them long before, are cut, and with the connection ends what is behind them.

Cause: the time for a body is what is left of the call's time when the header arrives, and ran from then. Requests that were sent together have the same deadline, so it was over when the answer's turn came. An answer of up to 256 KiB was buffered by then, and escaped.

Change: the time runs from the first read of the body, so only while its reader can take it. How long an answer waits is bounded by those ahead of it, each of which ends with its own deadline; it holds at most 256 KiB of memory meanwhile. Calls that do not wait for others keep their time. Ruled out: the read time-out of the target's connection, which only runs within a read.

--- a/internal/carobexchange/exchange.go
+++ b/internal/carobexchange/exchange.go
@@ -153,18 +153,18 @@
 
 // deliver streams the answer of an attempt to the caller, and reports the end to
 // the control goroutine. If the caller disconnects meanwhile, or the target has not sent
-// the whole body within bodyTimeout, the attempt is cancelled. That has no effect on a
-// body which is buffered already.
+// the whole body within bodyTimeout of its first read, the attempt is cancelled. That has no
+// effect on a body which is buffered already.
 func (x *exchange) deliver(number int, bodyTimeout time.Duration) {
 	current := x.attempts[number]
+	setTimeout := x.exchanges.config.Timer.Subscribe(current.cancel)
 	x.mutex.Lock()
 	answer := current.answer
-	x.mutex.Unlock()
-	job := carobjobid.ID{Call: x.arrival.Call, Attempt: number}
-	setTimeout := x.exchanges.config.Timer.Subscribe(current.cancel)
 	if bodyTimeout > 0 {
-		setTimeout(x.exchanges.config.Timer.Now().Add(bodyTimeout))
+		answer.Body = &timedBody{ReadCloser: answer.Body, start: func() { setTimeout(x.exchanges.config.Timer.Now().Add(bodyTimeout)) }}
 	}
+	x.mutex.Unlock()
+	job := carobjobid.ID{Call: x.arrival.Call, Attempt: number}
 	x.responder.SendAnswer(answer, current.cancel, func(kind carobkind.Kind, stored *carobstoredanswer.StoredAnswer) {
 		setTimeout(carobinstant.Never)
 		current.cancel()
