Show by how old a route table a call was routed, and how late ticks are

The lines of a call named the route table in force when the call ended, not the one that routed it, and nothing said how old that one's confirmation was or when the store had answered this node last. No metric showed a control goroutine that is late.

Lines of calls have routes of the arrival, confirmedms and readms; metrics routes_read_age and tick_delay.

--- a/internal/carobcontrol/control.go
+++ b/internal/carobcontrol/control.go
@@ -8,6 +8,7 @@
 	"github.com/carobknot/carobknot/internal/carobtimer"
 	"github.com/carobknot/carobknot/pkg/carobcore"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
@@ -90,7 +91,11 @@
 // tick runs all systems over the tables with the inbox as input, and passes their
 // effects to the executors.
 func (c *Control) tick(inbox carobinbox.Inbox) {
-	out := c.config.Core.Tick(c.config.Timer.Now(), inbox)
+	now, due := c.config.Timer.Now(), c.config.Core.Wake()
+	out := c.config.Core.Tick(now, inbox)
+	if due != carobinstant.Never && due.Reached(now) {
+		out.TickDelay = max(1, now.Sub(due))
+	}
 	for _, e := range c.executors {
 		e.Execute(out)
 	}
--- a/internal/carobmeter/meter.go
+++ b/internal/carobmeter/meter.go
@@ -39,6 +39,11 @@
 	// routes is the version of the route table in force, and routesAge how many seconds ago
 	// it was last confirmed to be the newest.
 	routes, routesAge tally.Gauge
+	// routesReadAge is how many seconds ago the last read of this node began that confirmed a
+	// route table. It appears once one has.
+	routesReadAge tally.Gauge
+	// tickDelay has by how much scheduled ticks were late. It appears with the first.
+	tickDelay tally.Histogram
 	// organisations is the number of organisations in the route table in force.
 	organisations tally.Gauge
 	// routesRejected is 1 while the newest route table in the store cannot be read.
@@ -116,6 +121,7 @@
 		m.organisations.Update(float64(out.Organisations))
 		m.routesAge.Update(out.RoutesAge.Seconds())
 	}
+	m.recordDelays(out)
 	m.routesRejected.Update(0)
 	if out.RoutesRejected {
 		m.routesRejected.Update(1)
@@ -142,6 +148,22 @@
 	m.add("audits", len(out.Audits))
 }
 
+// recordDelays updates the metrics that show how late the node reads the store or runs its ticks.
+func (m *Meter) recordDelays(out *caroboutbox.Outbox) {
+	if out.RoutesReadAge > 0 {
+		if m.routesReadAge == nil {
+			m.routesReadAge = m.scope.Gauge("routes_read_age")
+		}
+		m.routesReadAge.Update(out.RoutesReadAge.Seconds())
+	}
+	if out.TickDelay > 0 {
+		if m.tickDelay == nil {
+			m.tickDelay = m.scope.Histogram("tick_delay", durationBuckets())
+		}
+		m.tickDelay.RecordDuration(out.TickDelay)
+	}
+}
+
 // updateColdLimit sets the limit of a target that counts as cold. The gauge first appears with a
 // limit.
 func (m *Meter) updateColdLimit(report *carobreport.Report) {
--- a/internal/carobmeter/meter_test.go
+++ b/internal/carobmeter/meter_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -29,6 +30,7 @@
 			Reports:       []carobreport.Report{{Target: carobtargetid.ID{Service: "lookups", Name: "a"}, Running: 7, ColdLimit: 2.5}},
 			Sends:         []carobsend.Send{{}, {Requirements: carobrequirements.Requirements{Behind: true}}},
 			RoutesVersion: 42, QuotaNodes: 64, QuotaLeases: 60, Allocating: true, QuotaTokens: 3, Organisations: 74,
+			RoutesReadAge: 1500 * time.Millisecond, TickDelay: 3 * time.Millisecond,
 		})
 	}
 	require.NoError(t, meter.Close())
@@ -38,6 +40,7 @@
 		`carobknot_calls{kind="busy"} 2`, `carobknot_calls{kind="none"} 2`, `carobknot_running{service="lookups",target="a"} 7`, `carobknot_routes 42`,
 		`carobknot_quota_nodes 64`, `carobknot_quota_leases 60`, `carobknot_quota_allocating 1`, `carobknot_quota_tokens 6`,
 		`carobknot_organisations 74`, `carobknot_cold_limit{service="lookups",target="a"} 2.5`, `carobknot_attempts 4`, `carobknot_attempts_behind 2`,
+		`carobknot_routes_read_age 1.5`, `carobknot_tick_delay_bucket{le="0.0032"} 2`, `carobknot_tick_delay_bucket{le="0.0016"} 0`,
 	} {
 		require.Contains(t, recorder.Body.String(), line+"\n")
 	}
--- a/pkg/carobcall/call.go
+++ b/pkg/carobcall/call.go
@@ -13,6 +13,7 @@
 	"github.com/carobknot/carobknot/pkg/carobprofile"
 	"github.com/carobknot/carobknot/pkg/carobrequirements"
 	"github.com/carobknot/carobknot/pkg/carobroute"
+	"github.com/carobknot/carobknot/pkg/carobrouteversion"
 	"github.com/carobknot/carobknot/pkg/carobstage"
 )
 
@@ -27,6 +28,10 @@
 	Profile carobprofile.Profile
 	// Route is the route that the call matched; nil if the caller named the service.
 	Route *carobroute.Route
+	// RoutesVersion is the version of the route table in force at arrival. RoutesConfirmedAt and
+	// RoutesReadAt are those of the world at arrival.
+	RoutesVersion                   carobrouteversion.Version
+	RoutesConfirmedAt, RoutesReadAt carobinstant.Instant
 	// Organisation is the organisation whose API key the call carries, from the route table
 	// in force at arrival; nil if the call has none, as on anonymous routes.
 	Organisation *caroborganisation.Organisation
--- a/pkg/carobentry/conclude.go
+++ b/pkg/carobentry/conclude.go
@@ -150,6 +150,7 @@
 	})
 	inputs := []carobinput.Input{
 		{Name: "routes", Value: float64(world.RoutesVersion())}, {Name: "services", Value: float64(world.Groups.Len())},
+		carobinput.Age("confirmedms", now, world.RoutesConfirmedAt), carobinput.Age("readms", now, world.RoutesReadAt),
 	}
 	if world.ShutdownDeadline != carobinstant.Never {
 		inputs = append(inputs, carobinput.Input{Name: "endsms", Value: float64(world.ShutdownDeadline.Sub(now).Milliseconds())})
--- a/pkg/carobentry/log.go
+++ b/pkg/carobentry/log.go
@@ -18,7 +18,9 @@
 		Component: "entry", Text: text, Request: call.Arrival.Request, Organisation: call.OrganisationID(), Call: call.Arrival.Call, Kind: kind,
 		Attempt: len(call.Attempts),
 		Inputs: []carobinput.Input{
-			{Name: "routes", Value: float64(world.RoutesVersion())},
+			{Name: "routes", Value: float64(call.RoutesVersion)},
+			carobinput.Age("confirmedms", call.ArrivedAt, call.RoutesConfirmedAt),
+			carobinput.Age("readms", call.ArrivedAt, call.RoutesReadAt),
 			carobinput.Age("agems", now, call.ArrivedAt),
 			{Name: "leftms", Value: carobinput.Milliseconds(call.Deadline.Sub(now))},
 			{Name: "afterms", Value: carobinput.Milliseconds(after)},
--- a/pkg/carobentry/system.go
+++ b/pkg/carobentry/system.go
@@ -138,6 +138,7 @@
 	call := carobcall.Call{
 		Arrival: arrival, Profile: profile, Route: route, ArrivedAt: now,
 		Deadline: now.Add(timeoutOf(arrival, profile, route)), LastKind: carobkind.NoTarget,
+		RoutesVersion: world.RoutesVersion(), RoutesConfirmedAt: world.RoutesConfirmedAt, RoutesReadAt: world.RoutesReadAt,
 	}
 	if route != nil && route.SLO > 0 {
 		call.SLODeadline = now.Add(route.SLO.Duration())
--- a/pkg/caroboutbox/outbox.go
+++ b/pkg/caroboutbox/outbox.go
@@ -53,6 +53,11 @@
 	// RoutesAge is how long ago the route table in force was last confirmed to be the newest;
 	// 0 if it never was.
 	RoutesAge time.Duration
+	// RoutesReadAge is how long ago the last read of this node began that confirmed a route
+	// table; 0 if none did.
+	RoutesReadAge time.Duration
+	// TickDelay is how long after its scheduled instant the tick began; 0 if messages caused it.
+	TickDelay time.Duration
 	// StoreEra is the newest era of the store that is known; None if none is.
 	StoreEra carobstoreera.Era
 	// Evacuations is the number of data centres that are evacuated.
--- a/pkg/carobworld/ticks.go
+++ b/pkg/carobworld/ticks.go
@@ -47,6 +47,9 @@
 	if w.RoutesConfirmedAt != carobinstant.Never {
 		w.Outbox.RoutesAge = max(1, now.Sub(w.RoutesConfirmedAt))
 	}
+	if w.RoutesReadAt != carobinstant.Never {
+		w.Outbox.RoutesReadAge = max(1, now.Sub(w.RoutesReadAt))
+	}
 	restored := w.StoreRestoredAt != carobinstant.Never && !w.StoreRestoredAt.Add(restoreNoticePeriod).Reached(now)
 	for i := range w.Outbox.Messages {
 		w.describeStore(now, &w.Outbox.Messages[i], restored)
