--- a/internal/carobroutepoller/cluster_test.go
+++ b/internal/carobroutepoller/cluster_test.go
@@ -24,6 +24,7 @@
 	"github.com/carobknot/carobknot/pkg/carobduration"
 	"github.com/carobknot/carobknot/pkg/carobguarantee"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
+	"github.com/carobknot/carobknot/pkg/carobincarnation"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/caroblimits"
 	"github.com/carobknot/carobknot/pkg/carobmember"
@@ -53,12 +54,21 @@
 
 // clusterNode is a node without targets: its core, its control goroutine and its poller.
 type clusterNode struct {
-	id      carobnodeid.ID
-	mailbox *carobmailbox.Mailbox
-	control *carobcontrol.Control
+	id carobnodeid.ID
+	// mailbox and control are those of the newest process.
+	mailbox atomic.Pointer[carobmailbox.Mailbox]
+	control atomic.Pointer[carobcontrol.Control]
 	// stop ends the node's goroutines, and stopped is true from then on.
 	stop    context.CancelFunc
 	stopped bool
+	// incarnation is that of the node's process, and version the version of its route table.
+	incarnation carobincarnation.Incarnation
+	version     atomic.Uint64
+}
+
+// Execute records the version of the route table in force.
+func (n *clusterNode) Execute(out *caroboutbox.Outbox) {
+	n.version.Store(uint64(out.RoutesVersion))
 }
 
 // cluster is a set of nodes that exchange messages in memory, and their store.
@@ -77,6 +87,10 @@
 	delayed            map[carobnodeid.ID]bool
 	minDelay, maxDelay time.Duration
 	random             *rand.Rand
+	// loses reports whether a message is lost; nil if none is.
+	loses func(from, to carobnodeid.ID) bool
+	// delays returns how much longer than networkDelay a message takes; nil if none does.
+	delays func(from, to carobnodeid.ID) time.Duration
 }
 
 // newCluster starts nodes in three data centres, whose operator has published a table
@@ -90,7 +104,7 @@
 		readAt: map[carobnodeid.ID]carobinstant.Instant{}, silent: map[carobnodeid.ID]bool{},
 	}}
 	for i := range size {
-		c.nodes = append(c.nodes, &clusterNode{id: carobnodeid.ID(fmt.Sprintf("n%03d", i)), mailbox: carobmailbox.NewMailbox()})
+		c.nodes = append(c.nodes, &clusterNode{id: carobnodeid.ID(fmt.Sprintf("n%03d", i))})
 		c.byAddress[address(i)] = c.nodes[i]
 	}
 	for i := range c.nodes {
@@ -120,10 +134,13 @@
 func (c *cluster) start(ctx context.Context, i int) {
 	const centres = 3
 	node := c.nodes[i]
+	node.incarnation++
+	mailbox := carobmailbox.NewMailbox()
+	node.mailbox.Store(mailbox)
 	core := carobcore.NewCore(carobcore.Config{
 		World: carobworld.Config{
 			Self: carobmember.Member{
-				Node: node.id, Incarnation: 1, Region: "r", Centre: carobcentre.Centre(fmt.Sprintf("c%d", i%centres)), PeerAddress: address(i),
+				Node: node.id, Incarnation: node.incarnation, Region: "r", Centre: carobcentre.Centre(fmt.Sprintf("c%d", i%centres)), PeerAddress: address(i),
 			},
 			Limits: caroblimits.NewLimits(), Seed: uint64(i), //nolint:gosec // i is small
 		},
@@ -131,13 +148,15 @@
 	})
 	logger, _ := test.NewNullLogger()
 	poller := carobroutepoller.NewRoutePoller(carobroutepoller.Config{
-		Source: &storeReader{store: c.store, node: node.id}, Mailbox: node.mailbox, Timer: c.timer, Logger: logrus.NewEntry(logger),
+		Source: &storeReader{store: c.store, node: node.id}, Mailbox: mailbox, Timer: c.timer, Logger: logrus.NewEntry(logger),
 	})
-	node.control = carobcontrol.NewControl(carobcontrol.Config{Core: core, Mailbox: node.mailbox, Timer: c.timer})
-	node.control.AddExecutor(poller)
-	node.control.AddExecutor(c)
+	control := carobcontrol.NewControl(carobcontrol.Config{Core: core, Mailbox: mailbox, Timer: c.timer})
+	control.AddExecutor(poller)
+	control.AddExecutor(c)
+	control.AddExecutor(node)
+	node.control.Store(control)
 	ctx, node.stop = context.WithCancel(ctx)
-	go node.control.Run(ctx)
+	go control.Run(ctx)
 	go poller.Run(ctx)
 }
 
@@ -149,6 +168,13 @@
 	}
 }
 
+// restart starts a process in place of one that was stopped.
+func (c *cluster) restart(ctx context.Context, i int) {
+	c.nodes[i].stop()
+	c.start(ctx, i)
+	c.nodes[i].stopped = false
+}
+
 // publishOften publishes a table five times a second until lastVersion is there.
 func (c *cluster) publishOften() {
 	const interval = 200 * time.Millisecond
@@ -170,19 +196,29 @@
 	for _, message := range out.Messages {
 		receiver := c.byAddress[message.To]
 		deliver := c.timer.Subscribe(func() {
-			if receiver == nil || c.disconnected.Load() {
+			if receiver == nil || c.disconnected.Load() || c.isLost(message.From, receiver.id) {
 				return
 			}
-			receiver.mailbox.Post(func(in *carobinbox.Inbox) { in.Messages = append(in.Messages, message) })
+			receiver.mailbox.Load().Post(func(in *carobinbox.Inbox) { in.Messages = append(in.Messages, message) })
 		})
 		deliver(c.timer.Now().Add(c.transit(message.From, receiver)))
 	}
 }
 
+// isLost reports whether a message is lost.
+func (c *cluster) isLost(from, to carobnodeid.ID) bool {
+	c.delayMutex.Lock()
+	defer c.delayMutex.Unlock()
+	return c.loses != nil && c.loses(from, to)
+}
+
 // transit returns how long a message takes.
 func (c *cluster) transit(from carobnodeid.ID, to *clusterNode) time.Duration {
 	c.delayMutex.Lock()
 	defer c.delayMutex.Unlock()
+	if to != nil && c.delays != nil {
+		return networkDelay + c.delays(from, to.id)
+	}
 	if to == nil || !c.delayed[from] && !c.delayed[to.id] {
 		return networkDelay
 	}
@@ -205,7 +241,7 @@
 func (c *cluster) handledBy(ctx context.Context, node *clusterNode) carobservice.Service {
 	c.t.Helper()
 	var service carobservice.Service
-	require.NoError(c.t, node.control.Query(ctx, func(world *carobworld.World) {
+	require.NoError(c.t, node.control.Load().Query(ctx, func(world *carobworld.World) {
 		if route := world.RouteTable.Match("a.example", "/x/"); route != nil {
 			service = route.WeightedServices[0].Service
 		}
--- a/internal/carobroutepoller/evacuation_test.go
+++ b/internal/carobroutepoller/evacuation_test.go
@@ -40,7 +40,7 @@
 func (c *cluster) evacuated(ctx context.Context, node *clusterNode, centre carobcentre.Centre) bool {
 	c.t.Helper()
 	evacuated := false
-	require.NoError(c.t, node.control.Query(ctx, func(world *carobworld.World) { evacuated = world.IsEvacuated(centre) }))
+	require.NoError(c.t, node.control.Load().Query(ctx, func(world *carobworld.World) { evacuated = world.IsEvacuated(centre) }))
 	return evacuated
 }
 
--- a/internal/carobroutepoller/store_test.go
+++ b/internal/carobroutepoller/store_test.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/carobknot/carobknot/internal/carobtimer"
 	"github.com/carobknot/carobknot/pkg/carobcentre"
 	"github.com/carobknot/carobknot/pkg/carobevacuationlist"
@@ -32,6 +34,36 @@
 	end       caroboffset.Offset
 	// silent has the nodes that get no response.
 	silent map[carobnodeid.ID]bool
+	// failRead returns how a read of a node fails or is delayed; nil if none does.
+	failRead func(node carobnodeid.ID) readFault
+}
+
+// readFault is what happens to a read besides its usual delay. The zero value is nothing.
+type readFault struct {
+	// refused is true if the store responds with an error, and lost if it does not respond.
+	refused, lost bool
+	// delay is how much longer the response takes.
+	delay time.Duration
+}
+
+// errRefused is the response of a store that turns a read away.
+var errRefused = errors.New("the store responded with status 503")
+
+// fault returns what happens to a read of a node that begins now.
+func (s *store) fault(node carobnodeid.ID) readFault {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.failRead == nil {
+		return readFault{}
+	}
+	return s.failRead(node)
+}
+
+// failReads sets what happens to reads.
+func (s *store) failReads(fail func(node carobnodeid.ID) readFault) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.failRead = fail
 }
 
 // publish replaces the route table by a newer one and wakes the reads that are held. A table
@@ -119,6 +151,15 @@
 	defer cancel()
 	held, release := context.WithTimeout(ctx, wait)
 	defer release()
+	fault := r.store.fault(r.node)
+	switch {
+	case fault.lost:
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case fault.refused:
+		_ = r.store.timer.Wait(ctx, storeDelay)
+		return nil, errRefused
+	}
 	for {
 		table, changed, answers := r.store.state(r.node)
 		if !answers {
@@ -126,7 +167,7 @@
 			return nil, ctx.Err()
 		}
 		if table.Version > r.version() || held.Err() != nil {
-			return r.respond(ctx, table)
+			return r.respond(ctx, table, fault.delay)
 		}
 		select {
 		case <-held.Done():
@@ -135,10 +176,11 @@
 	}
 }
 
-// respond returns the table if it is newer than the last one returned, or else nil.
-func (r *storeReader) respond(ctx context.Context, table *carobroutetable.RouteTable) (*carobroutetable.RouteTable, error) {
+// respond returns the table if it is newer than the last one returned, or else nil. The response
+// takes the usual time and the delay.
+func (r *storeReader) respond(ctx context.Context, table *carobroutetable.RouteTable, delay time.Duration) (*carobroutetable.RouteTable, error) {
 	evacuations := r.store.listEvacuations()
-	if err := r.store.timer.Wait(ctx, storeDelay); err != nil {
+	if err := r.store.timer.Wait(ctx, storeDelay+delay); err != nil {
 		return nil, err
 	}
 	r.mutex.Lock()
--- a/pkg/carobentry/conclude.go
+++ b/pkg/carobentry/conclude.go
@@ -149,7 +149,8 @@
 		Call: call.Arrival.Call, Kind: kind, RetryAfter: after,
 	})
 	inputs := []carobinput.Input{
-		{Name: "routes", Value: float64(world.RoutesVersion())}, {Name: "services", Value: float64(world.Groups.Len())},
+		{Name: "routes", Value: float64(world.RoutesVersion())},
+		{Name: "services", Value: float64(world.Groups.Len())},
 		carobinput.Age("confirmedms", now, world.RoutesConfirmedAt), carobinput.Age("readms", now, world.RoutesReadAt),
 	}
 	if world.ShutdownDeadline != carobinstant.Never {
