Begin another read of the store before the last one has ended

Callers saw requests handled by a route table that had been replaced for longer than the bound.

Cause: the bound of a node rested on one read of its own that ends well, within 1 s. The next read began when that one had ended, 0.25 to 0.375 of the bound later, and after several failures up to three bounds later, which is longer than the 3 s after which a node is bound again; a response that took longer than 1 s was thrown away, and the next read began anew. While others send confirmations nothing of this shows; it does at nodes that are cut off from others but not from the store, and at a store or VM that is slow.

Class: a decision that waits for the end of an operation whose end nobody guarantees, and gives its progress up.

- Reads overlap, 8 at most.
- A read is followed by another one after 0.1 of the bound, then by a backoff of at most 0.36 of the time after an outage within which a node is bound (contact-s; setting recovery), plus a quarter of jitter: two reads fit into that time, should the first fail.
- Where responses take longer than confirmations may be old, reads begin at a quarter of that time, at nodes that do not read for others at the longest interval.

--- a/internal/carobnode/providers.go
+++ b/internal/carobnode/providers.go
@@ -62,7 +62,8 @@
 				QuotaSettings: settings.QuotaSettings, Capacity: cmp.Or(settings.Capacity, carobcapacity.OfCores(settings.Limits.Cores)),
 			},
 			Seeds: settings.Seeds, Profiles: settings.Profiles, AnnouncementTimeout: settings.AnnouncementTimeout.Duration(),
-			ConfirmationPeriod: confirmationPeriod, ApplyTimeout: settings.ApplyTimeout.Duration(), NoTracePropagation: n.config.Dialect != nil,
+			ConfirmationPeriod: confirmationPeriod, NoTracePropagation: n.config.Dialect != nil,
+			ApplyTimeout: settings.ApplyTimeout.Duration(), RecoveryTimeout: settings.RecoveryTimeout.Duration(),
 		}), nil
 	})
 	do.Provide(injector, func(injector do.Injector) (*carobeventlog.EventLog, error) {
--- a/internal/carobroutepoller/routepoller.go
+++ b/internal/carobroutepoller/routepoller.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/carobknot/carobknot/internal/carobmailbox"
@@ -15,16 +17,18 @@
 	"github.com/carobknot/carobknot/pkg/carobevacuationlist"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
+	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobrouterejection"
 	"github.com/carobknot/carobknot/pkg/carobroutetable"
 	"github.com/carobknot/carobknot/pkg/carobstoreera"
 )
 
-// source provides the operator's route tables.
+// source provides the operator's route tables. Several goroutines may read at once.
 type source interface {
-	// AwaitRoutes returns the newest table as soon as there is one that it has not
-	// returned before, or nil if none appears within wait.
+	// AwaitRoutes returns the newest table once the store has one that no call has returned
+	// before, or after wait. It is at least as new as the store's newest when the call began, and
+	// nil if the store has none. A call that gets no response ends with an error some time later.
 	AwaitRoutes(ctx context.Context, wait time.Duration) (*carobroutetable.RouteTable, error)
 }
 
@@ -60,19 +64,27 @@
 	// failureThreshold is the number of consecutive failed reads after which the store
 	// counts as unreadable.
 	failureThreshold = 2
+	// responseTimeout is the time without a response, besides the time for which the store may
+	// hold a read, after which the read counts as failed. It goes on, and its response is used.
+	responseTimeout = time.Second
+	// maxReads is the largest number of reads in progress.
+	maxReads = 8
 	// recheckInterval is the time between two reads of an unreadable store by a node
 	// that does not have to read tables, so that it notices when the store recovers.
 	recheckInterval = 10 * time.Second
 )
 
+// errNoResponse is the failure of a read that has had no response for responseTimeout.
+var errNoResponse = carobkind.New(carobkind.LogUnavailable, "the store has not responded within %s", responseTimeout)
+
 // RoutePoller reads route tables and posts them to the control goroutine's mailbox.
 type RoutePoller struct {
 	config Config
 	mutex  sync.Mutex
-	// enabled is true while the control goroutine waits for a table. cancel ends the read in
-	// progress once it no longer does; nil while there is no such read.
+	// enabled is true while the control goroutine waits for a table.
 	enabled bool
-	cancel  context.CancelFunc
+	// reads are the reads in progress, the oldest first; maxReads at most.
+	reads []*reading
 	// meanWait is the mean time for which the store may hold a read that finds nothing.
 	meanWait time.Duration
 	// changed holds one element after enabled or unreadable has changed, and confirmDue one after a read
@@ -82,13 +94,31 @@
 	rejection *carobrouterejection.RouteRejection
 	// era is the highest one that was posted; None if none was.
 	era carobstoreera.Era
-	// failures is the number of consecutive failed reads.
-	failures int
-	// unreadable is true from the failure that reaches failureThreshold to the next
-	// successful read.
+	// failures is the number of consecutive failed reads, and answeredAt when the newest read
+	// began that succeeded in time; Never if none has. Failures of earlier reads do not count.
+	failures   int
+	answeredAt carobinstant.Instant
+	// unreadable is true from the failure that reaches failureThreshold to the next read that
+	// succeeds in time.
 	unreadable bool
 }
 
+// reading is a read in progress. The mutex of the poller guards err and isSettled.
+type reading struct {
+	startedAt carobinstant.Instant
+	// awaiting is true if the read is for a node that waits for a table, and wait is how long
+	// the store may hold it.
+	awaiting bool
+	wait     time.Duration
+	// cancel ends the read.
+	cancel context.CancelFunc
+	// settled is closed, and isSettled true, once the read has ended or counts as failed. err is
+	// its failure; nil before.
+	settled   chan struct{}
+	isSettled bool
+	err       error
+}
+
 // NewRoutePoller returns a poller that reads nothing until an outbox enables it and Run
 // is called.
 func NewRoutePoller(c Config) *RoutePoller {
@@ -108,8 +138,10 @@
 		return
 	}
 	p.enabled = out.AwaitingTable
-	if !p.enabled && p.cancel != nil {
-		p.cancel()
+	for _, read := range p.reads {
+		if read.awaiting && !p.enabled {
+			read.cancel()
+		}
 	}
 	notify(p.changed)
 }
@@ -164,61 +196,100 @@
 	}
 }
 
-// read reads once. The store may hold the read only while tables are needed, not if
-// it is checked for recovery.
+// read reads once, and returns once the read has ended or counts as failed. The store may hold
+// the read only while tables are needed, not if it is checked for recovery.
 func (p *RoutePoller) read(ctx context.Context) {
-	inner, cancel := context.WithCancel(ctx)
-	defer cancel()
-	wait := time.Duration(0)
-	p.mutex.Lock()
-	if p.enabled {
-		p.cancel = cancel
-		wait = withJitter(p.meanWait)
+	read := p.begin(ctx, true)
+	select {
+	case <-read.settled:
+	case <-ctx.Done():
+		return
 	}
-	p.mutex.Unlock()
-	err := p.readOnce(inner, wait)
 	p.mutex.Lock()
-	p.cancel = nil
-	failures := p.failures
+	err, failures := read.err, p.failures
 	p.mutex.Unlock()
-	if err != nil && inner.Err() == nil {
+	if err != nil {
 		_ = p.config.Timer.Wait(ctx, min(minBackoff<<min(failures, 4), maxBackoff))
 	}
 }
 
-// confirm reads once for each request, without letting the store hold the read. A request
-// during a read is dropped, because that read serves it.
+// confirm begins a read for each request, without letting the store hold it. It does not wait for
+// earlier reads, because their responses may be lost or late.
 func (p *RoutePoller) confirm(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-p.confirmDue:
-		}
-		_ = p.readOnce(ctx, 0)
-		select {
-		case <-p.confirmDue:
-		default:
+			p.begin(ctx, false)
 		}
 	}
 }
 
-// readOnce reads and posts the result. A read that failed because ctx was cancelled is not
-// counted as a failure.
-func (p *RoutePoller) readOnce(ctx context.Context, wait time.Duration) error {
-	startedAt := p.config.Timer.Now()
-	routes, err := p.config.Source.AwaitRoutes(ctx, wait)
+// begin begins a read. If there are too many, it cancels the oldest one. awaiting is true if the
+// read is for a node that waits for a table.
+func (p *RoutePoller) begin(ctx context.Context, awaiting bool) *reading {
+	ctx, cancel := context.WithCancel(ctx)
+	read := &reading{startedAt: p.config.Timer.Now(), cancel: cancel, settled: make(chan struct{})}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if awaiting && p.enabled {
+		read.awaiting, read.wait = true, withJitter(p.meanWait)
+	}
+	if len(p.reads) >= maxReads {
+		p.reads[0].cancel()
+		p.reads = p.reads[1:]
+	}
+	p.reads = append(p.reads, read)
+	go p.complete(ctx, read)
+	return read
+}
+
+// complete carries out a read and posts the result. A table that arrives after the read was
+// cancelled is used too.
+func (p *RoutePoller) complete(ctx context.Context, read *reading) {
+	defer read.cancel()
+	failAt := p.config.Timer.Subscribe(func() { p.settle(read, errNoResponse) })
+	failAt(read.startedAt.Add(read.wait + responseTimeout))
+	defer failAt(0)
+	routes, err := p.config.Source.AwaitRoutes(ctx, read.wait)
 	p.postEra()
 	if err != nil && ctx.Err() != nil {
-		return err
+		err = ctx.Err()
 	}
-	if err != nil {
-		p.logFailure(err, wait, startedAt)
+	p.settle(read, err)
+	if err == nil {
+		p.post(read.startedAt, routes)
 	}
-	p.updateState(err)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.reads = slices.DeleteFunc(p.reads, func(other *reading) bool { return other == read })
+}
+
+// settle counts a read that has ended, or has had no response for responseTimeout. Only the first
+// call for a read has an effect. A cancelled read counts neither as failed nor as successful.
+func (p *RoutePoller) settle(read *reading, err error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if read.isSettled {
+		return
+	}
+	read.isSettled = true
+	close(read.settled)
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	read.err = err
 	if err != nil {
-		return err
+		p.logFailure(err, read)
 	}
+	p.updateState(err, read.startedAt)
+}
+
+// post posts what a read found that began at an instant.
+func (p *RoutePoller) post(startedAt carobinstant.Instant, routes *carobroutetable.RouteTable) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
 	rejection, changed := p.newRejection()
 	evacuations, ok := p.listEvacuations(startedAt)
 	p.config.Mailbox.Post(func(in *carobinbox.Inbox) {
@@ -233,7 +304,6 @@
 			in.RouteTables = append(in.RouteTables, routes)
 		}
 	})
-	return nil
 }
 
 // listEvacuations returns what a read that began at an instant found of evacuations, and
@@ -265,23 +335,21 @@
 }
 
 // newRejection returns the table that the source rejects at present, and whether it has
-// changed since the last call.
+// changed since the last call. The caller holds the mutex.
 func (p *RoutePoller) newRejection() (*carobrouterejection.RouteRejection, bool) {
 	source, ok := p.config.Source.(rejecter)
 	if !ok {
 		return nil, false
 	}
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
 	before := p.rejection
 	p.rejection = source.Rejection()
 	return p.rejection, p.rejection != before
 }
 
 // logFailure logs a failed read. Every one is logged, because the backoff limits their rate.
-func (p *RoutePoller) logFailure(err error, wait time.Duration, startedAt carobinstant.Instant) {
+func (p *RoutePoller) logFailure(err error, read *reading) {
 	p.config.Logger.WithError(err).WithFields(logrus.Fields{
-		"heldms": wait.Milliseconds(), "tookms": p.config.Timer.Now().Sub(startedAt).Milliseconds(),
+		"heldms": read.wait.Milliseconds(), "tookms": p.config.Timer.Now().Sub(read.startedAt).Milliseconds(),
 	}).Info("store: read of route tables failed")
 }
 
@@ -292,13 +360,15 @@
 }
 
 // updateState counts failures, and logs and posts when the store becomes unreadable
-// or readable again.
-func (p *RoutePoller) updateState(err error) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.failures++
-	if err == nil {
-		p.failures = 0
+// or readable again. The caller holds the mutex.
+func (p *RoutePoller) updateState(err error, startedAt carobinstant.Instant) {
+	switch {
+	case err == nil:
+		p.failures, p.answeredAt = 0, max(p.answeredAt, startedAt)
+	case startedAt < p.answeredAt:
+		return
+	default:
+		p.failures++
 	}
 	unreadable := p.failures >= failureThreshold || p.unreadable && err != nil
 	if unreadable == p.unreadable {
--- a/internal/carobsettings/settings.go
+++ b/internal/carobsettings/settings.go
@@ -57,6 +57,9 @@
 	// ApplyTimeout is the time within which a route table must be in force after the
 	// platform's store has acknowledged it.
 	ApplyTimeout carobduration.Duration `json:"apply"`
+	// RecoveryTimeout is the time after an outage of the platform's store within which the newest
+	// route table must be in force.
+	RecoveryTimeout carobduration.Duration `json:"recovery"`
 	// ShutdownTimeout is the timeout of a graceful shutdown, after which the calls in
 	// flight are ended.
 	ShutdownTimeout carobduration.Duration `json:"grace"`
@@ -75,7 +78,8 @@
 	return Settings{
 		ProbeLimits: carobprobelimits.NewProbeLimits(), RetryLimits: carobretrylimits.NewRetryLimits(), Limits: caroblimits.NewLimits(),
 		QuotaSettings:       carobquotasettings.NewQuotaSettings(),
-		AnnouncementTimeout: carobduration.Duration(3 * time.Second), ApplyTimeout: carobduration.Duration(2 * time.Second), ShutdownTimeout: carobduration.Duration(time.Minute),
+		AnnouncementTimeout: carobduration.Duration(3 * time.Second), ApplyTimeout: carobduration.Duration(2 * time.Second),
+		RecoveryTimeout: carobduration.Duration(3 * time.Second), ShutdownTimeout: carobduration.Duration(time.Minute),
 	}
 }
 
--- a/pkg/carobcore/core.go
+++ b/pkg/carobcore/core.go
@@ -71,6 +71,9 @@
 	// ApplyTimeout is the time within which a route table must be in force after the store has
 	// acknowledged it; 0 selects the default of 2 s.
 	ApplyTimeout time.Duration
+	// RecoveryTimeout is the time after an outage of the store within which the newest route
+	// table must be in force; 0 selects the default of 3 s.
+	RecoveryTimeout time.Duration
 	// AdmissionOrder is the name of an order of jobs at targets, for measurements; empty for the
 	// one that the route table calls for.
 	AdmissionOrder string
@@ -113,6 +116,8 @@
 	announcementTimeout = 3 * time.Second
 	// applyTimeout is the default of Config.ApplyTimeout.
 	applyTimeout = 2 * time.Second
+	// recoveryTimeout is the default of Config.RecoveryTimeout.
+	recoveryTimeout = 3 * time.Second
 )
 
 // NewCore returns a Core with empty tables, apart from the configured profiles.
@@ -136,7 +141,9 @@
 			carobreconciliation.NewSystem(),
 			carobroutesync.NewSystem(),
 			carobstorereading.NewSystem(),
-			carobrouteconfirmation.NewSystem(carobrouteconfirmation.Config{ApplyTimeout: cmp.Or(c.ApplyTimeout, applyTimeout)}),
+			carobrouteconfirmation.NewSystem(carobrouteconfirmation.Config{
+				ApplyTimeout: cmp.Or(c.ApplyTimeout, applyTimeout), RecoveryTimeout: cmp.Or(c.RecoveryTimeout, recoveryTimeout),
+			}),
 			carobevacuating.NewSystem(),
 			carobfold.NewSystem(),
 			carobcatchup.NewSystem(),
--- a/pkg/carobrouteconfirmation/system.go
+++ b/pkg/carobrouteconfirmation/system.go
@@ -35,6 +35,9 @@
 	// ApplyTimeout is the time within which a table must be in force after the store has
 	// acknowledged it.
 	ApplyTimeout time.Duration
+	// RecoveryTimeout is the time after an outage of the store within which the newest table
+	// must be in force.
+	RecoveryTimeout time.Duration
 }
 
 // Fractions of the apply timeout. The ages at which nodes read are spread, since many nodes
@@ -45,14 +48,25 @@
 	// Another node reads when it has the age maxAge, or up to maxSpread more. This leaves
 	// time for the read.
 	maxAge, maxSpread = 0.55, 0.15
-	// firstRetry is the time before the second read if the first brings no confirmation. It
-	// doubles with each further one, up to readerRetry or otherRetry.
-	firstRetry, readerRetry, otherRetry = 0.25, 1, 2
+	// minRetry is the shortest time before another read if the last one has brought no
+	// confirmation yet. A node that nobody sends confirmations is in time though two reads in
+	// a row fail.
+	minRetry = 0.1
+	// retryJitter is the largest random part of the time between two reads, as a part of it.
+	retryJitter = 0.25
 	// minAdvance is by how much a confirmation must be newer than the one announced last. The
 	// same read arrives as slightly different instants if it comes from several nodes.
 	minAdvance = 0.125
 )
 
+// maxRetry, as a fraction of Config.RecoveryTimeout and without the jitter, is the longest time
+// between two reads. In that timeout, a read that fails leaves time for another one.
+const maxRetry = 0.36
+
+// overlap is how many reads are in progress at most, about, if the store's responses take longer
+// than confirmations may be old.
+const overlap = 4
+
 // clockInterval is the time after which a reader requests another reading of a node's clock. It
 // bounds for how long a reading that arrived late makes confirmations look too old.
 const clockInterval = 5 * time.Second
@@ -66,6 +80,10 @@
 	// earliest instant of another one; Never if there is no such limit.
 	reads    int
 	nextRead carobinstant.Instant
+	// requestedAt is when a read was requested last; Never if none was. readDuration is how long
+	// the last read of this node took that brought a newer confirmation; 0 if none has.
+	requestedAt  carobinstant.Instant
+	readDuration time.Duration
 	// announced is the confirmation that was announced last; Never before the first.
 	announced carobinstant.Instant
 	// awaitingClock has the nodes that were sent the last announcement without the confirmation,
@@ -88,6 +106,9 @@
 		return
 	}
 	for _, at := range world.Inbox.StoreReads {
+		if at > world.RoutesConfirmedAt {
+			s.readDuration = now.Sub(at)
+		}
 		s.confirm(world, at, true)
 	}
 	for i := range world.Inbox.Messages {
@@ -173,31 +194,54 @@
 }
 
 // requestRead requests a read of the store when the confirmation reaches its maximum age,
-// and again, with backoff, until there is a newer one.
+// and again, with backoff, until there is a newer one. It does not wait for earlier reads.
 func (s *System) requestRead(world *carobworld.World, now carobinstant.Instant) {
 	if world.Stopping {
 		return
 	}
-	age, retry := maxAge+maxSpread*s.spread, float64(otherRetry)
-	if world.Outbox.ReadingStore {
-		age, retry = readerAge+readerSpread*s.spread, readerRetry
-	}
-	due := world.RoutesConfirmedAt.Add(s.part(age))
-	if s.nextRead != carobinstant.Never {
-		due = s.nextRead
+	due := s.nextRead
+	if due == carobinstant.Never {
+		due = s.firstRead(world)
 	}
 	if !due.Reached(now) {
 		world.WakeAt(due)
 		return
 	}
 	world.Outbox.ConfirmRoutes = true
-	backoff := min(firstRetry*float64(int(1)<<min(s.reads, maxDoublings)), retry)
+	s.requestedAt, s.nextRead = now, now.Add(s.retryInterval(world))
 	s.reads++
-	s.nextRead = now.Add(s.part(backoff * (1 + world.Random.Float64()/2)))
 	world.WakeAt(s.nextRead)
 }
 
-// maxDoublings is the number of doublings after which each backoff has its maximum.
+// firstRead returns when the first read after a confirmation is due. If reads take so long that
+// they confirm the table as of an instant that is too old already, they are requested at an
+// interval.
+func (s *System) firstRead(world *carobworld.World) carobinstant.Instant {
+	age, interval := maxAge+maxSpread*s.spread, s.maxInterval()
+	if world.Outbox.ReadingStore {
+		age, interval = readerAge+readerSpread*s.spread, s.part(minRetry)
+	}
+	due := world.RoutesConfirmedAt.Add(s.part(age))
+	if s.requestedAt == carobinstant.Never {
+		return due
+	}
+	return max(due, s.requestedAt.Add(max(interval, s.readDuration/overlap)))
+}
+
+// retryInterval returns the time until another read is due if there is no confirmation. It
+// doubles from the second retry on.
+func (s *System) retryInterval(world *carobworld.World) time.Duration {
+	interval := s.part(minRetry) << min(max(s.reads-1, 0), maxDoublings)
+	interval = min(max(interval, s.readDuration/overlap), s.maxInterval())
+	return interval + time.Duration(float64(interval)*retryJitter*world.Random.Float64())
+}
+
+// maxInterval returns the longest time between two reads without the jitter.
+func (s *System) maxInterval() time.Duration {
+	return time.Duration(maxRetry * float64(s.config.RecoveryTimeout))
+}
+
+// maxDoublings is the number of doublings after which each interval has its maximum.
 const maxDoublings = 4
 
 // part returns a fraction of the apply timeout.
