--- a/pkg/carobrouteconfirmation/system.go
+++ b/pkg/carobrouteconfirmation/system.go
@@ -12,6 +12,10 @@
 // So the limit holds at each node that can reach the store, even if the nodes that usually read
 // cannot, or if nodes cannot reach each other.
 //
+// A read may get no response, or a late one. So the next read is requested without waiting for
+// the end of the one before, early enough for two of them to fail before the limit, and while the
+// store cannot be read often enough for the table to be in force in time after the outage.
+//
 // The readers of the data centres read earlier than other nodes. They announce a newer
 // confirmation in their data centre at once, and to the readers elsewhere if it comes from a
 // read of their own. An announcement to a node whose clock they do not know requests a message
