--- a/internal/carobroutepoller/disturbance_test.go
+++ b/internal/carobroutepoller/disturbance_test.go
@@ -32,11 +32,14 @@
 	nodesPaused
 	// The nodes' processes are ended, and others are started in their place when it ends.
 	nodesRestarted
-	disturbanceKinds
+	// drawnKinds is the number of the kinds above.
+	drawnKinds
+	// The nodes are busy with calls, which excuses nothing: their messages and reads take longer.
+	nodesBusy = drawnKinds
 )
 
 func (k disturbanceKind) String() string {
-	return [...]string{"silent", "refusing", "slow store", "losing", "cut", "mute", "lossy", "slow nodes", "paused", "restarted"}[k]
+	return [...]string{"silent", "refusing", "slow store", "losing", "cut", "mute", "lossy", "slow nodes", "paused", "restarted", "busy"}[k]
 }
 
 // concernsStore reports whether the store counts as unstable meanwhile, for all nodes.
@@ -44,7 +47,7 @@
 
 // excuses reports whether the nodes are not bound by rules meanwhile. A node that is cut off from
 // other nodes is, since it still has the store.
-func (k disturbanceKind) excuses() bool { return k >= nodesLossy }
+func (k disturbanceKind) excuses() bool { return k >= nodesLossy && k != nodesBusy }
 
 // disturbance is one thing that goes wrong. Its times are counted from the start of the search.
 type disturbance struct {
@@ -67,7 +70,7 @@
 
 // drawDisturbance returns a random disturbance of some of the nodes of a cluster.
 func drawDisturbance(random *rand.Rand, c *cluster, length time.Duration) *disturbance {
-	d := &disturbance{kind: disturbanceKind(random.IntN(int(disturbanceKinds))), nodes: map[carobnodeid.ID]bool{}}
+	d := &disturbance{kind: disturbanceKind(random.IntN(int(drawnKinds))), nodes: map[carobnodeid.ID]bool{}}
 	d.from = time.Duration(random.Int64N(int64(length)))
 	d.until = d.from + time.Second + time.Duration(random.Int64N(int64(12*time.Second)))
 	d.delay, d.share = 50*time.Millisecond<<random.IntN(6), 0.1+0.6*random.Float64()
@@ -81,6 +84,14 @@
 	return d
 }
 
+// drawBusy returns a random time for which some of the nodes of a cluster are busy.
+func drawBusy(random *rand.Rand, c *cluster, length time.Duration) *disturbance {
+	const maxDelay = 400 * time.Millisecond
+	d := drawDisturbance(random, c, length)
+	d.kind, d.delay = nodesBusy, time.Duration(random.Int64N(int64(maxDelay)))
+	return d
+}
+
 // disturbances are all that goes wrong during a search.
 type disturbances struct {
 	cluster *cluster
@@ -150,7 +161,7 @@
 			fault.refused = true
 		case storeLosing:
 			fault.lost = fault.lost || d.random.Float64() < one.share
-		case storeSlow, nodesSlow:
+		case storeSlow, nodesSlow, nodesBusy:
 			fault.delay = max(fault.delay, one.delay)
 		default:
 		}
@@ -177,7 +188,7 @@
 func (d *disturbances) messageDelay(from, to carobnodeid.ID) time.Duration {
 	delay := time.Duration(0)
 	for _, one := range d.all {
-		if one.kind == nodesSlow && (one.holds(from, d.elapsed()) || one.holds(to, d.elapsed())) {
+		if (one.kind == nodesSlow || one.kind == nodesBusy) && (one.holds(from, d.elapsed()) || one.holds(to, d.elapsed())) {
 			delay = max(delay, one.delay)
 		}
 	}
--- a/internal/carobroutepoller/search_test.go
+++ b/internal/carobroutepoller/search_test.go
@@ -74,6 +74,17 @@
 	for _, d := range s.disturbances.all {
 		at = append(at, d.until+time.Duration(random.Int64N(int64(time.Second)))-500*time.Millisecond)
 	}
+	return append(at, storm(random)...)
+}
+
+// storm returns when tables are published in quick succession.
+func storm(random *rand.Rand) []time.Duration {
+	const interval = 150 * time.Millisecond
+	var at []time.Duration
+	for next, left := time.Duration(random.Int64N(int64(searchLength))), random.IntN(30); left > 0; left-- {
+		at = append(at, next)
+		next += interval
+	}
 	return at
 }
 
@@ -83,8 +94,11 @@
 	for range 2 + random.IntN(6) {
 		s.disturbances.all = append(s.disturbances.all, drawDisturbance(random, s.cluster, searchLength))
 	}
-	s.disturbances.install(ctx)
 	due := s.publishAt(random)
+	for range random.IntN(3) {
+		s.disturbances.all = append(s.disturbances.all, drawBusy(random, s.cluster, searchLength))
+	}
+	s.disturbances.install(ctx)
 	for version := carobrouteversion.Version(2); s.elapsed() < searchEnd; {
 		require.NoError(s.t, s.timer.Wait(ctx, checkInterval))
 		for i, at := range due {
