Log late ticks beside many lines of calls

The line of a late tick shared the limit of lines about calls that went well, so that it was left out when ticks are likely to be late. It has the limit of failures now, and is made where lines are.

--- a/internal/carobcontrol/control.go
+++ b/internal/carobcontrol/control.go
@@ -3,14 +3,11 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/carobknot/carobknot/internal/carobmailbox"
 	"github.com/carobknot/carobknot/internal/carobtimer"
 	"github.com/carobknot/carobknot/pkg/carobcore"
-	"github.com/carobknot/carobknot/pkg/carobdecision"
 	"github.com/carobknot/carobknot/pkg/carobinbox"
-	"github.com/carobknot/carobknot/pkg/carobinput"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobworld"
@@ -22,9 +19,6 @@
 	Execute(out *caroboutbox.Outbox)
 }
 
-// loggedDelay is the shortest delay of a tick that is logged.
-const loggedDelay = 250 * time.Millisecond
-
 // Config holds the parameters of the control goroutine.
 type Config struct {
 	Core    *carobcore.Core
@@ -100,23 +94,13 @@
 	now, due := c.config.Timer.Now(), c.config.Core.Wake()
 	out := c.config.Core.Tick(now, inbox)
 	if due != carobinstant.Never && due.Reached(now) {
-		reportDelay(out, now.Sub(due))
+		out.TickDelay = max(1, now.Sub(due))
 	}
 	for _, e := range c.executors {
 		e.Execute(out)
 	}
 }
 
-// reportDelay adds to the effects of a scheduled tick by how much it was late.
-func reportDelay(out *caroboutbox.Outbox, delay time.Duration) {
-	out.TickDelay = max(1, delay)
-	if delay >= loggedDelay {
-		out.Decisions = append(out.Decisions, carobdecision.Decision{
-			Component: "control", Text: "tick was late", Inputs: []carobinput.Input{{Name: "delayms", Value: carobinput.Milliseconds(delay)}},
-		})
-	}
-}
-
 // takeQueries removes and returns the waiting queries. It does not block.
 func (c *Control) takeQueries() []func(world *carobworld.World) {
 	var queries []func(world *carobworld.World)
--- a/internal/carobcontrol/control_test.go
+++ b/internal/carobcontrol/control_test.go
@@ -12,23 +12,20 @@
 	"github.com/carobknot/carobknot/internal/carobmailbox"
 	"github.com/carobknot/carobknot/internal/carobtimer"
 	"github.com/carobknot/carobknot/pkg/carobcore"
-	"github.com/carobknot/carobknot/pkg/carobdecision"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
 	"github.com/carobknot/carobknot/pkg/carobworld"
 )
 
-// delayRecorder is an executor that keeps the longest delay of a tick, and the decisions.
+// delayRecorder is an executor that keeps the longest delay of a tick.
 type delayRecorder struct {
-	longest   time.Duration
-	decisions []carobdecision.Decision
+	longest time.Duration
 }
 
 func (d *delayRecorder) Execute(out *caroboutbox.Outbox) {
 	d.longest = max(d.longest, out.TickDelay)
-	d.decisions = append(d.decisions, out.Decisions...)
 }
 
-// Guards against a control goroutine whose ticks are late without a metric or a line that shows it.
+// Guards against a control goroutine whose ticks are late without a trace.
 func TestDelayOfTicksIsReported(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const pause = 3 * time.Second
@@ -44,15 +41,10 @@
 		require.NoError(t, timer.Wait(ctx, pause))
 		var before, after time.Duration
 		require.NoError(t, control.Query(ctx, func(*carobworld.World) {
-			require.Empty(t, recorder.decisions)
 			before = recorder.longest
 			_ = timer.Wait(ctx, pause)
 		}))
-		require.NoError(t, control.Query(ctx, func(*carobworld.World) {
-			require.Len(t, recorder.decisions, 1)
-			require.Equal(t, "tick was late", recorder.decisions[0].Text)
-			after = recorder.longest
-		}))
+		require.NoError(t, control.Query(ctx, func(*carobworld.World) { after = recorder.longest }))
 		require.Less(t, before, time.Millisecond)
 		require.Greater(t, after, pause/2)
 	})
--- a/internal/carobeventlog/eventlog.go
+++ b/internal/carobeventlog/eventlog.go
@@ -16,6 +16,7 @@
 	"github.com/carobknot/carobknot/internal/carobtimer"
 	"github.com/carobknot/carobknot/pkg/carobaudit"
 	"github.com/carobknot/carobknot/pkg/carobdecision"
+	"github.com/carobknot/carobknot/pkg/carobinput"
 	"github.com/carobknot/carobknot/pkg/carobinstant"
 	"github.com/carobknot/carobknot/pkg/carobkind"
 	"github.com/carobknot/carobknot/pkg/caroboutbox"
@@ -34,6 +35,9 @@
 	LogAudits bool
 }
 
+// loggedDelay is the shortest delay of a tick that is logged.
+const loggedDelay = 250 * time.Millisecond
+
 // queueSize is the maximum number of lines that wait to be written.
 const queueSize = 2048
 
@@ -69,12 +73,16 @@
 
 // Execute enqueues the lines of a tick. It never blocks.
 func (l *EventLog) Execute(out *caroboutbox.Outbox) {
-	if len(out.Decisions) == 0 && len(out.Audits) == 0 {
+	late := out.TickDelay >= loggedDelay
+	if len(out.Decisions) == 0 && len(out.Audits) == 0 && !late {
 		return
 	}
 	if now := l.config.Timer.Now(); l.secondStart == carobinstant.Never || now.Sub(l.secondStart) >= time.Second {
 		l.secondStart, l.remaining = now, [2]int{l.config.MaxSuccessLines, l.config.MaxFailureLines}
 	}
+	if late {
+		l.enqueue(failure, line{decision: lateTick(out.TickDelay)})
+	}
 	for i := range out.Audits {
 		if !l.config.LogAudits {
 			break
@@ -90,6 +98,13 @@
 	}
 }
 
+// lateTick returns the decision whose line shows that a tick was late.
+func lateTick(delay time.Duration) *carobdecision.Decision {
+	return &carobdecision.Decision{
+		Component: "control", Text: "tick was late", Inputs: []carobinput.Input{{Name: "delayms", Value: carobinput.Milliseconds(delay)}},
+	}
+}
+
 // enqueue drops the line if the limit of its class is reached or the queue is full.
 func (l *EventLog) enqueue(class int, ln line) {
 	if l.remaining[class] == 0 {
--- a/internal/carobeventlog/eventlog_test.go
+++ b/internal/carobeventlog/eventlog_test.go
@@ -68,3 +68,15 @@
 	require.Equal(t, "routes: changed", logged.LastEntry().Message)
 	require.InDelta(t, 12.5, logged.LastEntry().Data["confirmedms"], 0.001)
 }
+
+// Guards against late ticks whose lines are left out since many calls are logged.
+func TestLateTicksAreLoggedBesideManyLines(t *testing.T) {
+	logger, logged := test.NewNullLogger()
+	eventLog := carobeventlog.NewEventLog(carobeventlog.Config{Logger: logger, Timer: carobtimer.NewTimer(), MaxFailureLines: 5})
+	eventLog.Execute(&caroboutbox.Outbox{TickDelay: 40 * time.Millisecond})
+	eventLog.Execute(&caroboutbox.Outbox{TickDelay: 400 * time.Millisecond})
+	go eventLog.Run(t.Context())
+	require.Eventually(t, func() bool { return len(logged.AllEntries()) == 1 }, 10*time.Second, time.Millisecond)
+	require.Equal(t, "control: tick was late", logged.LastEntry().Message)
+	require.InDelta(t, 400, logged.LastEntry().Data["delayms"], 0.001)
+}
