--- a/internal/carobroutepoller/apart_test.go
+++ b/internal/carobroutepoller/apart_test.go
@@ -15,26 +15,29 @@
 // newest route table.
 const recoveryTimeout = 3 * time.Second
 
-// Guards against a node that receives no messages of others and keeps an old route table since one of its reads failed.
+// Guards against a node that receives no messages of others and keeps an old route table since one or two of its reads failed.
 func TestNodeApartAppliesANewTableInTimeAfterAFailedRead(t *testing.T) {
 	for _, size := range []int{1, 12} {
 		for _, test := range []struct {
 			name  string
 			fault readFault
+			reads int
 		}{
-			{"refused", readFault{refused: true}},
-			{"no response", readFault{lost: true}},
-			{"late response", readFault{delay: 1500 * time.Millisecond}},
+			{"refused", readFault{refused: true}, 1},
+			{"no response", readFault{lost: true}, 1},
+			{"late response", readFault{delay: 1500 * time.Millisecond}, 1},
+			{"two refused", readFault{refused: true}, 2},
+			{"two without response", readFault{lost: true}, 2},
 		} {
 			t.Run(fmt.Sprintf("%s, %d nodes", test.name, size), func(t *testing.T) {
 				testNewTableIsAppliedInTime(t, size, func(c *cluster) {
 					c.disconnected.Store(true)
-					failed := map[carobnodeid.ID]bool{}
+					failed := map[carobnodeid.ID]int{}
 					c.store.failReads(func(node carobnodeid.ID) readFault {
-						if failed[node] {
+						if failed[node] == test.reads {
 							return readFault{}
 						}
-						failed[node] = true
+						failed[node]++
 						return test.fault
 					})
 				})
