--- a/internal/carobroutepoller/cluster_test.go
+++ b/internal/carobroutepoller/cluster_test.go
@@ -77,6 +77,8 @@
 	timer *carobtimer.Timer
 	store *store
 	nodes []*clusterNode
+	// processMutex guards the processes of the nodes while they are stopped and restarted.
+	processMutex sync.Mutex
 	// byAddress has the nodes by their peer address.
 	byAddress map[carobaddress.Address]*clusterNode
 	// disconnected is true if no message arrives.
@@ -162,6 +164,8 @@
 
 // stop ends some nodes without notice.
 func (c *cluster) stop(nodes ...int) {
+	c.processMutex.Lock()
+	defer c.processMutex.Unlock()
 	for _, i := range nodes {
 		c.nodes[i].stop()
 		c.nodes[i].stopped = true
@@ -170,6 +174,8 @@
 
 // restart starts a process in place of one that was stopped.
 func (c *cluster) restart(ctx context.Context, i int) {
+	c.processMutex.Lock()
+	defer c.processMutex.Unlock()
 	c.nodes[i].stop()
 	c.start(ctx, i)
 	c.nodes[i].stopped = false
