--- a/internal/carobroutepoller/apart_test.go
+++ b/internal/carobroutepoller/apart_test.go
@@ -17,7 +17,7 @@
 
 // Guards against a node that receives no messages of others and keeps an old route table since one or two of its reads failed.
 func TestNodeApartAppliesANewTableInTimeAfterAFailedRead(t *testing.T) {
-	for _, size := range []int{1, 12} {
+	for _, size := range []int{1, 12, 80} {
 		for _, test := range []struct {
 			name  string
 			fault readFault
@@ -48,7 +48,7 @@
 
 // Guards against a node that receives no messages of others and reads the store too late after the store has been silent for it.
 func TestNodeApartAppliesANewTableInTimeAfterAnOutageOfTheStore(t *testing.T) {
-	for _, size := range []int{1, 12} {
+	for _, size := range []int{1, 12, 80} {
 		for _, outage := range []time.Duration{2, 4, 8, 16, 31} {
 			t.Run(fmt.Sprintf("%d s, %d nodes", outage, size), func(t *testing.T) {
 				const step = 350 * time.Millisecond
@@ -74,7 +74,7 @@
 
 // Guards against a store that is slow for all nodes and whose responses none of them takes.
 func TestTablesAreReadFromASlowStore(t *testing.T) {
-	for _, size := range []int{1, 12} {
+	for _, size := range []int{1, 12, 80} {
 		for _, delay := range []time.Duration{900, 1100, 1500, 2500} {
 			t.Run(fmt.Sprintf("%d ms, %d nodes", delay, size), func(t *testing.T) {
 				runCluster(t, size, func(ctx context.Context, c *cluster) {
